--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -28,9 +28,9 @@
 SPILL_FACTOR = 3  # times the mean per cache: what chance alone rarely reaches
 # Concurrency that a host has shown it can answer in time
 FIRST_LIMIT = 16.0  # legs of all balancers together at a host not yet known: a few for each core
-LEAST_LIMIT = 1.0  # legs: below this a slow host could not show that it recovers
+LEAST_LIMIT = 0.25  # legs: below this a slow host could not show that it recovers
 LIMIT_CUT = 0.85  # factor upon a late answer, once per leg time: halves within about four
-ON_TIME = 0.6  # of the promised time: an answer inside it says that there was room
+ON_TIME = 0.3  # of the promised time: an answer inside it says that there was room
 SURPLUS_ROOM = 0.5  # of the limit is open to what lies beyond a customer's share
 # Health
 SPAN = 4 * SECOND  # half-life of outcomes, times, grants and retries: rides out a second, forgets a trouble
@@ -46,8 +46,8 @@
 RETRY_SHARE = 0.2  # further legs per first leg: a failing fleet must not be fed with retries
 RETRY_SLACK = 4.0  # further legs at once after a calm stretch
 HOLD_PART = 0.5  # of the promised time: held longer, too little is left for an answer
-COLD_ROOM = 0.5  # of the stated multiple: the rest is for what the other balancers misjudge
-COLD_SLACK = 2.0  # legs to a cold host in its window when nothing is known of the warm ones
+COLD_ROOM = 0.25  # of the stated multiple: the decaying sum lets through 1.7 of it, the rest is chance in work
+COLD_SLACK = 1.0  # legs to a cold host in its window when nothing is known of the warm ones
 WAIT_STEP = 250 * MS  # advised before a client comes back: a few service times
 ASK_PAUSE = 300 * MS  # before the list is asked for again, doubled each time, half of it random
 
@@ -66,7 +66,7 @@
         self.limit, self.cut_at, self.heard = max(2.0, FIRST_LIMIT / settings.balancers), 0, now
         self.took, self.answers = Sum(SPAN, now), Sum(SPAN, now)
         self.good, self.bad = Sum(SPAN, now), Sum(SPAN, now)
-        self.sent = Sum(settings.fall_time, now)
+        self.sent, self.last = Sum(settings.fall_time, now), 0
         self.back_at = 0  # when a host that was set aside may be tried, 0 = trusted
 
     def mean_time(self, now):
@@ -304,6 +304,7 @@
         if host.back_at:
             host.back_at = now + TRIAL_TIME  # others pass over it until this leg has ended
         host.sent.add(now)
+        host.last = now
         leg = Leg(r, host, len(r.legs), now, r.ends - now)
         host.legs[leg] = None
         r.legs.append(leg)
@@ -345,7 +346,11 @@
         return after if within and self._room(after, within) else None
 
     def _room(self, host, within):
-        return len(host.legs) < (host.limit if within else host.limit * SURPLUS_ROOM)
+        limit = host.limit if within else host.limit * SURPLUS_ROOM
+        if limit >= 1:
+            return len(host.legs) < limit
+        # Many balancers with one leg each can overdrive a small host: less than one leg is one at times.
+        return not host.legs and self.now - host.last >= host.mean_time(self.now) / limit
 
     def _candidates(self, r, count):
         """The first `count` distinct caches after the key that may be sent this retrieval."""
