Limits below one leg double instead of leaping; smaller first limits; rarer passing on

Cause: after a cut to a quarter leg one answer in time added four legs, so choked hosts never emptied; and full homes passed reads on to full neighbours, which missed.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -27,11 +27,11 @@
 SPILL_FLOOR = 2  # own legs in flight before home can spill: one leg is no queue
 SPILL_FACTOR = 3  # times the mean per cache: what chance alone rarely reaches
 # Concurrency that a host has shown it can answer in time
-FIRST_LIMIT = 16.0  # legs of all balancers together at a host not yet known: a few for each core
+FIRST_LIMIT = 10.0  # legs of all balancers together at a host not yet known: a few for each core
 LEAST_LIMIT = 0.25  # legs: below this a slow host could not show that it recovers
 LIMIT_CUT = 0.85  # factor upon a late answer, once per leg time: halves within about four
 ON_TIME = 0.3  # of the promised time: an answer inside it says that there was room
-SURPLUS_ROOM = 0.5  # of the limit is open to what lies beyond a customer's share
+SURPLUS_ROOM = 0.35  # of the limit is open to what lies beyond a customer's share
 # Health
 SPAN = 4 * SECOND  # half-life of outcomes, times, grants and retries: rides out a second, forgets a trouble
 BAD_COUNT = 3.0  # bad outcomes before a host is judged: one or two are chance
@@ -63,7 +63,7 @@
         self.legs, self.watched = {}, False  # own legs in flight, the oldest first
         self.warm_at = entry.started + settings.warm_within if entry.started else 0
         self.ghost = 0.0  # legs counted on top while cold, so that an empty cache does not draw all
-        self.limit, self.cut_at, self.heard = max(2.0, FIRST_LIMIT / settings.balancers), 0, now
+        self.limit, self.cut_at, self.heard = max(1.0, FIRST_LIMIT / settings.balancers), 0, now
         self.took, self.answers = Sum(SPAN, now), Sum(SPAN, now)
         self.good, self.bad = Sum(SPAN, now), Sum(SPAN, now)
         self.sent, self.last = Sum(settings.fall_time, now), 0
@@ -343,7 +343,7 @@
             return after
         if self._room(home, within):
             return home
-        return after if within and self._room(after, within) else None
+        return after if within and self._room(after, False) else None
 
     def _room(self, host, within):
         limit = host.limit if within else host.limit * SURPLUS_ROOM
@@ -416,7 +416,7 @@
         host.took.add(now, took)
         if leg.outcome is Outcome.HANDLED and took <= ON_TIME * leg.retrieval.track.promised:
             if len(host.legs) + 1 >= host.limit * SURPLUS_ROOM:
-                host.limit += 1 / host.limit
+                host.limit += min(host.limit, 1 / host.limit)  # doubles below one leg, then one a round
         elif leg.sent > host.cut_at:  # one cut for all that was sent before it
             host.limit, host.cut_at = max(LEAST_LIMIT, host.limit * LIMIT_CUT), now
 
