--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -29,7 +29,9 @@
 # Concurrency that a host has shown it can answer in time
 FIRST_LIMIT = 10.0  # legs of all balancers together at a host not yet known: a few for each core
 LEAST_LIMIT = 0.25  # legs: below this a slow host could not show that it recovers
+LIMIT_GROWTH = 0.2  # of the limit for each answer in time, and at most one leg a round
 LIMIT_CUT = 0.85  # factor upon a late answer, once per leg time: halves within about four
+ORIGIN_ON_TIME = 0.6  # the same at the origin, which is slow by nature
 ON_TIME = 0.3  # of the promised time: an answer inside it says that there was room
 SURPLUS_ROOM = 0.35  # of the limit is open to what lies beyond a customer's share
 # Health
@@ -87,7 +89,8 @@
         self.hosts, self.caches, self.origin = {}, [], None
         self.points, self.owners, self.orders = [], [], {}
         self.counts, self.counted, self.halve_at = {}, 0.0, now + HALVING
-        self.cache_legs, self.fetches, self.queue, self.serial = 0, {}, [], 0
+        self.cache_legs, self.fetches, self.queues = 0, {}, ([], [])
+        self.serial, self.turn = 0, False
         self.silence = int(SILENCE_PART * min(track.promised for track in settings.tracks))
         self.granted = [Sum(SPAN, now) for _ in settings.quotas]
         self.first_legs, self.more_legs = Sum(SPAN, now), Sum(SPAN, now)
@@ -241,21 +244,23 @@
         origin, patience = self.origin, self._patience(r)
         if origin is None or origin.state is not State.READY:
             return False
-        if not self.queue and len(origin.legs) < origin.limit:
+        # Writes and reads each have a line and take turns: neither may starve the other.
+        line, rank = self.queues[r.write], (not self._within_share(r), -r.track.benefit)
+        if not line and len(origin.legs) < origin.limit:
             return True
-        rank = (0 if r.write else 1, 0 if self._within_share(r) else 1, -r.track.benefit)
-        ahead = sum(entry[0] <= rank for entry in self.queue) + 1
-        if self.now + ahead * origin.mean_time(self.now) / origin.limit > patience:
+        ahead = sum(entry[0] <= rank for entry in line) + 1
+        if self.now + 2 * ahead * origin.mean_time(self.now) / origin.limit > patience:
             return False
         hold = Hold(r)
         self.serial += 1
-        heappush(self.queue, (rank, self.serial, hold))
+        heappush(line, (rank, self.serial, hold))
         return (yield WakeAt(patience, hold)) is True
 
     def _open_gate(self):
-        origin = self.origin
-        while self.queue and len(origin.legs) < origin.limit:
-            if self._resume(heappop(self.queue)[2], True):
+        while any(self.queues) and len(self.origin.legs) < self.origin.limit:
+            self.turn = not self.turn
+            line = self.queues[self.turn] or self.queues[not self.turn]
+            if self._resume(heappop(line)[2], True):
                 return True
         return False
 
@@ -414,9 +419,10 @@
         now, took = self.now, self.now - leg.sent
         host.answers.add(now)
         host.took.add(now, took)
-        if leg.outcome is Outcome.HANDLED and took <= ON_TIME * leg.retrieval.track.promised:
+        part = ON_TIME if host.is_cache else ORIGIN_ON_TIME
+        if leg.outcome is Outcome.HANDLED and took <= part * leg.retrieval.track.promised:
             if len(host.legs) + 1 >= host.limit * SURPLUS_ROOM:
-                host.limit += min(host.limit, 1 / host.limit)  # doubles below one leg, then one a round
+                host.limit += min(LIMIT_GROWTH * host.limit, 1 / host.limit)
         elif leg.sent > host.cut_at:  # one cut for all that was sent before it
             host.limit, host.cut_at = max(LEAST_LIMIT, host.limit * LIMIT_CUT), now
 
