--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -28,11 +28,11 @@
 SPILL_FACTOR = 3  # times the mean per cache: what chance alone rarely reaches
 # Concurrency that a host has shown it can answer in time
 FIRST_LIMIT = 10.0  # legs of all balancers together at a host not yet known: a few for each core
-LEAST_LIMIT = 0.25  # legs: below this a slow host could not show that it recovers
+LEAST_LIMIT = 0.1  # legs: below this a slow host could not show that it recovers
 LIMIT_GROWTH = 0.2  # of the limit for each answer in time, and at most one leg a round
-LIMIT_CUT = 0.85  # factor upon a late answer, once per leg time: halves within about four
+LIMIT_CUT = 0.75  # factor upon a late answer, once per leg time: halves within about four
 ORIGIN_ON_TIME = 0.6  # the same at the origin, which is slow by nature
-ON_TIME = 0.3  # of the promised time: an answer inside it says that there was room
+ON_TIME = 0.4  # of the promised time: an answer inside it says that there was room
 SURPLUS_ROOM = 0.35  # of the limit is open to what lies beyond a customer's share
 # Health
 SPAN = 4 * SECOND  # half-life of outcomes, times, grants and retries: rides out a second, forgets a trouble
