Waiting reads need room at the filled cache; smaller first limits

Cause: after each fetch all reads that waited went to the filled cache whatever its limit, so crowded hosts stayed crowded.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -27,7 +27,7 @@
 SPILL_FLOOR = 2  # own legs in flight before home can spill: one leg is no queue
 SPILL_FACTOR = 3  # times the mean per cache: what chance alone rarely reaches
 # Concurrency that a host has shown it can answer in time
-FIRST_LIMIT = 10.0  # legs of all balancers together at a host not yet known: a few for each core
+FIRST_LIMIT = 4.0  # legs of all balancers together at a host not yet known: a few for each core
 LEAST_LIMIT = 0.1  # legs: below this a slow host could not show that it recovers
 LIMIT_GROWTH = 0.2  # of the limit for each answer in time, and at most one leg a round
 LIMIT_CUT = 0.75  # factor upon a late answer, once per leg time: halves within about four
@@ -65,7 +65,7 @@
         self.legs, self.watched = {}, False  # own legs in flight, the oldest first
         self.warm_at = entry.started + settings.warm_within if entry.started else 0
         self.ghost = 0.0  # legs counted on top while cold, so that an empty cache does not draw all
-        self.limit, self.cut_at, self.heard = max(1.0, FIRST_LIMIT / settings.balancers), 0, now
+        self.limit, self.cut_at, self.heard = max(0.5, FIRST_LIMIT / settings.balancers), 0, now
         self.took, self.answers = Sum(SPAN, now), Sum(SPAN, now)
         self.good, self.bad = Sum(SPAN, now), Sum(SPAN, now)
         self.sent, self.last = Sum(settings.fall_time, now), 0
@@ -195,7 +195,8 @@
                     if told is None:
                         return self._turn_away(r)
                     lead, filled = (told, None) if told is fetch else (None, told)
-                host = filled if filled and self._passable(filled, r) else self._pick(r, spread)
+                straight = filled and self._passable(filled, r) and self._room(filled, self._within_share(r))
+                host = filled if straight else self._pick(r, spread)
                 if host is None:
                     return self._turn_away(r)
                 leg, filled = (yield self._send(r, host)), None
