--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -11,16 +11,15 @@
 from collections import deque
 from hashlib import blake2b
 from heapq import heappop, heappush
-from itertools import islice
+from itertools import count, islice
 from math import ceil, log, log2
 from random import Random
 
-from .model import MS, NEVER_RAN, SECOND, Bounce, Cancel, Fetch, Hold, Leg, Outcome, Repeat, Scope, Scrap
-from .model import Send, State, Subscribe, Sum, WakeAt
+from .model import BROKEN, HEARD, MS, NEVER_RAN, RATED, SECOND, Bounce, Cancel, Fetch, Hold, Leg, Outcome
+from .model import Repeat, Scope, Scrap, Send, State, Subscribe, Sum, WakeAt
 
 # The design's own figures
 POINTS = 96  # ring points of a cache of common size: keeps shares within about a tenth of each other
-TABLE_MULTIPLE = 1.0  # read counters per n ln n: the thesis's bound as it stands
 HALVING = 5 * SECOND  # half-life of read counts
 HOT_FLOOR = 16  # reads counted before a key can be hot: fewer say nothing about a share
 SPREAD_FACTOR = 2  # caches for a hot key, per share x n: keeps each under half of a fair cache's reads
@@ -30,25 +29,24 @@
 FIRST_LIMIT = 4.0  # legs of all balancers together at a host not yet known: a few for each core
 LEAST_LIMIT = 0.1  # legs: below this a slow host could not show that it recovers
 LIMIT_GROWTH = 0.2  # of the limit for each answer in time, and at most one leg a round
+GROWTH_USE = 0.7  # of the limit must be in use for it to grow: what is not used shows nothing
 LIMIT_CUT = 0.75  # factor upon a late answer, once per leg time: halves within about four
 ORIGIN_ON_TIME = 0.6  # the same at the origin, which is slow by nature
 ON_TIME = 0.4  # of the promised time: an answer inside it says that there was room
-SURPLUS_ROOM = 0.35  # of the limit is open to what lies beyond a customer's share
-# Health
+SURPLUS_ROOM = 0.5  # of the limit is open to what lies beyond a customer's share
 SPAN = 4 * SECOND  # half-life of outcomes, times, grants and retries: rides out a second, forgets a trouble
 BAD_COUNT = 3.0  # bad outcomes before a host is judged: one or two are chance
 BAD_SHARE = 0.5  # of its outcomes, and twice the share of the rest: clearly the host and not the work
 MOST_ASIDE = 0.67  # of the ready caches: a whole zone may be lost, but not everything is the hosts' fault
 ASIDE_TIME = 1500 * MS  # fixed part: about what a process needs to restart at the earliest
 ASIDE_CHANCE = 1500 * MS  # random part: balancers do not come back together
-TRIAL_TIME = 1 * SECOND  # a single leg tries a host before others follow
-# Legs and waits
 SILENCE_PART = 0.7  # of the shortest promised time with no answer: what is left allows a second try
+SILENCE_LEGS = 2  # own legs unanswered: a single one may be a long piece of work
 SILENCE_TIMES = 3  # times the host's mean time to answer: a busy host is not a silent one
 RETRY_SHARE = 0.2  # further legs per first leg: a failing fleet must not be fed with retries
 RETRY_SLACK = 4.0  # further legs at once after a calm stretch
 HOLD_PART = 0.5  # of the promised time: held longer, too little is left for an answer
-COLD_ROOM = 0.25  # of the stated multiple: the decaying sum lets through 1.7 of it, the rest is chance in work
+COLD_ROOM = 0.25  # of the stated multiple: the decaying sum lets 1.7 of it through, the rest is chance
 COLD_SLACK = 1.0  # legs to a cold host in its window when nothing is known of the warm ones
 WAIT_STEP = 250 * MS  # advised before a client comes back: a few service times
 ASK_PAUSE = 300 * MS  # before the list is asked for again, doubled each time, half of it random
@@ -90,7 +88,7 @@
         self.points, self.owners, self.orders = [], [], {}
         self.counts, self.counted, self.halve_at = {}, 0.0, now + HALVING
         self.cache_legs, self.fetches, self.queues = 0, {}, ([], [])
-        self.serial, self.turn = 0, False
+        self.serial, self.turn = count(), False
         self.silence = int(SILENCE_PART * min(track.promised for track in settings.tracks))
         self.granted = [Sum(SPAN, now) for _ in settings.quotas]
         self.first_legs, self.more_legs = Sum(SPAN, now), Sum(SPAN, now)
@@ -205,15 +203,13 @@
                 if leg.outcome is not Outcome.MISS:
                     if not self._again(r):
                         return self._turn_away(r)
-                    continue
-                if r.key and lead is None:
-                    if r.key in self.fetches:
-                        continue
-                    lead = self.fetches[r.key] = Fetch()
-                answer = yield from self._write(r)
-                if answer is None and lead:
-                    lead.filled = host
-                return answer
+                elif lead or r.key not in self.fetches:
+                    if r.key and not lead:
+                        lead = self.fetches[r.key] = Fetch()
+                    answer = yield from self._write(r)
+                    if answer is None and lead:
+                        lead.filled = host
+                    return answer
         finally:
             if lead:
                 self._hand_over(r.key, lead)
@@ -227,8 +223,7 @@
                 host = self._pick(r, 1)
             if host is None or not self._may_repeat(r, host):
                 return self._turn_away(r)
-            leg = yield self._send(r, host)
-            if leg.outcome is Outcome.HANDLED:
+            if (yield self._send(r, host)).outcome is Outcome.HANDLED:
                 return None
             if not self._again(r):
                 return self._turn_away(r)
@@ -250,11 +245,10 @@
         if not line and len(origin.legs) < origin.limit:
             return True
         ahead = sum(entry[0] <= rank for entry in line) + 1
-        if self.now + 2 * ahead * origin.mean_time(self.now) / origin.limit > patience:
+        if self.now + 2 * ahead * origin.mean_time(self.now) / max(1.0, origin.limit) > patience:
             return False
         hold = Hold(r)
-        self.serial += 1
-        heappush(line, (rank, self.serial, hold))
+        heappush(line, (rank, next(self.serial), hold))
         return (yield WakeAt(patience, hold)) is True
 
     def _open_gate(self):
@@ -308,7 +302,7 @@
             if self.granted and self._within_share(r):
                 self.granted[r.customer].add(now)
         if host.back_at:
-            host.back_at = now + TRIAL_TIME  # others pass over it until this leg has ended
+            host.back_at = now + ASIDE_TIME  # others pass over it until this leg has ended
         host.sent.add(now)
         host.last = now
         leg = Leg(r, host, len(r.legs), now, r.ends - now)
@@ -327,13 +321,13 @@
         self.counted += 1
         if not key or not n:
             return 1
-        count = counts.get(key, 0) + 1
-        if count == 1 and len(counts) >= TABLE_MULTIPLE * n * log(max(n, 2)):
+        reads = counts.get(key, 0) + 1
+        if reads == 1 and len(counts) >= n * log(max(n, 2)):
             del counts[min(counts, key=counts.get)]
-        counts[key] = count
-        if count < HOT_FLOOR or count * n <= self.counted:
+        counts[key] = reads
+        if reads < HOT_FLOOR or reads * n <= self.counted:
             return 1
-        return min(n, max(2, ceil(SPREAD_FACTOR * count / self.counted * n)))
+        return min(n, max(2, ceil(SPREAD_FACTOR * reads / self.counted * n)))
 
     def _pick(self, r, spread):
         now, within = self.now, self._within_share(r)
@@ -358,12 +352,12 @@
         # Many balancers with one leg each can overdrive a small host: less than one leg is one at times.
         return not host.legs and self.now - host.last >= host.mean_time(self.now) / limit
 
-    def _candidates(self, r, count):
-        """The first `count` distinct caches after the key that may be sent this retrieval."""
-        place = digest(r.key) if r.key else digest(self.random.getrandbits(64))
+    def _candidates(self, r, most):
+        """The first `most` distinct caches after the key that may be sent this retrieval."""
+        place = digest(r.key or self.random.getrandbits(64))
         order = self._order(place)
-        found = list(islice((h for h in order if self._passable(h, r, place)), count))
-        return found or list(islice((h for h in order if self._passable(h, r)), count))
+        found = list(islice((h for h in order if self._passable(h, r, place)), most))
+        return found or list(islice((h for h in order if self._passable(h, r)), most))
 
     def _passable(self, host, r, place=None):
         now = self.now
@@ -405,24 +399,20 @@
             host.good.add(now)
             if host.back_at:
                 host.back_at, host.bad.value = 0, 0.0
-        if outcome not in (Outcome.MISS, Outcome.ERROR, Outcome.CANCELLED, Outcome.NEVER_SENT, Outcome.RESET):
-            self._rate(host, leg)
-        broken = outcome in (Outcome.ERROR, Outcome.RESET, Outcome.NO_CONNECTION)
-        if broken or outcome is Outcome.TIMED_OUT and host.heard <= leg.sent:  # else busy, not broken
+        if outcome in BROKEN or outcome is Outcome.TIMED_OUT and host.heard <= leg.sent:  # else just busy
             host.bad.add(now)
             if host.is_cache:
                 self._judge(host)
-        if outcome in (Outcome.HANDLED, Outcome.MISS, Outcome.ERROR, Outcome.FULL):
+        if outcome in HEARD:
             host.heard = now
-
-    def _rate(self, host, leg):
-        """Moves the number of legs that the host may hold by whether it answered in good time."""
-        now, took = self.now, self.now - leg.sent
+        if outcome not in RATED:
+            return
+        # The number of legs that the host may hold moves by whether it answered in good time.
         host.answers.add(now)
-        host.took.add(now, took)
-        part = ON_TIME if host.is_cache else ORIGIN_ON_TIME
-        if leg.outcome is Outcome.HANDLED and took <= part * leg.retrieval.track.promised:
-            if len(host.legs) + 1 >= host.limit * SURPLUS_ROOM:
+        host.took.add(now, now - leg.sent)
+        promised = leg.retrieval.track.promised * (ON_TIME if host.is_cache else ORIGIN_ON_TIME)
+        if outcome is Outcome.HANDLED and now - leg.sent <= promised:
+            if len(host.legs) + 1 >= host.limit * GROWTH_USE:
                 host.limit += min(LIMIT_GROWTH * host.limit, 1 / host.limit)
         elif leg.sent > host.cut_at:  # one cut for all that was sent before it
             host.limit, host.cut_at = max(LEAST_LIMIT, host.limit * LIMIT_CUT), now
@@ -434,7 +424,8 @@
             return
         since = max(host.heard, next(iter(host.legs)).sent)
         quiet = max(self.silence, SILENCE_TIMES * int(host.mean_time(self.now)))
-        if self.now - since >= quiet and self._set_aside(host) and self.settings.cancels:
+        silent = self.now - since >= quiet and len(host.legs) >= SILENCE_LEGS
+        if silent and self._set_aside(host) and self.settings.cancels:
             self.out.extend(Cancel(leg) for leg in host.legs if leg.retrieval.track.repeat is Repeat.PURE)
         self.out.append(WakeAt(max(since, self.now - quiet // 2) + quiet, host))
 
@@ -461,8 +452,8 @@
         unit = 2.0 ** round(log2(sizes[len(sizes) // 2]))
         ring = []
         for host in self.caches:
-            count = POINTS * min(8.0, host.size / unit) if self.settings.sized else POINTS
-            ring.extend((digest(host.salt ^ i), host.name, host) for i in range(max(4, round(count))))
+            part = min(8.0, max(0.05, host.size / unit)) if self.settings.sized else 1
+            ring.extend((digest(host.salt ^ i), host.name, host) for i in range(round(POINTS * part)))
         ring.sort(key=lambda point: point[:2])
         self.points, self.owners, self.orders = [p[0] for p in ring], [p[2] for p in ring], {}
 
@@ -471,7 +462,6 @@
         if not self.points:
             return ()
         at = bisect_left(self.points, place) % len(self.points)
-        order = self.orders.get(at)
-        if order is None:
-            order = self.orders[at] = list(dict.fromkeys(self.owners[at:] + self.owners[:at]))
-        return order
+        if at not in self.orders:
+            self.orders[at] = list(dict.fromkeys(self.owners[at:] + self.owners[:at]))
+        return self.orders[at]
