Crowding is told from the fleet's best mean time; drains kept at the origin's gate

Cause: hosts that hold too many do less and stay crowded, while single answers still lie within 0.4 of the promised time. On time is now twice the best mean time seen over all caches, within 0.17 and 0.4 of the promised time. Found by reading: a write or fetch that waited at the gate could be sent to an origin that had begun to drain.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -18,30 +18,30 @@
 from .model import BROKEN, HEARD, MS, NEVER_RAN, RATED, SECOND, Bounce, Cancel, Fetch, Hold, Leg, Outcome
 from .model import Repeat, Scope, Scrap, Send, State, Subscribe, Sum, WakeAt
 
-# The design's own figures
 POINTS = 96  # ring points of a cache of common size: keeps shares within about a tenth of each other
 HALVING = 5 * SECOND  # half-life of read counts
 HOT_FLOOR = 16  # reads counted before a key can be hot: fewer say nothing about a share
 SPREAD_FACTOR = 2  # caches for a hot key, per share x n: keeps each under half of a fair cache's reads
 SPILL_FLOOR = 2  # own legs in flight before home can spill: one leg is no queue
 SPILL_FACTOR = 3  # times the mean per cache: what chance alone rarely reaches
-# Concurrency that a host has shown it can answer in time
 FIRST_LIMIT = 4.0  # legs of all balancers together at a host not yet known: a few for each core
 LEAST_LIMIT = 0.1  # legs: below this a slow host could not show that it recovers
 LIMIT_GROWTH = 0.2  # of the limit for each answer in time, and at most one leg a round
 GROWTH_USE = 0.7  # of the limit must be in use for it to grow: what is not used shows nothing
 LIMIT_CUT = 0.75  # factor upon a late answer, once per leg time: halves within about four
+ON_TIME = 0.17  # of the promised time: an answer inside it shows that the host has room
+ON_TIME_MOST = 0.4  # of the promised time, where the work itself takes long
 ORIGIN_ON_TIME = 0.6  # the same at the origin, which is slow by nature
-ON_TIME = 0.4  # of the promised time: an answer inside it says that there was room
+CROWDED = 2.0  # times the fleet's best mean time: a short queue and no crowd
+BASE_RISE = 1.0002  # for each answer: about a hundredth a second, to follow a slow change of the work
+BASE_COUNT = 40  # answers in mind before their mean counts: chance evens out
 SURPLUS_ROOM = 0.5  # of the limit is open to what lies beyond a customer's share
 SPAN = 4 * SECOND  # half-life of outcomes, times, grants and retries: rides out a second, forgets a trouble
 BAD_COUNT = 3.0  # bad outcomes before a host is judged: one or two are chance
 BAD_SHARE = 0.5  # of its outcomes, and twice the share of the rest: clearly the host and not the work
 MOST_ASIDE = 0.67  # of the ready caches: a whole zone may be lost, but not everything is the hosts' fault
-ASIDE_TIME = 1500 * MS  # fixed part: about what a process needs to restart at the earliest
-ASIDE_CHANCE = 1500 * MS  # random part: balancers do not come back together
+ASIDE_TIME = 1500 * MS  # fixed part, and the most of the random one: what a process needs to restart
 SILENCE_PART = 0.7  # of the shortest promised time with no answer: what is left allows a second try
-SILENCE_LEGS = 2  # own legs unanswered: a single one may be a long piece of work
 SILENCE_TIMES = 3  # times the host's mean time to answer: a busy host is not a silent one
 RETRY_SHARE = 0.2  # further legs per first leg: a failing fleet must not be fed with retries
 RETRY_SLACK = 4.0  # further legs at once after a calm stretch
@@ -53,8 +53,6 @@
 
 
 class Host:
-    """A cache or the origin, as this balancer knows it."""
-
     def __init__(self, entry, settings, now):
         self.name, self.zone, self.cell, self.size = entry.name, entry.zone, entry.cell, entry.size or 1.0
         self.salt = digest(entry.name ^ 0x9E3779B97F4A7C15)
@@ -91,6 +89,7 @@
         self.serial, self.turn = count(), False
         self.silence = int(SILENCE_PART * min(track.promised for track in settings.tracks))
         self.granted = [Sum(SPAN, now) for _ in settings.quotas]
+        self.took, self.answers, self.base = Sum(SPAN, now), Sum(SPAN, now), 0.0
         self.first_legs, self.more_legs = Sum(SPAN, now), Sum(SPAN, now)
         self.turns, self.out, self.now, self.pause, self.asked = deque(), [], now, ASK_PAUSE, False
 
@@ -221,7 +220,8 @@
                 host = self.origin if (yield from self._pass_gate(r)) else None
             else:
                 host = self._pick(r, 1)
-            if host is None or not self._may_repeat(r, host):
+            # Drains are kept also by what waited at the gate while the origin went away.
+            if host is None or host.state is not State.READY or not self._may_repeat(r, host):
                 return self._turn_away(r)
             if (yield self._send(r, host)).outcome is Outcome.HANDLED:
                 return None
@@ -272,13 +272,10 @@
 
     def _again(self, r):
         """Whether a further leg fits into the retrieval's limits and into the retry budget."""
-        now = self.now
-        if len(r.legs) >= self.settings.most_legs or r.ends - now < MS:
-            return False
-        if self.more_legs.read(now) > RETRY_SLACK + RETRY_SHARE * self.first_legs.read(now):
-            return False
-        self.more_legs.add(now)
-        return True
+        budget = RETRY_SLACK + RETRY_SHARE * self.first_legs.read(self.now) - self.more_legs.read(self.now)
+        again = len(r.legs) < self.settings.most_legs and r.ends - self.now >= MS and budget >= 0
+        self.more_legs.value += again
+        return again
 
     def _may_repeat(self, r, host):
         for leg in r.legs:
@@ -355,7 +352,10 @@
     def _candidates(self, r, most):
         """The first `most` distinct caches after the key that may be sent this retrieval."""
         place = digest(r.key or self.random.getrandbits(64))
-        order = self._order(place)
+        at = bisect_left(self.points, place) % max(1, len(self.points))
+        if at not in self.orders:  # all in ring order from there, worked out once for each point
+            self.orders[at] = list(dict.fromkeys(self.owners[at:] + self.owners[:at]))
+        order = self.orders[at]
         found = list(islice((h for h in order if self._passable(h, r, place)), most))
         return found or list(islice((h for h in order if self._passable(h, r)), most))
 
@@ -384,10 +384,8 @@
 
     def _within_share(self, r):
         """Whether the customer's part of the quota here, taken as equal at all balancers, has room."""
-        if not self.granted:
-            return True
-        part = self.settings.quotas[r.customer] / self.settings.balancers
-        return self.granted[r.customer].read(self.now) < part * SPAN / SECOND / log(2)
+        part = self.settings.quotas[r.customer] / self.settings.balancers if self.granted else 0
+        return not self.granted or self.granted[r.customer].read(self.now) < part * SPAN / SECOND / log(2)
 
 
     def _learn(self, leg):
@@ -410,8 +408,17 @@
         # The number of legs that the host may hold moves by whether it answered in good time.
         host.answers.add(now)
         host.took.add(now, now - leg.sent)
-        promised = leg.retrieval.track.promised * (ON_TIME if host.is_cache else ORIGIN_ON_TIME)
-        if outcome is Outcome.HANDLED and now - leg.sent <= promised:
+        promised = leg.retrieval.track.promised
+        target = promised * ORIGIN_ON_TIME
+        if host.is_cache:
+            # Crowded hosts do less and stay crowded, long before answers are late: the best mean time tells.
+            self.took.add(now, now - leg.sent)
+            self.answers.add(now)
+            mean = self.took.value / self.answers.value
+            if self.answers.value > BASE_COUNT:
+                self.base = min(self.base * BASE_RISE or mean, mean)
+            target = min(ON_TIME_MOST * promised, max(ON_TIME * promised, CROWDED * self.base))
+        if outcome is Outcome.HANDLED and now - leg.sent <= target:
             if len(host.legs) + 1 >= host.limit * GROWTH_USE:
                 host.limit += min(LIMIT_GROWTH * host.limit, 1 / host.limit)
         elif leg.sent > host.cut_at:  # one cut for all that was sent before it
@@ -424,7 +431,7 @@
             return
         since = max(host.heard, next(iter(host.legs)).sent)
         quiet = max(self.silence, SILENCE_TIMES * int(host.mean_time(self.now)))
-        silent = self.now - since >= quiet and len(host.legs) >= SILENCE_LEGS
+        silent = self.now - since >= quiet and len(host.legs) > 1  # one may be a long piece of work
         if silent and self._set_aside(host) and self.settings.cancels:
             self.out.extend(Cancel(leg) for leg in host.legs if leg.retrieval.track.repeat is Repeat.PURE)
         self.out.append(WakeAt(max(since, self.now - quiet // 2) + quiet, host))
@@ -432,17 +439,16 @@
     def _judge(self, host):
         """Sets a host aside when it fails and the rest does not."""
         now, bad = self.now, host.bad.read(self.now)
-        rest = [h for h in self.caches if h is not host]
+        share, rest = bad / (bad + host.good.read(now)), [h for h in self.caches if h is not host]
         rest_bad = sum(h.bad.read(now) for h in rest)
         rest_share = rest_bad / max(1.0, rest_bad + sum(h.good.read(now) for h in rest))
-        share = bad / (bad + host.good.read(now))
         if host.back_at or bad >= BAD_COUNT and share >= max(BAD_SHARE, 2 * rest_share):
             self._set_aside(host)
 
     def _set_aside(self, host):
         if sum(1 for h in self.caches if h.back_at or h is host) > MOST_ASIDE * len(self.caches):
             return False
-        host.back_at = self.now + ASIDE_TIME + int(self.random.random() * ASIDE_CHANCE)
+        host.back_at = self.now + ASIDE_TIME + int(self.random.random() * ASIDE_TIME)
         return True
 
 
@@ -456,12 +462,3 @@
             ring.extend((digest(host.salt ^ i), host.name, host) for i in range(round(POINTS * part)))
         ring.sort(key=lambda point: point[:2])
         self.points, self.owners, self.orders = [p[0] for p in ring], [p[2] for p in ring], {}
-
-    def _order(self, place):
-        """All ready caches in ring order from `place` on; worked out once for each point."""
-        if not self.points:
-            return ()
-        at = bisect_left(self.points, place) % len(self.points)
-        if at not in self.orders:
-            self.orders[at] = list(dict.fromkeys(self.owners[at:] + self.owners[:at]))
-        return self.orders[at]
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -121,6 +121,15 @@
     assert home_of(bench, 5) != name
 
 
+def test_what_waits_at_the_gate_is_not_sent_to_an_origin_that_left():
+    bench = Bench(6)
+    while sent(bench.ask(1, RECEIPTED, write=True)[1]):
+        pass
+    bench.list([entry(ORIGIN, kind=9, state=State.DRAINING)], Scope.CHANGES)
+    told = [a for leg in list(bench.balancer.origin.legs) for a in bench.end(leg, HANDLED)]
+    assert told and not sent(told)
+
+
 def test_cold_hosts_get_a_part_by_age_and_never_more_than_their_budget():
     bench = Bench(1)
     started = bench.now
@@ -201,6 +210,16 @@
     assert before < host.limit < 2 * before  # one answer in time is no reason to leap
 
 
+def test_crowding_is_seen_in_the_mean_time_before_answers_are_late():
+    bench, limits = Bench(8), []
+    for took in (20, 300):  # ms; both well within the promised second
+        for key in range(1, 400):
+            for leg in sent(bench.ask(key)[1]):
+                bench.end(leg, HANDLED, after=took * MS)
+        limits.append(max(h.limit for h in bench.balancer.caches))
+    assert limits[1] < 1 < limits[0]
+
+
 def test_reads_that_waited_need_room_at_the_filled_cache():
     bench = Bench(6)
     (fetch,) = sent(bench.end(sent(bench.ask(5)[1])[0], MISS))
