--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -25,7 +25,7 @@
 SPILL_FLOOR = 2  # own legs in flight before home can spill: one leg is no queue
 SPILL_FACTOR = 3  # times the mean per cache: what chance alone rarely reaches
 FIRST_LIMIT = 4.0  # legs of all balancers together at a host not yet known: a few for each core
-LEAST_LIMIT = 0.1  # legs: below this a slow host could not show that it recovers
+LEAST_LIMIT = 2.5  # legs of all balancers together: keeps a core or two at work, however late it answers
 LIMIT_GROWTH = 0.2  # of the limit for each answer in time, and at most one leg a round
 GROWTH_USE = 0.7  # of the limit must be in use for it to grow: what is not used shows nothing
 LIMIT_CUT = 0.75  # factor upon a late answer, once per leg time: halves within about four
@@ -86,7 +86,7 @@
         self.points, self.owners, self.orders = [], [], {}
         self.counts, self.counted, self.halve_at = {}, 0.0, now + HALVING
         self.cache_legs, self.fetches, self.queues = 0, {}, ([], [])
-        self.serial, self.turn = count(), False
+        self.serial, self.turn, self.least = count(), False, LEAST_LIMIT / settings.balancers
         self.silence = int(SILENCE_PART * min(track.promised for track in settings.tracks))
         self.granted = [Sum(SPAN, now) for _ in settings.quotas]
         self.took, self.answers, self.base = Sum(SPAN, now), Sum(SPAN, now), 0.0
@@ -422,7 +422,7 @@
             if len(host.legs) + 1 >= host.limit * GROWTH_USE:
                 host.limit += min(LIMIT_GROWTH * host.limit, 1 / host.limit)
         elif leg.sent > host.cut_at:  # one cut for all that was sent before it
-            host.limit, host.cut_at = max(LEAST_LIMIT, host.limit * LIMIT_CUT), now
+            host.limit, host.cut_at = max(self.least, host.limit * LIMIT_CUT), now
 
     def _check_silence(self, host):
         """A host that answers nothing is known by its legs long before the list drops it."""
