--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -205,13 +205,10 @@
                 elif lead or r.key not in self.fetches:
                     if r.key and not lead:
                         lead = self.fetches[r.key] = Fetch()
-                    answer = yield from self._write(r)
-                    if answer is None and lead:
-                        lead.filled = host
-                    return answer
+                    return (yield from self._write(r))
         finally:
             if lead:
-                self._hand_over(r.key, lead)
+                self._hand_over(r, lead)
 
     def _write(self, r):
         """A write; and what a read that missed has in common with one: both go to the origin."""
@@ -228,12 +225,14 @@
             if not self._again(r):
                 return self._turn_away(r)
 
-    def _hand_over(self, key, lead):
+    def _hand_over(self, r, lead):
         """The key is in a cache now: all go there. Or the fetch failed: the next in line takes it on."""
+        if r.legs and r.legs[-1].outcome is Outcome.HANDLED:
+            lead.filled = [leg.host for leg in r.legs if leg.host.is_cache][-1]
         while lead.holds:
             if self._resume(lead.holds.popleft(), lead.filled or lead) and lead.filled is None:
                 return
-        del self.fetches[key]
+        del self.fetches[r.key]
 
     def _pass_gate(self, r):
         """The origin's gate: True when the retrieval may be sent there now."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -79,6 +79,15 @@
     assert {a.retrieval for a in late if isinstance(a, Bounce)} >= set(waiting[1:])
 
 
+def test_one_that_took_a_fetch_on_and_found_the_key_lets_the_others_go():
+    bench = Bench(6, most_legs=2)
+    (fetch,) = sent(bench.end(sent(bench.ask(5)[1])[0], MISS))
+    for _ in range(3):
+        bench.ask(5)
+    (leg,) = sent(bench.end(fetch, ERROR))
+    assert names(bench.end(leg, HANDLED)) == [leg.host.name] * 2 and not bench.balancer.fetches
+
+
 def test_origin_takes_only_what_it_has_shown_it_can_answer():
     bench = Bench(6, balancers=4)
     fetches = 0
