Tidy: one type for a decaying mean, shares worked out once, a start limit with a name

Host and Balancer each kept the same pair of sums and worked out the same mean; both now use model.Mean. A customer's allowance is a constant and is no longer worked out on every pick and send. The retry budget is booked through Sum.add.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -15,8 +15,8 @@
 from math import ceil, log, log2
 from random import Random
 
-from .model import BROKEN, HEARD, MS, NEVER_RAN, RATED, SECOND, Bounce, Cancel, Fetch, Hold, Leg, Outcome
-from .model import Repeat, Scope, Scrap, Send, State, Subscribe, Sum, WakeAt
+from .model import BROKEN, HEARD, MS, NEVER_RAN, RATED, SECOND, Bounce, Cancel, Fetch, Hold, Leg, Mean
+from .model import Outcome, Repeat, Scope, Scrap, Send, State, Subscribe, Sum, WakeAt
 
 POINTS = 96  # ring points of a cache of common size: keeps shares within about a tenth of each other
 HALVING = 5 * SECOND  # half-life of read counts
@@ -25,10 +25,11 @@
 SPILL_FLOOR = 2  # own legs in flight before home can spill: one leg is no queue
 SPILL_FACTOR = 3  # times the mean per cache: what chance alone rarely reaches
 FIRST_LIMIT = 4.0  # legs of all balancers together at a host not yet known: a few for each core
+FIRST_LEAST = 0.5  # legs a balancer, however many there are: a start must show something soon
 LEAST_LIMIT = 2.5  # legs of all balancers together: keeps a core or two at work, however late it answers
 LIMIT_GROWTH = 0.2  # of the limit for each answer in time, and at most one leg a round
 GROWTH_USE = 0.7  # of the limit must be in use for it to grow: what is not used shows nothing
-LIMIT_CUT = 0.75  # factor upon a late answer, once per leg time: halves within about four
+LIMIT_CUT = 0.75  # factor upon a late answer, once per leg time: halves within about three
 ON_TIME = 0.17  # of the promised time: an answer inside it shows that the host has room
 ON_TIME_MOST = 0.4  # of the promised time, where the work itself takes long
 ORIGIN_ON_TIME = 0.6  # the same at the origin, which is slow by nature
@@ -61,16 +62,12 @@
         self.legs, self.watched = {}, False  # own legs in flight, the oldest first
         self.warm_at = entry.started + settings.warm_within if entry.started else 0
         self.ghost = 0.0  # legs counted on top while cold, so that an empty cache does not draw all
-        self.limit, self.cut_at, self.heard = max(0.5, FIRST_LIMIT / settings.balancers), 0, now
-        self.took, self.answers = Sum(SPAN, now), Sum(SPAN, now)
+        self.limit, self.cut_at, self.heard = max(FIRST_LEAST, FIRST_LIMIT / settings.balancers), 0, now
+        self.time = Mean(SPAN, now)  # that answers took
         self.good, self.bad = Sum(SPAN, now), Sum(SPAN, now)
         self.sent, self.last = Sum(settings.fall_time, now), 0
         self.back_at = 0  # when a host that was set aside may be tried, 0 = trusted
 
-    def mean_time(self, now):
-        answers = self.answers.read(now)
-        return self.took.read(now) / answers if answers else 0.0
-
     def load(self, now):
         return len(self.legs) + (self.ghost if now < self.warm_at else 0.0)
 
@@ -88,12 +85,13 @@
         self.cache_legs, self.fetches, self.queues = 0, {}, ([], [])
         self.serial, self.turn, self.least = count(), False, LEAST_LIMIT / settings.balancers
         self.silence = int(SILENCE_PART * min(track.promised for track in settings.tracks))
+        # What a customer may be granted here, and was; a balancer's part is taken as equal to the others'.
+        self.shares = [quota / settings.balancers * SPAN / SECOND / log(2) for quota in settings.quotas]
         self.granted = [Sum(SPAN, now) for _ in settings.quotas]
-        self.took, self.answers, self.base = Sum(SPAN, now), Sum(SPAN, now), 0.0
+        self.time, self.base = Mean(SPAN, now), 0.0  # over all caches, and the best that it was
         self.first_legs, self.more_legs = Sum(SPAN, now), Sum(SPAN, now)
         self.turns, self.out, self.now, self.pause, self.asked = deque(), [], now, ASK_PAUSE, False
 
-
     def listed(self, now, scope, entries):
         self.now, settings = now, self.settings
         if settings.subscribe and not self.asked:
@@ -176,7 +174,6 @@
         self.turns.append((hold.retrieval, value))
         return True
 
-
     def _read(self, r):
         spread, lead, filled = self._count(r.key), None, None
         try:
@@ -244,7 +241,7 @@
         if not line and len(origin.legs) < origin.limit:
             return True
         ahead = sum(entry[0] <= rank for entry in line) + 1
-        if self.now + 2 * ahead * origin.mean_time(self.now) / max(1.0, origin.limit) > patience:
+        if self.now + 2 * ahead * origin.time.read(self.now) / max(1.0, origin.limit) > patience:
             return False
         hold = Hold(r)
         heappush(line, (rank, next(self.serial), hold))
@@ -273,7 +270,8 @@
         """Whether a further leg fits into the retrieval's limits and into the retry budget."""
         budget = RETRY_SLACK + RETRY_SHARE * self.first_legs.read(self.now) - self.more_legs.read(self.now)
         again = len(r.legs) < self.settings.most_legs and r.ends - self.now >= MS and budget >= 0
-        self.more_legs.value += again
+        if again:
+            self.more_legs.add(self.now)
         return again
 
     def _may_repeat(self, r, host):
@@ -306,7 +304,6 @@
         r.legs.append(leg)
         return Send(leg)
 
-
     def _count(self, key):
         """Counts a read; the number of caches that its key is spread over, 1 when it is not hot."""
         counts, n = self.counts, len(self.caches)
@@ -346,7 +343,7 @@
         if limit >= 1:
             return len(host.legs) < limit
         # Many balancers with one leg each can overdrive a small host: less than one leg is one at times.
-        return not host.legs and self.now - host.last >= host.mean_time(self.now) / limit
+        return not host.legs and self.now - host.last >= host.time.read(self.now) / limit
 
     def _candidates(self, r, most):
         """The first `most` distinct caches after the key that may be sent this retrieval."""
@@ -382,10 +379,7 @@
         return host.sent.read(now) + 1 <= budget
 
     def _within_share(self, r):
-        """Whether the customer's part of the quota here, taken as equal at all balancers, has room."""
-        part = self.settings.quotas[r.customer] / self.settings.balancers if self.granted else 0
-        return not self.granted or self.granted[r.customer].read(self.now) < part * SPAN / SECOND / log(2)
-
+        return not self.granted or self.granted[r.customer].read(self.now) < self.shares[r.customer]
 
     def _learn(self, leg):
         host, outcome, now = leg.host, leg.outcome, self.now
@@ -405,19 +399,17 @@
         if outcome not in RATED:
             return
         # The number of legs that the host may hold moves by whether it answered in good time.
-        host.answers.add(now)
-        host.took.add(now, now - leg.sent)
-        promised = leg.retrieval.track.promised
+        took, promised = now - leg.sent, leg.retrieval.track.promised
+        host.time.add(now, took)
         target = promised * ORIGIN_ON_TIME
         if host.is_cache:
             # Crowded hosts do less and stay crowded, long before answers are late: the best mean time tells.
-            self.took.add(now, now - leg.sent)
-            self.answers.add(now)
-            mean = self.took.value / self.answers.value
-            if self.answers.value > BASE_COUNT:
+            self.time.add(now, took)
+            if self.time.count.read(now) > BASE_COUNT:
+                mean = self.time.read(now)
                 self.base = min(self.base * BASE_RISE or mean, mean)
             target = min(ON_TIME_MOST * promised, max(ON_TIME * promised, CROWDED * self.base))
-        if outcome is Outcome.HANDLED and now - leg.sent <= target:
+        if outcome is Outcome.HANDLED and took <= target:
             if len(host.legs) + 1 >= host.limit * GROWTH_USE:
                 host.limit += min(LIMIT_GROWTH * host.limit, 1 / host.limit)
         elif leg.sent > host.cut_at:  # one cut for all that was sent before it
@@ -429,7 +421,7 @@
         if not host.legs:
             return
         since = max(host.heard, next(iter(host.legs)).sent)
-        quiet = max(self.silence, SILENCE_TIMES * int(host.mean_time(self.now)))
+        quiet = max(self.silence, SILENCE_TIMES * int(host.time.read(self.now)))
         silent = self.now - since >= quiet and len(host.legs) > 1  # one may be a long piece of work
         if silent and self._set_aside(host) and self.settings.cancels:
             self.out.extend(Cancel(leg) for leg in host.legs if leg.retrieval.track.repeat is Repeat.PURE)
@@ -450,7 +442,6 @@
         host.back_at = self.now + ASIDE_TIME + int(self.random.random() * ASIDE_TIME)
         return True
 
-
     def _build_ring(self):
         sizes = sorted(h.size for h in self.caches) or [1.0]
         # A power of two as the unit, so that single changes of the list do not move the others' points.
--- a/hopsail/model.py
+++ b/hopsail/model.py
@@ -163,6 +163,23 @@
         self.value = self.read(now) + amount
 
 
+class Mean:
+    """The mean of what was added, each amount counting for less with its age."""
+
+    __slots__ = ("total", "count")
+
+    def __init__(self, half, now):
+        self.total, self.count = Sum(half, now), Sum(half, now)
+
+    def add(self, now, amount):
+        self.total.add(now, amount)
+        self.count.add(now)
+
+    def read(self, now):
+        count = self.count.read(now)
+        return self.total.read(now) / count if count else 0.0
+
+
 class Hold:
     """A retrieval that waits with no leg out, until it is resumed or its time is up."""
 
