--- a/hopsail/benchlink/codec.py
+++ b/hopsail/benchlink/codec.py
@@ -9,7 +9,6 @@
     Bounce,
     Cancel,
     Listing,
-    Note,
     Outcome,
     Repeat,
     Retrieval,
@@ -132,7 +131,6 @@
             remembered=time(f"tracks.{i}.keyTtlUs", "0"),
             promised=time(f"tracks.{i}.promisedTimeUs"),
             benefit=value(f"tracks.{i}.benefit", float, "1"),
-            late_benefit=value(f"tracks.{i}.tardyBenefit", float, "0"),
         )
         for i in range(value("tracks.count", int))
     )
@@ -188,7 +186,6 @@
                 key,
                 now + expires * US,
                 bool(bits & 4),
-                bool(bits & 2),
                 customer,
             )
             self.held[ticket] = retrieval
@@ -248,8 +245,6 @@
                 put(CANCEL.pack(10, instance, action.leg.retrieval.mark, action.leg.number))
             elif kind is Subscribe:
                 put(OBSERVE.pack(70, instance, 1))
-            elif kind is Note:
-                reply.text(40, instance, action.text)
 
 
 class Reply:
--- a/hopsail/model.py
+++ b/hopsail/model.py
@@ -45,7 +45,6 @@
     remembered: int = 0  # ns that repeats are dropped
     promised: int = SECOND  # ns
     benefit: float = 1.0
-    late_benefit: float = 0.0  # share of the benefit that a late answer still earns
 
 
 @dataclass(slots=True, frozen=True)
@@ -106,7 +105,6 @@
     key: int
     ends: int  # hard limit of this try, ns
     write: bool = False
-    repeated: bool = False  # the client says that it asks again
     customer: int = 0
     arrived: int = 0
     done: bool = False
@@ -137,10 +135,6 @@
     pass
 
 
-class Note(NamedTuple):
-    text: str
-
-
 class Cancel(NamedTuple):
     leg: Leg
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -29,7 +29,7 @@
         return self.take()
 
     def ask(self, key=1, track=PURE, write=False, lasts=2 * SECOND, customer=0):
-        r = Retrieval("r", track, key, self.now + lasts, write, False, customer)
+        r = Retrieval("r", track, key, self.now + lasts, write, customer)
         self.balancer.arrived(self.now, r)
         return r, self.take()
 
