Ring, sums and counters kept as they change; idle connections closed where many share hosts

And hosts take few connections: 120 to 340 balancers that each keep one open lock the others out (70% of legs got none). Cold hosts have token buckets whose parts over all balancers add up, filled at random at first.

--- a/hopsail/benchlink/codec.py
+++ b/hopsail/benchlink/codec.py
@@ -8,6 +8,7 @@
 from ..model import (
     Bounce,
     Cancel,
+    Close,
     Listing,
     Outcome,
     Repeat,
@@ -48,6 +49,7 @@
 ABORT = Struct("<BII15x")
 NOTIFY = Struct("<BIIQ7x")
 CANCEL = Struct("<BIIH13x")
+CLOSE = Struct("<BII15x")
 OBSERVE = Struct("<BIB18x")
 TEXT = Struct("<BIII11x")
 
@@ -154,6 +156,8 @@
         warm_within=time("rules.warmWithinUs"),
         fall_multiple=value("rules.fallMultiple", float),
         fall_time=time("rules.fallUs"),
+        open_price=value("penalties.connection", float, "1"),
+        dial_price=value("penalties.handshake", float, "1"),
     )
 
 
@@ -243,6 +247,8 @@
                 put(NOTIFY.pack(80, instance, span, self.cookie))
             elif kind is Cancel:
                 put(CANCEL.pack(10, instance, action.leg.retrieval.mark, action.leg.number))
+            elif kind is Close:
+                put(CLOSE.pack(50, instance, action.host.name))
             elif kind is Subscribe:
                 put(OBSERVE.pack(70, instance, 1))
 
--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -7,19 +7,23 @@
 the client has it).
 """
 
+from array import array
 from bisect import bisect_left
 from collections import deque
 from hashlib import blake2b
-from heapq import heappop, heappush
+from heapq import heappop, heappush, heapreplace
 from itertools import count, islice
 from math import ceil, log, log2
 from random import Random
+from struct import unpack
 
-from .model import BROKEN, HEARD, MS, NEVER_RAN, RATED, SECOND, Bounce, Cancel, Fetch, Hold, Leg, Mean
+from .model import BROKEN, HEARD, MS, NEVER_RAN, RATED, SECOND, Bounce, Cancel, Close, Fetch, Hold, Leg, Mean
 from .model import Outcome, Repeat, Scope, Scrap, Send, State, Subscribe, Sum, WakeAt
 
 POINTS = 96  # ring points of a cache of common size: keeps shares within about a tenth of each other
+PART_LEAST, PART_MOST = 0.05, 8.0  # of the common size: a listed size beyond them is taken as a slip
 HALVING = 5 * SECOND  # half-life of read counts
+RECOUNT = 2.0**900  # weight of a read, doubled each half-life, at which counts start anew: floats end there
 HOT_FLOOR = 16  # reads counted before a key can be hot: fewer say nothing about a share
 SPREAD_FACTOR = 2  # caches for a hot key, per share x n: keeps each under half of a fair cache's reads
 SPILL_FLOOR = 2  # own legs in flight before home can spill: one leg is no queue
@@ -47,41 +51,54 @@
 RETRY_SHARE = 0.2  # further legs per first leg: a failing fleet must not be fed with retries
 RETRY_SLACK = 4.0  # further legs at once after a calm stretch
 HOLD_PART = 0.5  # of the promised time: held longer, too little is left for an answer
-COLD_ROOM = 0.25  # of the stated multiple: the decaying sum lets 1.7 of it through, the rest is chance
-COLD_SLACK = 1.0  # legs to a cold host in its window when nothing is known of the warm ones
+CROWD = 60  # balancers of which each may keep a connection at each host, at equal prices: hosts accept few
+COLD_ROOM = 0.4  # of the stated multiple: the rest is for chance and for what spills over
+COLD_SLACK = 3.0  # legs of all balancers together on top of that in each window, and saved up for a burst
 WAIT_STEP = 250 * MS  # advised before a client comes back: a few service times
 ASK_PAUSE = 300 * MS  # before the list is asked for again, doubled each time, half of it random
 
 
 class Host:
     def __init__(self, entry, settings, now):
-        self.name, self.zone, self.cell, self.size = entry.name, entry.zone, entry.cell, entry.size or 1.0
+        self.name, self.zone, self.cell = entry.name, entry.zone, entry.cell
+        self.size = settings.sized and entry.size or 1.0
         self.salt = digest(entry.name ^ 0x9E3779B97F4A7C15)
         self.is_cache = entry.kind != settings.origin_kind
         self.state, self.started = entry.state, entry.started
         self.legs, self.watched = {}, False  # own legs in flight, the oldest first
         self.warm_at = entry.started + settings.warm_within if entry.started else 0
-        self.ghost = 0.0  # legs counted on top while cold, so that an empty cache does not draw all
         self.limit, self.cut_at, self.heard = max(FIRST_LEAST, FIRST_LIMIT / settings.balancers), 0, now
         self.time = Mean(SPAN, now)  # that answers took
         self.good, self.bad = Sum(SPAN, now), Sum(SPAN, now)
-        self.sent, self.last = Sum(settings.fall_time, now), 0
+        self.last = 0  # when it was sent its last leg
+        self.tokens, self.filled_at = 0.0, now  # legs that it may be sent while cold
         self.back_at = 0  # when a host that was set aside may be tried, 0 = trusted
 
-    def load(self, now):
-        return len(self.legs) + (self.ghost if now < self.warm_at else 0.0)
+    def places(self, unit):
+        """Its points on the ring; a larger host has all the points that a smaller one would have."""
+        number = round(POINTS * min(PART_MOST, max(PART_LEAST, self.size / unit)))
+        return [place for i in range(0, number, 8) for place in digests(self.salt ^ i)[: number - i]]
+
+
+def digests(number):
+    return unpack("<8Q", blake2b(number.to_bytes(8, "little")).digest())
 
 
 def digest(number):
-    return int.from_bytes(blake2b(number.to_bytes(8, "little"), digest_size=8).digest(), "little")
+    return digests(number)[0]
 
 
 class Balancer:
     def __init__(self, settings, seed, now):
         self.settings, self.random = settings, Random(seed)
-        self.hosts, self.caches, self.origin = {}, [], None
-        self.points, self.owners, self.orders = [], [], {}
-        self.counts, self.counted, self.halve_at = {}, 0.0, now + HALVING
+        self.hosts, self.caches, self.origin = {}, {}, None  # caches: those that are ready, on the ring
+        self.points, self.owners, self.unit, self.size = array("Q"), [], 1.0, 0.0
+        self.counts, self.smallest, self.counted, self.counts_from = {}, [], 0.0, now
+        self.good, self.bad, self.sent = Sum(SPAN, now), Sum(SPAN, now), Sum(settings.fall_time, now)
+        self.aside = 0  # caches that are set aside
+        # A host's table of connections is soon full of idle ones that keep other balancers out.
+        price = settings.dial_price / settings.open_price if settings.open_price else 1.0
+        self.closes = settings.balancers > CROWD * price
         self.cache_legs, self.fetches, self.queues = 0, {}, ([], [])
         self.serial, self.turn, self.least = count(), False, LEAST_LIMIT / settings.balancers
         self.silence = int(SILENCE_PART * min(track.promised for track in settings.tracks))
@@ -104,21 +121,53 @@
         if scope is Scope.FAILED:
             return
         self.pause = ASK_PAUSE
-        for host in self.hosts.values() if scope is Scope.WHOLE else ():
-            host.state = State.GONE
+        named = {entry.name for entry in entries}
+        for host in list(self.hosts.values()) if scope is Scope.WHOLE else ():
+            if host.name not in named:
+                self._leave(host)
+        joined = []
         for entry in entries:
             host = self.hosts.get(entry.name)
-            if host is None or entry.started != host.started:
+            if host is not None and (entry.started != host.started or entry.state is not State.READY):
                 # A restart, too, makes a new host: its memory is empty and its old troubles are gone.
-                host = self.hosts[entry.name] = Host(entry, settings, now)
-                host.ghost = self.cache_legs / max(1, len(self.caches))
+                self._leave(host)
+                host = None if entry.started != host.started or entry.state is State.GONE else host
+            if entry.state is State.GONE:
+                continue
+            if host is None:
+                host = Host(entry, settings, now)
+                host.tokens = self.random.random()  # in step, all balancers' first legs would push it over
             host.state = entry.state
+            self.hosts[host.name] = host
             if not host.is_cache:
                 self.origin = host
-        caches = [h for h in self.hosts.values() if h.state is State.READY and h.is_cache]
-        if caches != self.caches:
-            self.caches = caches
-            self._build_ring()
+            elif host.state is State.READY and host.name not in self.caches:
+                self.caches[host.name] = host
+                self.size += host.size
+                self.aside += bool(host.back_at)
+                joined.append(host)
+        self._join(joined)
+
+    def _leave(self, host):
+        self.hosts.pop(host.name, None)
+        host.state = State.GONE
+        if self.caches.pop(host.name, None) is None:
+            return
+        self.size -= host.size
+        self.aside -= bool(host.back_at)
+        for place in host.places(self.unit):
+            at = bisect_left(self.points, place)
+            del self.points[at], self.owners[at]
+
+    def _join(self, joined):
+        # A power of two as the unit, so that single changes of the list do not move the others' points.
+        unit = 2.0 ** round(log2(self.size / len(self.caches))) if self.caches else self.unit
+        if unit != self.unit:
+            self.unit, self.points, self.owners, joined = unit, array("Q"), [], self.caches.values()
+        for place, _, host in sorted((place, h.name, h) for h in joined for place in h.places(unit)):
+            at = bisect_left(self.points, place)
+            self.points.insert(at, place)
+            self.owners.insert(at, host)
 
     def arrived(self, now, retrieval):
         self.now = retrieval.arrived = now
@@ -134,6 +183,8 @@
             self.withdrawn(now, leg.retrieval)  # a stream that broke: the client knows
         else:
             self._run(leg.retrieval, leg)  # or a late outcome, which concerns only the host
+        if self.closes and not leg.host.legs:
+            self.out.append(Close(leg.host))
 
     def withdrawn(self, now, retrieval):
         self.now, retrieval.done, retrieval.hold = now, True, None
@@ -288,6 +339,7 @@
         now = self.now
         if host.is_cache:
             self.cache_legs += 1
+            self.sent.add(now)
             if not host.watched:
                 host.watched = True
                 self.out.append(WakeAt(now + self.silence, host))
@@ -297,8 +349,8 @@
                 self.granted[r.customer].add(now)
         if host.back_at:
             host.back_at = now + ASIDE_TIME  # others pass over it until this leg has ended
-        host.sent.add(now)
         host.last = now
+        host.tokens -= 1
         leg = Leg(r, host, len(r.legs), now, r.ends - now)
         host.legs[leg] = None
         r.legs.append(leg)
@@ -306,33 +358,39 @@
 
     def _count(self, key):
         """Counts a read; the number of caches that its key is spread over, 1 when it is not hot."""
-        counts, n = self.counts, len(self.caches)
-        if self.now >= self.halve_at:
-            self.halve_at = self.now + HALVING
-            self.counted /= 2
-            self.counts = counts = {k: c / 2 for k, c in counts.items() if c > 1}
-        self.counted += 1
+        n, weight = len(self.caches), 2.0 ** ((self.now - self.counts_from) / HALVING)
+        if weight > RECOUNT:
+            self.counts, self.smallest, self.counted, self.counts_from, weight = {}, [], 0.0, self.now, 1.0
+        self.counted += weight
         if not key or not n:
             return 1
-        reads = counts.get(key, 0) + 1
-        if reads == 1 and len(counts) >= n * log(max(n, 2)):
-            del counts[min(counts, key=counts.get)]
+        counts, smallest = self.counts, self.smallest
+        reads = counts.get(key, 0.0) + weight
+        if reads == weight:
+            while len(counts) >= n * log(max(n, 2)):
+                # The heap holds each key with a count that it had: what grew since goes back with its own.
+                was, least = smallest[0]
+                if counts[least] > was:
+                    heapreplace(smallest, (counts[least], least))
+                else:
+                    del counts[heappop(smallest)[1]]
+            heappush(smallest, (reads, key))
         counts[key] = reads
-        if reads < HOT_FLOOR or reads * n <= self.counted:
+        if reads < HOT_FLOOR * weight or reads * n <= self.counted:
             return 1
         return min(n, max(2, ceil(SPREAD_FACTOR * reads / self.counted * n)))
 
     def _pick(self, r, spread):
-        now, within = self.now, self._within_share(r)
+        within = self._within_share(r)
         found = self._candidates(r, max(2, spread))
         if not found:
             return None
         if spread > 1:
-            loads = [(h.load(now), self.random.random(), h) for h in found[:spread] if self._room(h, within)]
+            loads = [(len(h.legs), self.random.random(), h) for h in found[:spread] if self._room(h, within)]
             return min(loads)[2] if loads else None
         home, after, queued = found[0], found[-1], len(found[0].legs)
         spills = queued >= SPILL_FLOOR and queued * len(self.caches) > SPILL_FACTOR * self.cache_legs
-        if spills and after.load(now) < queued and self._room(after, within):
+        if spills and len(after.legs) < queued and self._room(after, within):
             return after
         if self._room(home, within):
             return home
@@ -348,12 +406,19 @@
     def _candidates(self, r, most):
         """The first `most` distinct caches after the key that may be sent this retrieval."""
         place = digest(r.key or self.random.getrandbits(64))
-        at = bisect_left(self.points, place) % max(1, len(self.points))
-        if at not in self.orders:  # all in ring order from there, worked out once for each point
-            self.orders[at] = list(dict.fromkeys(self.owners[at:] + self.owners[:at]))
-        order = self.orders[at]
-        found = list(islice((h for h in order if self._passable(h, r, place)), most))
-        return found or list(islice((h for h in order if self._passable(h, r)), most))
+        found = list(islice((h for h in self._successors(place) if self._passable(h, r, place)), most))
+        return found or list(islice((h for h in self._successors(place) if self._passable(h, r)), most))
+
+    def _successors(self, place):
+        """All ready caches once, in ring order from there."""
+        owners, seen, at = self.owners, set(), bisect_left(self.points, place)
+        for i in range(len(owners)):
+            host = owners[(at + i) % len(owners)]
+            if host not in seen:
+                yield host
+                seen.add(host)
+                if len(seen) == len(self.caches):
+                    return
 
     def _passable(self, host, r, place=None):
         now = self.now
@@ -367,16 +432,18 @@
         if now >= host.warm_at:
             return True
         # A cold host falls over when all send it their whole part: its keys come home bit by bit, and its
-        # own budget in any window holds even when there is nowhere else to go.
+        # own budget holds even when there is nowhere else to go.
         start, warm = self.settings.start_share, self.settings.warm_within
         share = start + (1 - start) * max(0, now - host.started) / warm
         if place is not None and (place ^ host.salt) >> 32 >= share * 2**32:
             return False
-        known = [h for h in self.caches if now >= h.warm_at]
-        size = sum(h.size for h in known)
-        usual = sum(h.sent.read(now) for h in known) / size * host.size if known else 0.0
-        budget = COLD_SLACK + COLD_ROOM * self.settings.fall_multiple * share * usual
-        return host.sent.read(now) + 1 <= budget
+        # Each balancer's part of the budget may be far less than a leg in a window.
+        slack = COLD_SLACK / self.settings.balancers
+        usual = self.sent.read(now) * log(2) * host.size / self.size
+        budget = slack + COLD_ROOM * self.settings.fall_multiple * share * usual
+        fresh = budget * (now - host.filled_at) / self.settings.fall_time
+        host.tokens, host.filled_at = min(1 + slack, host.tokens + fresh), now
+        return host.tokens >= 1
 
     def _within_share(self, r):
         return not self.granted or self.granted[r.customer].read(self.now) < self.shares[r.customer]
@@ -388,11 +455,15 @@
             self.cache_legs -= 1
         if outcome is Outcome.HANDLED or outcome is Outcome.MISS:
             host.good.add(now)
+            if host.is_cache:
+                self.good.add(now)
             if host.back_at:
+                self.aside -= host.name in self.caches
                 host.back_at, host.bad.value = 0, 0.0
         if outcome in BROKEN or outcome is Outcome.TIMED_OUT and host.heard <= leg.sent:  # else just busy
             host.bad.add(now)
             if host.is_cache:
+                self.bad.add(now)
                 self._judge(host)
         if outcome in HEARD:
             host.heard = now
@@ -429,26 +500,16 @@
 
     def _judge(self, host):
         """Sets a host aside when it fails and the rest does not."""
-        now, bad = self.now, host.bad.read(self.now)
-        share, rest = bad / (bad + host.good.read(now)), [h for h in self.caches if h is not host]
-        rest_bad = sum(h.bad.read(now) for h in rest)
-        rest_share = rest_bad / max(1.0, rest_bad + sum(h.good.read(now) for h in rest))
+        now, bad, good = self.now, host.bad.read(self.now), host.good.read(self.now)
+        rest_bad, rest_good = max(0.0, self.bad.read(now) - bad), max(0.0, self.good.read(now) - good)
+        share, rest_share = bad / (bad + good), rest_bad / max(1.0, rest_bad + rest_good)
         if host.back_at or bad >= BAD_COUNT and share >= max(BAD_SHARE, 2 * rest_share):
             self._set_aside(host)
 
     def _set_aside(self, host):
-        if sum(1 for h in self.caches if h.back_at or h is host) > MOST_ASIDE * len(self.caches):
-            return False
+        if not host.back_at:
+            if self.aside + 1 > MOST_ASIDE * len(self.caches) or host.name not in self.caches:
+                return False
+            self.aside += 1
         host.back_at = self.now + ASIDE_TIME + int(self.random.random() * ASIDE_TIME)
         return True
-
-    def _build_ring(self):
-        sizes = sorted(h.size for h in self.caches) or [1.0]
-        # A power of two as the unit, so that single changes of the list do not move the others' points.
-        unit = 2.0 ** round(log2(sizes[len(sizes) // 2]))
-        ring = []
-        for host in self.caches:
-            part = min(8.0, max(0.05, host.size / unit)) if self.settings.sized else 1
-            ring.extend((digest(host.salt ^ i), host.name, host) for i in range(round(POINTS * part)))
-        ring.sort(key=lambda point: point[:2])
-        self.points, self.owners, self.orders = [p[0] for p in ring], [p[2] for p in ring], {}
--- a/hopsail/model.py
+++ b/hopsail/model.py
@@ -64,6 +64,8 @@
     warm_within: int = 0  # ns
     fall_multiple: float = 3.0
     fall_time: int = SECOND  # ns
+    open_price: float = 1.0  # of a connection kept open at each host
+    dial_price: float = 1.0  # of a new connection for each retrieval, on the same scale
 
 
 class State(Enum):
@@ -139,6 +141,10 @@
     leg: Leg
 
 
+class Close(NamedTuple):
+    host: Any  # its idle connections from here
+
+
 class Sum:
     """A sum that decays by half every `half` nanoseconds, brought up to date on reading."""
 
