--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -22,9 +22,9 @@
 
 POINTS = 96  # ring points of a cache of common size: keeps shares within about a tenth of each other
 PART_LEAST, PART_MOST = 0.05, 8.0  # of the common size: a listed size beyond them is taken as a slip
-HALVING = 20 * SECOND  # half-life of read counts: a balancer of hundreds sees a few reads a second
+HALVING = 60 * SECOND  # half-life of read counts: a balancer of hundreds sees a few reads a second
 RECOUNT = 2.0**900  # weight of a read, doubled each half-life, at which counts start anew: floats end there
-HOT_FLOOR = 4  # reads counted before a key can be hot: chance alone rarely brings so many of a cold key
+HOT_FLOOR = 2  # reads counted before a key can be hot: a second copy of a key that is not is cheap
 SPREAD_FACTOR = 2  # caches for a hot key, per share x n: keeps each under half of a fair cache's reads
 SPILL_FLOOR = 2  # own legs in flight before home can spill: one leg is no queue
 SPILL_FACTOR = 3  # times the mean per cache: what chance alone rarely reaches
