Admission by the late share of all of a balancer's legs; mean time by count

Cause: a balancer of hundreds never had 40 answers in 4 s, took all for late and cut every limit to the least; and the few legs at one host show no crowd, so the surplus was never shed.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -13,7 +13,7 @@
 from hashlib import blake2b
 from heapq import heappop, heappush, heapreplace
 from itertools import count, islice
-from math import ceil, log, log2
+from math import ceil, log, log2, sqrt
 from random import Random
 from struct import unpack
 
@@ -39,7 +39,14 @@
 ORIGIN_ON_TIME = 0.6  # the same at the origin, which is slow by nature
 CROWDED = 1.7  # times the fleet's best mean time: a short queue and no crowd
 BASE_RISE = 1.0002  # for each answer: about a hundredth a second, to follow a slow change of the work
-BASE_COUNT = 40  # answers in mind before their mean counts: chance evens out
+BASE_COUNT = 40  # answers that the mean time is taken over, however few a second: chance evens out
+LATE = 0.6  # of the promised time: what takes longer at a cache is late, or nearly so
+LATE_SURPLUS = 0.1  # of all legs may be late, over all caches, before what lies beyond shares is shed
+LATE_SHARE = 0.4  # the same for what lies within, when all else is shed: dead hosts alone must not do it
+ADMIT_GAIN = 4.0  # of the late share, over a half-life of outcomes: sheds within seconds
+ADMIT_LEAST = 0.4  # of what lies within shares is always let in, else nothing shows that the crowd is gone
+ADMIT_COUNT = 20  # legs that a step takes into account at least: one late leg is chance
+SHARE_SPAN = 15 * SECOND  # half-life of what customers were granted: of hundreds, one sees little
 SURPLUS_ROOM = 0.5  # of the limit is open to what lies beyond a customer's share
 SPAN = 4 * SECOND  # half-life of outcomes, times, grants and retries: rides out a second, forgets a trouble
 BAD_COUNT = 3.0  # bad outcomes before a host is judged: one or two are chance
@@ -103,9 +110,12 @@
         self.serial, self.turn, self.least = count(), False, LEAST_LIMIT / settings.balancers
         self.silence = int(SILENCE_PART * min(track.promised for track in settings.tracks))
         # What a customer may be granted here, and was; a balancer's part is taken as equal to the others'.
-        self.shares = [quota / settings.balancers * SPAN / SECOND / log(2) for quota in settings.quotas]
-        self.granted = [Sum(SPAN, now) for _ in settings.quotas]
-        self.time, self.base = Mean(SPAN, now), 0.0  # over all caches, and the best that it was
+        shares = [quota / settings.balancers * SHARE_SPAN / SECOND / log(2) for quota in settings.quotas]
+        self.shares = [share + sqrt(share) for share in shares]  # with room for chance
+        self.granted = [Sum(SHARE_SPAN, now) for _ in settings.quotas]
+        self.admission = 2.0  # above 1: the part of the surplus that is let in, below: of all else
+        self.time, self.times, self.base = 0.0, 0, 0.0  # mean over all caches, its count, its best
+        self.rated = Sum(SPAN, now)  # legs that told of room
         self.first_legs, self.more_legs = Sum(SPAN, now), Sum(SPAN, now)
         self.turns, self.out, self.now, self.pause, self.asked = deque(), [], now, ASK_PAUSE, False
 
@@ -240,6 +250,8 @@
                     if told is None:
                         return self._turn_away(r)
                     lead, filled = (told, None) if told is fetch else (None, told)
+                if not r.legs and not self._admits(r):
+                    return self._turn_away(r)
                 straight = filled and self._passable(filled, r) and self._room(filled, self._within_share(r))
                 host = filled if straight else self._pick(r, spread)
                 if host is None:
@@ -445,6 +457,11 @@
         host.tokens, host.filled_at = min(1 + slack, host.tokens + fresh), now
         return host.tokens >= 1
 
+    def _admits(self, r):
+        """Few legs at each cache show no crowding there; all of a balancer's legs together do."""
+        part = self.admission - (0 if self._within_share(r) else 1)
+        return part >= 1 or self.random.random() < part
+
     def _within_share(self, r):
         return not self.granted or self.granted[r.customer].read(self.now) < self.shares[r.customer]
 
@@ -475,11 +492,17 @@
         target = promised * ORIGIN_ON_TIME
         if host.is_cache:
             # Crowded hosts do less and stay crowded, long before answers are late: the best mean time tells.
-            self.time.add(now, took)
-            if self.time.count.read(now) > BASE_COUNT:
-                mean = self.time.read(now)
-                self.base = min(self.base * BASE_RISE or mean, mean)
-            target = min(ON_TIME_MOST * promised, max(ON_TIME * promised, CROWDED * self.base))
+            self.times += 1
+            self.time += (took - self.time) / min(self.times, BASE_COUNT)
+            self.rated.add(now)
+            if outcome is not Outcome.NO_CONNECTION:
+                late = outcome is not Outcome.HANDLED or took > LATE * promised
+                step = (LATE_SURPLUS if self.admission > 1 else LATE_SHARE) - late
+                step *= ADMIT_GAIN / max(ADMIT_COUNT, self.rated.read(now))
+                self.admission = min(2.0, max(ADMIT_LEAST, self.admission + step))
+            if self.times > BASE_COUNT // 2:
+                self.base = min(self.base * BASE_RISE or self.time, self.time)
+            target = min(ON_TIME_MOST * promised, max(ON_TIME * promised, CROWDED * (self.base or promised)))
         if outcome is Outcome.HANDLED and took <= target:
             if len(host.legs) + 1 >= host.limit * GROWTH_USE:
                 host.limit += min(LIMIT_GROWTH * host.limit, 1 / host.limit)
