--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -13,12 +13,12 @@
 from hashlib import blake2b
 from heapq import heappop, heappush, heapreplace
 from itertools import count, islice
-from math import ceil, log, log2, sqrt
+from math import ceil, log, log2
 from random import Random
 from struct import unpack
 
 from .model import BROKEN, HEARD, MS, NEVER_RAN, RATED, SECOND, Bounce, Cancel, Close, Fetch, Hold, Leg, Mean
-from .model import Outcome, Repeat, Scope, Scrap, Send, State, Subscribe, Sum, WakeAt
+from .model import Outcome, Repeat, Scope, Scrap, Send, State, Subscribe, Sum, Tokens, WakeAt
 
 POINTS = 96  # ring points of a cache of common size: keeps shares within about a tenth of each other
 PART_LEAST, PART_MOST = 0.05, 8.0  # of the common size: a listed size beyond them is taken as a slip
@@ -46,7 +46,8 @@
 ADMIT_GAIN = 4.0  # of the late share, over a half-life of outcomes: sheds within seconds
 ADMIT_LEAST = 0.4  # of what lies within shares is always let in, else nothing shows that the crowd is gone
 ADMIT_COUNT = 20  # legs that a step takes into account at least: one late leg is chance
-SHARE_SPAN = 15 * SECOND  # half-life of what customers were granted: of hundreds, one sees little
+SHARE_SLACK = 1.25  # of a balancer's equal part of each share: some carry more than others
+SHARE_BURST = 4  # seconds of it saved up at most, and one retrieval: arrivals come in clusters
 SURPLUS_ROOM = 0.5  # of the limit is open to what lies beyond a customer's share
 SPAN = 4 * SECOND  # half-life of outcomes, times, grants and retries: rides out a second, forgets a trouble
 BAD_COUNT = 3.0  # bad outcomes before a host is judged: one or two are chance
@@ -78,7 +79,7 @@
         self.time = Mean(SPAN, now)  # that answers took
         self.good, self.bad = Sum(SPAN, now), Sum(SPAN, now)
         self.last = 0  # when it was sent its last leg
-        self.tokens, self.filled_at = 0.0, now  # legs that it may be sent while cold
+        self.tokens = Tokens(0.0, 1.0, 0.0, now)  # legs that it may be sent while cold
         self.back_at = 0  # when a host that was set aside may be tried, 0 = trusted
 
     def places(self, unit):
@@ -110,10 +111,9 @@
         self.serial, self.turn, self.least = count(), False, LEAST_LIMIT / settings.balancers
         self.silence = int(SILENCE_PART * min(track.promised for track in settings.tracks))
         # What a customer may be granted here, and was; a balancer's part is taken as equal to the others'.
-        shares = [quota / settings.balancers * SHARE_SPAN / SECOND / log(2) for quota in settings.quotas]
-        self.shares = [share + sqrt(share) for share in shares]  # with room for chance
-        self.granted = [Sum(SHARE_SPAN, now) for _ in settings.quotas]
-        self.admission = 2.0  # above 1: the part of the surplus that is let in, below: of all else
+        shares = [SHARE_SLACK * quota / settings.balancers for quota in settings.quotas]
+        self.granted = [Tokens(share, 1 + SHARE_BURST * share, 1 + share, now) for share in shares]
+        self.admission = 1.0  # above 1: the part of the surplus that is let in, below: of all else
         self.time, self.times, self.base = 0.0, 0, 0.0  # mean over all caches, its count, its best
         self.rated = Sum(SPAN, now)  # legs that told of room
         self.first_legs, self.more_legs = Sum(SPAN, now), Sum(SPAN, now)
@@ -146,7 +146,7 @@
                 continue
             if host is None:
                 host = Host(entry, settings, now)
-                host.tokens = self.random.random()  # in step, all balancers' first legs would push it over
+                host.tokens.level = self.random.random()  # all balancers at once would push it over
             host.state = entry.state
             self.hosts[host.name] = host
             if not host.is_cache:
@@ -358,11 +358,11 @@
         if not r.legs:
             self.first_legs.add(now)
             if self.granted and self._within_share(r):
-                self.granted[r.customer].add(now)
+                self.granted[r.customer].level -= 1
         if host.back_at:
             host.back_at = now + ASIDE_TIME  # others pass over it until this leg has ended
         host.last = now
-        host.tokens -= 1
+        host.tokens.level -= 1
         leg = Leg(r, host, len(r.legs), now, r.ends - now)
         host.legs[leg] = None
         r.legs.append(leg)
@@ -453,9 +453,8 @@
         slack = COLD_SLACK / self.settings.balancers
         usual = self.sent.read(now) * log(2) * host.size / self.size
         budget = slack + COLD_ROOM * self.settings.fall_multiple * share * usual
-        fresh = budget * (now - host.filled_at) / self.settings.fall_time
-        host.tokens, host.filled_at = min(1 + slack, host.tokens + fresh), now
-        return host.tokens >= 1
+        host.tokens.rate, host.tokens.most = budget * SECOND / self.settings.fall_time, 1 + slack
+        return host.tokens.read(now) >= 1
 
     def _admits(self, r):
         """Few legs at each cache show no crowding there; all of a balancer's legs together do."""
@@ -463,7 +462,7 @@
         return part >= 1 or self.random.random() < part
 
     def _within_share(self, r):
-        return not self.granted or self.granted[r.customer].read(self.now) < self.shares[r.customer]
+        return not self.granted or self.granted[r.customer].read(self.now) >= 1
 
     def _learn(self, leg):
         host, outcome, now = leg.host, leg.outcome, self.now
--- a/hopsail/model.py
+++ b/hopsail/model.py
@@ -163,6 +163,20 @@
         self.value = self.read(now) + amount
 
 
+class Tokens:
+    """Fills at `rate` a second up to `most`, brought up to date on reading."""
+
+    __slots__ = ("rate", "most", "level", "at")
+
+    def __init__(self, rate, most, level, now):
+        self.rate, self.most, self.level, self.at = rate, most, level, now
+
+    def read(self, now):
+        if now > self.at:
+            self.level, self.at = min(self.most, self.level + self.rate * (now - self.at) / SECOND), now
+        return self.level
+
+
 class Mean:
     """The mean of what was added, each amount counting for less with its age."""
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -155,7 +155,7 @@
     keys = [k for k in range(1, 600) if home_of(warm, k) == 3]
     at_home = 0
     for key in keys:
-        bench.balancer.hosts[3].tokens = 1  # the part alone is looked at
+        bench.balancer.hosts[3].tokens.level = 1  # the part alone is looked at
         at_home += home_of(bench, key) == 3
     assert low <= at_home / len(keys) <= high
 
