--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -29,11 +29,13 @@
 SPILL_FLOOR = 2  # own legs in flight before home can spill: one leg is no queue
 SPILL_FACTOR = 3  # times the mean per cache: what chance alone rarely reaches
 FIRST_LIMIT = 4.0  # legs of all balancers together at a host not yet known: a few for each core
-FIRST_LEAST = 0.5  # legs a balancer, however many there are: a start must show something soon
 LEAST_LIMIT = 2.5  # legs of all balancers together: keeps a core or two at work, however late it answers
+LEAST_PART = 0.1  # of a crowded host's keys are still sent to it: else nothing shows that it has room again
+REACH = 4  # more caches in ring order are asked for their part, before home takes the read after all
 LIMIT_GROWTH = 0.2  # of the limit for each answer in time, and at most one leg a round
 GROWTH_USE = 0.7  # of the limit must be in use for it to grow: what is not used shows nothing
 LIMIT_CUT = 0.75  # factor upon a late answer, once per leg time: halves within about three
+PART_CUT = 0.5  # the same below one leg: one late answer is often all that a balancer of hundreds sees
 ON_TIME = 0.17  # of the promised time: an answer inside it shows that the host has room
 ON_TIME_MOST = 0.4  # of the promised time, where the work itself takes long
 ORIGIN_ON_TIME = 0.6  # the same at the origin, which is slow by nature
@@ -75,7 +77,7 @@
         self.state, self.started = entry.state, entry.started
         self.legs, self.watched = {}, False  # own legs in flight, the oldest first
         self.warm_at = entry.started + settings.warm_within if entry.started else 0
-        self.limit, self.cut_at, self.heard = max(FIRST_LEAST, FIRST_LIMIT / settings.balancers), 0, now
+        self.limit, self.cut_at, self.heard = max(1.0, FIRST_LIMIT / settings.balancers), 0, now
         self.time = Mean(SPAN, now)  # that answers took
         self.good, self.bad = Sum(SPAN, now), Sum(SPAN, now)
         self.last = 0  # when it was sent its last leg
@@ -108,7 +110,7 @@
         price = settings.dial_price / settings.open_price if settings.open_price else 1.0
         self.closes = settings.balancers > CROWD * price
         self.cache_legs, self.fetches, self.queues = 0, {}, ([], [])
-        self.serial, self.turn, self.least = count(), False, LEAST_LIMIT / settings.balancers
+        self.serial, self.turn, self.least = count(), False, max(LEAST_PART, LEAST_LIMIT / settings.balancers)
         self.silence = int(SILENCE_PART * min(track.promised for track in settings.tracks))
         # What a customer may be granted here, and was; a balancer's part is taken as equal to the others'.
         shares = [SHARE_SLACK * quota / settings.balancers for quota in settings.quotas]
@@ -412,13 +414,13 @@
         limit = host.limit if within else host.limit * SURPLUS_ROOM
         if limit >= 1:
             return len(host.legs) < limit
-        # Many balancers with one leg each can overdrive a small host: less than one leg is one at times.
         return not host.legs and self.now - host.last >= host.time.read(self.now) / limit
 
     def _candidates(self, r, most):
         """The first `most` distinct caches after the key that may be sent this retrieval."""
         place = digest(r.key or self.random.getrandbits(64))
-        found = list(islice((h for h in self._successors(place) if self._passable(h, r, place)), most))
+        near = islice(self._successors(place), most + REACH)
+        found = list(islice((h for h in near if self._passable(h, r, place)), most))
         return found or list(islice((h for h in self._successors(place) if self._passable(h, r)), most))
 
     def _successors(self, place):
@@ -441,8 +443,11 @@
                 return False
             if not self._may_repeat(r, host):
                 return False
-        if now >= host.warm_at:
-            return True
+        # Many balancers with one leg each overdrive a small host: below one leg, it is left a part of its
+        # keys, the same ones at all balancers, and one leg at times.
+        part = place is None or (place ^ host.salt) >> 32 < host.limit * 2**32
+        if now >= host.warm_at or not part:
+            return part
         # A cold host falls over when all send it their whole part: its keys come home bit by bit, and its
         # own budget holds even when there is nowhere else to go.
         start, warm = self.settings.start_share, self.settings.warm_within
@@ -506,7 +511,8 @@
             if len(host.legs) + 1 >= host.limit * GROWTH_USE:
                 host.limit += min(LIMIT_GROWTH * host.limit, 1 / host.limit)
         elif leg.sent > host.cut_at:  # one cut for all that was sent before it
-            host.limit, host.cut_at = max(self.least, host.limit * LIMIT_CUT), now
+            cut = LIMIT_CUT if host.limit > 1 else PART_CUT
+            host.limit, host.cut_at = max(self.least, host.limit * cut), now
 
     def _check_silence(self, host):
         """A host that answers nothing is known by its legs long before the list drops it."""
