--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -38,7 +38,8 @@
 CROWDED = 1.7  # times the fleet's best mean time: a short queue and no crowd
 BASE_RISE = 1.0002  # for each answer: about a hundredth a second, to follow a slow change of the work
 BASE_COUNT = 40  # answers that the mean time is taken over, however few a second: chance evens out
-LATE = 0.35  # of the promised time: half of all legs take longer only where the whole fleet is crowded
+LATE, LATE_MOST = 0.35, 0.6  # of the promised time, and within that twice the best mean: half of all legs
+# take longer only where the whole fleet is crowded
 LATE_SURPLUS = 0.25  # of all legs may be late, over all caches, before what lies beyond shares is shed
 LATE_SHARE = 0.4  # the same for what lies within, when all else is shed: dead hosts alone must not do it
 ADMIT_GAIN = 4.0  # of the late share, over a half-life of outcomes: sheds within seconds
@@ -54,7 +55,7 @@
 RETRY_SHARE = 0.2  # further legs per first leg: a failing fleet must not be fed with retries
 RETRY_SLACK = 4.0  # further legs at once after a calm stretch
 HOLD_PART = 0.5  # of the promised time: held longer, too little is left for an answer
-CROWD = 60  # balancers of which each may keep a connection at each host, at equal prices: hosts accept few
+CROWD = 75  # balancers that may keep idle connections at each host, at equal prices: by price alone, 100
 COLD_ROOM = 0.4  # of the stated multiple: the rest is for chance and for what spills over
 COLD_SLACK = 3.0  # legs of all balancers together on top of that in each window, and saved up for a burst
 WAIT_STEP = 250 * MS  # advised before a client comes back: a few service times
@@ -434,13 +435,15 @@
             # Crowded hosts do less and stay crowded, long before answers are late: the best mean time tells.
             self.times += 1
             self.time += (took - self.time) / min(self.times, BASE_COUNT)
-            late = outcome is Outcome.FULL or outcome is Outcome.TIMED_OUT or took > LATE * promised
+            base = self.base or promised
+            bound = min(LATE_MOST * promised, max(LATE * promised, 2 * base))
+            late = outcome is Outcome.FULL or outcome is Outcome.TIMED_OUT or took > bound
             step = (LATE_SURPLUS if self.admission > 1 else LATE_SHARE) - late
             step *= ADMIT_GAIN / max(BASE_COUNT // 2, self.first_legs.read(now))
             self.admission = min(2.0, max(ADMIT_LEAST, self.admission + step))
             if self.times > BASE_COUNT // 2:
                 self.base = min(self.base * BASE_RISE or self.time, self.time)
-            target = min(ON_TIME_MOST * promised, max(ON_TIME * promised, CROWDED * (self.base or promised)))
+            target = min(ON_TIME_MOST * promised, max(ON_TIME * promised, CROWDED * base))
         if outcome is Outcome.HANDLED and took <= target:
             if len(host.legs) + 1 >= host.limit / 2:  # what is not used shows nothing
                 host.limit += min(LIMIT_GROWTH * host.limit, 1 / host.limit)
