--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -23,10 +23,8 @@
 HALVING = 60 * SECOND  # half-life of read counts: a balancer of hundreds sees a few reads a second
 HOT_FLOOR = 2  # reads counted before a key can be hot: a second copy of a key that is not is cheap
 SPREAD_FACTOR = 2  # caches for a hot key, per share x n: keeps each under half of a fair cache's reads
-SPILL_FLOOR = 2  # own legs in flight before home can spill: one leg is no queue
-SPILL_FACTOR = 3  # times the mean per cache: what chance alone rarely reaches
-FIRST_LIMIT = 4.0  # legs of all balancers together at a host not yet known: a few for each core
-LEAST_LIMIT = 2.5  # legs of all balancers together: keeps a core or two at work, however late it answers
+SPILL_FLOOR, SPILL_FACTOR = 2, 3  # own legs at home, and times the mean per cache, before it spills
+FIRST_LIMIT, LEAST_LIMIT = 4.0, 2.5  # legs of all balancers together at a host: a few a core, a core at work
 LEAST_PART = 0.1  # of a crowded host's keys are still sent to it: else nothing shows that it has room again
 REACH = 6  # more caches in ring order are asked for their part, before home takes the read after all
 LIMIT_GROWTH = 0.2  # of the limit for each answer in time, and at most one leg a round
@@ -38,8 +36,7 @@
 CROWDED = 1.7  # times the fleet's best mean time: a short queue and no crowd
 BASE_RISE = 1.0002  # for each answer: about a hundredth a second, to follow a slow change of the work
 BASE_COUNT = 40  # answers that the mean time is taken over, however few a second: chance evens out
-LATE, LATE_MOST = 0.35, 0.6  # of the promised time, and within that twice the best mean: half of all legs
-# take longer only where the whole fleet is crowded
+LATE, LATE_MOST, LATE_MEAN = 0.35, 0.6, 2  # of the promised time; in between, times the best mean
 LATE_SURPLUS = 0.25  # of all legs may be late, over all caches, before what lies beyond shares is shed
 LATE_SHARE = 0.4  # the same for what lies within, when all else is shed: dead hosts alone must not do it
 ADMIT_GAIN = 4.0  # of the late share, over a half-life of outcomes: sheds within seconds
@@ -49,7 +46,7 @@
 SPAN = 4 * SECOND  # half-life of outcomes, times, grants and retries: rides out a second, forgets a trouble
 SURPLUS_ROOM = 0.5  # of the limit is open to what lies beyond a customer's share
 BAD_COUNT = 3.0  # bad outcomes before a host is judged: one or two are chance
-BAD_SHARE = 0.5  # of its outcomes, and twice the share of the rest: clearly the host and not the work
+BAD_SHARE, BAD_TIMES = 0.5, 2  # of its outcomes, and times the share of the rest: the host and not the work
 MOST_ASIDE = 0.67  # of the ready caches: a whole zone may be lost, but not everything is the hosts' fault
 ASIDE_TIME = 1500 * MS  # fixed part, and the most of the random one: what a process needs to restart
 RETRY_SHARE = 0.2  # further legs per first leg: a failing fleet must not be fed with retries
@@ -95,8 +92,7 @@
         self.ring, self.unit, self.size, self.counts = Ring(), 1.0, 0.0, Counts(HALVING, now)
         self.good, self.bad, self.sent = Sum(SPAN, now), Sum(SPAN, now), Sum(settings.fall_time, now)
         # A host's table of connections is soon full of idle ones that keep other balancers out.
-        price = settings.dial_price / settings.open_price if settings.open_price else 1.0
-        self.closes = settings.balancers > CROWD * price
+        self.closes = settings.balancers > CROWD * (settings.dial_price / (settings.open_price or 1.0) or 1.0)
         self.cache_legs, self.aside, self.fetches, self.queues = 0, 0, {}, ([], [])
         self.serial, self.turn, self.least = count(), False, max(LEAST_PART, LEAST_LIMIT / settings.balancers)
         # What a customer may be granted here, and was; a balancer's part is taken as equal to the others'.
@@ -105,20 +101,20 @@
         self.admission = 1.0  # above 1: the part of the surplus that is let in, below: of all else
         self.time, self.times, self.base = 0.0, 0, 0.0  # mean over all caches, its count, its best
         self.first_legs, self.more_legs = Sum(SPAN, now), Sum(SPAN, now)
-        self.turns, self.out, self.now, self.asked = deque(), [], now, False
-        self.first_pause = self.pause = min(ASK_PAUSE * settings.balancers, settings.ask_within // 4)
+        self.turns, self.out, self.now, self.asked, self.failures = deque(), [], now, False, 0
 
     def listed(self, now, scope, entries):
         self.now, settings = now, self.settings
         if scope is Scope.FAILED:
             # Grows, but stays within what counts as told; partly random, so that balancers part.
-            self.out.append(WakeAt(now + int(self.pause * (0.5 + self.random.random() / 2)), None))
-            self.pause = min(2 * self.pause, settings.ask_within // 2)
+            pause = min(ASK_PAUSE * settings.balancers * 2**self.failures, settings.ask_within // 2)
+            self.out.append(WakeAt(now + int(pause * (0.5 + self.random.random() / 2)), None))
+            self.failures += 1
             return
         if settings.subscribe and not self.asked:
             self.asked = True
             self.out.append(Subscribe())
-        self.pause = self.first_pause
+        self.failures = 0
         named = {entry.name for entry in entries}
         for host in list(self.hosts.values()) if scope is Scope.WHOLE else ():
             if host.name not in named:
@@ -127,12 +123,11 @@
         for entry in entries:
             host = self.hosts.get(entry.name)
             if host is not None and (entry.started != host.started or entry.state is not State.READY):
-                # A restart, too, makes a new host: its memory is empty and its old troubles are gone.
                 self._leave(host)
-                host = None if entry.started != host.started or entry.state is State.GONE else host
             if entry.state is State.GONE:
                 continue
-            if host is None:
+            if host is None or entry.started != host.started:
+                # A restart, too, makes a new host: its memory is empty and its old troubles are gone.
                 host = Host(entry, settings, now)
                 host.tokens.level = self.random.random()  # all balancers at once would push it over
             host.state = entry.state
@@ -428,22 +423,21 @@
             host.heard = now
         if outcome not in RATED:
             return
-        took, promised = now - leg.sent, leg.retrieval.track.promised
+        took, due = now - leg.sent, leg.retrieval.track.promised
         host.time.add(now, took)
-        target = promised * ORIGIN_ON_TIME
+        target = due * ORIGIN_ON_TIME
         if host.is_cache:
             # Crowded hosts do less and stay crowded, long before answers are late: the best mean time tells.
             self.times += 1
             self.time += (took - self.time) / min(self.times, BASE_COUNT)
-            base = self.base or promised
-            bound = min(LATE_MOST * promised, max(LATE * promised, 2 * base))
-            late = outcome is Outcome.FULL or outcome is Outcome.TIMED_OUT or took > bound
+            base = self.base or due
+            late = took > min(LATE_MOST * due, max(LATE * due, LATE_MEAN * base)) or outcome is Outcome.FULL
             step = (LATE_SURPLUS if self.admission > 1 else LATE_SHARE) - late
             step *= ADMIT_GAIN / max(BASE_COUNT // 2, self.first_legs.read(now))
             self.admission = min(2.0, max(ADMIT_LEAST, self.admission + step))
             if self.times > BASE_COUNT // 2:
                 self.base = min(self.base * BASE_RISE or self.time, self.time)
-            target = min(ON_TIME_MOST * promised, max(ON_TIME * promised, CROWDED * base))
+            target = min(ON_TIME_MOST * due, max(ON_TIME * due, CROWDED * base))
         if outcome is Outcome.HANDLED and took <= target:
             if len(host.legs) + 1 >= host.limit / 2:  # what is not used shows nothing
                 host.limit += min(LIMIT_GROWTH * host.limit, 1 / host.limit)
@@ -455,7 +449,7 @@
         """Sets a host aside when it fails and the rest does not."""
         now, bad, good = self.now, host.bad.read(self.now), host.good.read(self.now)
         rest_bad, rest_good = max(0.0, self.bad.read(now) - bad), max(0.0, self.good.read(now) - good)
-        bound = max(BAD_SHARE, 2 * rest_bad / max(1.0, rest_bad + rest_good))
+        bound = max(BAD_SHARE, BAD_TIMES * rest_bad / max(1.0, rest_bad + rest_good))
         if not host.back_at:
             many = self.aside + 1 > MOST_ASIDE * len(self.caches)
             if many or bad < BAD_COUNT or bad < bound * (bad + good) or host.state is not State.READY:
