--- a/hopsail/tables.py
+++ b/hopsail/tables.py
@@ -4,7 +4,7 @@
 from bisect import bisect_left
 from heapq import heappop, heappush, heapreplace
 
-OVERFLOW = 2.0**900  # weight of one count, doubled each half-life, at which counting starts anew: floats end
+LONGEST = 900  # half-lives after which counting starts anew: new counts double each time, and floats end
 
 
 class Ring:
@@ -47,10 +47,9 @@
 
     def add(self, now, key, most):
         """Counts the key in a table of `most`; its count, and that of all keys."""
-        weight = 2.0 ** ((now - self.since) / self.half)
-        if weight > OVERFLOW:
+        if now - self.since > LONGEST * self.half:
             self._begin(now)
-            weight = 1.0
+        weight = 2.0 ** ((now - self.since) / self.half)
         self.all += weight
         counts, smallest = self.counts, self.smallest
         if key not in counts:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -4,6 +4,7 @@
 from helpers import EFFECTFUL, ORIGIN, PURE, RECEIPTED, ZONED, Bench, entry, names, sent
 
 from hopsail.model import MS, SECOND, Bounce, Outcome, Scope, Scrap, State, Subscribe, Track
+from hopsail.tables import Counts
 
 HANDLED, MISS, ERROR, RESET = Outcome.HANDLED, Outcome.MISS, Outcome.ERROR, Outcome.RESET
 
@@ -249,7 +250,6 @@
 
 
 def test_busy_host_is_not_timed_out():
-    """Legs given up at busy hosts leave work behind that makes the next ones late as well."""
     assert sent(Bench(1).ask(5)[1])[0].limit == 2 * SECOND
 
 
@@ -263,16 +263,16 @@
     assert 59 < legs < 59 * 1.4 + 6
 
 
-def test_list_is_asked_for_at_once_and_again_with_a_growing_pause():
-    bench = Bench(3, subscribe=True)
+@pytest.mark.parametrize("balancers, first", [(1, 20 * MS), (300, 5 * SECOND)])
+def test_list_is_asked_for_at_once_and_again_with_a_pause_that_grows(balancers, first):
+    bench, pauses = Bench(3, subscribe=True, balancers=balancers), []
     bench.balancer.asked = False
     assert bench.list([entry(1)]) == [Subscribe()]
-    pauses = []
-    for _ in range(8):
+    for _ in range(12):
         assert bench.list([], Scope.FAILED) == []
         pauses.append(bench.timers[-1].at - bench.now)
         assert Subscribe() in bench.wait(10 * SECOND)
-    assert pauses[0] < pauses[-1] <= 5 * SECOND and pauses[0] <= 300 * MS
+    assert first / 2 <= pauses[0] <= first and 2 * SECOND < pauses[-1] <= 5 * SECOND
 
 
 @pytest.mark.parametrize("case", ["empty list", "no origin", "zero key", "late", "withdrawn", "one cache"])
@@ -297,3 +297,68 @@
     (fetch,) = sent(told)
     assert bench.end(fetch, HANDLED) == [] and r.done
     assert bench.end(fetch, HANDLED) == []
+
+
+@pytest.mark.parametrize("balancers, dial, closed", [(3, 1.0, False), (300, 1.0, True), (300, 9.0, False)])
+def test_idle_connections_of_many_balancers_are_closed(balancers, dial, closed):
+    bench = Bench(6, balancers=balancers, dial_price=dial)
+    (leg,) = sent(bench.ask(5)[1])
+    assert [a.host for a in bench.end(leg, HANDLED)] == ([leg.host] if closed else [])
+
+
+def test_hundreds_of_balancers_together_do_not_push_a_cold_host_over():
+    legs = 0
+    for seed in range(100):
+        bench = Bench(1, seed=seed, balancers=300)
+        bench.list([entry(1, started=bench.now), entry(ORIGIN, kind=9)])
+        for key in range(1, 9):
+            bench.now += 100 * MS
+            legs += len(sent(bench.ask(key)[1]))
+    assert legs <= 5  # a third of them
+
+
+def many_legs(bench, took, customer, keys):
+    count = 0
+    for key in keys:
+        bench.now += 100 * MS
+        for leg in sent(bench.ask(key, lasts=3 * SECOND, customer=customer)[1]):
+            bench.end(leg, HANDLED, after=took)
+            count += 1
+    return count
+
+
+def test_a_crowd_too_thin_to_see_at_one_host_sheds_the_surplus_first_and_ends():
+    bench = Bench(40, balancers=300, quotas=(3000.0, 0.3))
+    bench.balancer.granted[1].level = 0.0  # the second customer is beyond its share
+    assert many_legs(bench, 900 * MS, 0, range(1, 40)) > 8
+    assert many_legs(bench, 900 * MS, 1, range(100, 140)) == 0
+    assert many_legs(bench, 900 * MS, 0, range(200, 240)) > 2  # never all, or nothing shows that it is over
+    many_legs(bench, 20 * MS, 0, range(300, 400))
+    assert many_legs(bench, 20 * MS, 0, range(400, 440)) >= 36
+
+
+def test_a_sparse_balancer_does_not_take_ordinary_times_for_late():
+    bench = Bench(10, balancers=300)
+    assert many_legs(bench, 200 * MS, 0, range(1, 200)) > 190
+    assert min(h.limit for h in bench.balancer.caches.values()) >= 1
+
+
+def test_a_slow_host_is_left_a_part_of_its_keys_the_same_ones_everywhere():
+    seen = []
+    for seed in (1, 2):
+        bench, stays = Bench(6, seed=seed, balancers=300), []
+        for key in [k for k in range(1, 400) if home_of(bench, k) == 3]:
+            bench.balancer.hosts[3].limit = 0.5
+            bench.now += SECOND
+            stays.append(home_of(bench, key) == 3)
+        seen.append(stays)
+    assert seen[0] == seen[1] and 0.3 < sum(seen[0]) / len(seen[0]) < 0.7
+
+
+def test_counts_are_bounded_keep_the_large_and_outlast_their_floats():
+    counts = Counts(SECOND, 0)
+    for i in range(2000):
+        large = counts.add(i * MS, 7, 10)[0]
+        counts.add(i * MS, 100 + i, 10)
+    assert len(counts.counts) <= 10 and len(counts.smallest) == len(counts.counts) and large > 700
+    assert counts.add(5000 * SECOND, 7, 10) == (1.0, 1.0)
