--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -37,8 +37,7 @@
 BASE_RISE = 1.0002  # for each answer: about a hundredth a second, to follow a slow change of the work
 BASE_COUNT = 40  # answers that the mean time is taken over, however few a second: chance evens out
 LATE, LATE_MOST, LATE_MEAN = 0.35, 0.6, 2  # of the promised time; in between, times the best mean
-LATE_SURPLUS = 0.25  # of all legs may be late, over all caches, before what lies beyond shares is shed
-LATE_SHARE = 0.4  # the same for what lies within, when all else is shed: dead hosts alone must not do it
+LATE_SURPLUS, LATE_SHARE = 0.25, 0.4  # of all legs to caches, before the surplus is shed, and then the rest
 ADMIT_GAIN = 4.0  # of the late share, over a half-life of outcomes: sheds within seconds
 ADMIT_LEAST = 0.2  # of what lies within shares is always let in, else nothing shows that the crowd is gone
 SHARE_SLACK = 1.25  # of a balancer's equal part of each share: some carry more than others
@@ -95,7 +94,6 @@
         self.closes = settings.balancers > CROWD * (settings.dial_price / (settings.open_price or 1.0) or 1.0)
         self.cache_legs, self.aside, self.fetches, self.queues = 0, 0, {}, ([], [])
         self.serial, self.turn, self.least = count(), False, max(LEAST_PART, LEAST_LIMIT / settings.balancers)
-        # What a customer may be granted here, and was; a balancer's part is taken as equal to the others'.
         shares = [SHARE_SLACK * quota / settings.balancers for quota in settings.quotas]
         self.granted = [Tokens(share, 1 + SHARE_BURST * share, 1 + share, now) for share in shares]
         self.admission = 1.0  # above 1: the part of the surplus that is let in, below: of all else
@@ -231,7 +229,7 @@
                     lead, filled = (told, None) if told is fetch else (None, told)
                 if not r.legs and not self._admits(r):
                     return self._turn_away(r)
-                straight = filled and self._passable(filled, r) and self._room(r, filled)
+                straight = filled and self._passable(filled, r) and self._room(filled)
                 host, filled = filled if straight else self._pick(r, spread), None
                 if host is None:
                     return self._turn_away(r)
@@ -280,17 +278,17 @@
             return False
         # Writes and reads each have a line and take turns: neither may starve the other.
         line, rank = self.queues[r.write], (not self._within_share(r), -r.track.benefit)
-        if not line and len(origin.legs) < origin.limit:
+        if not line and self._room(origin):
             return True
         ahead = sum(entry[0] <= rank for entry in line) + 1
-        if self.now + 2 * ahead * origin.time.read(self.now) / max(1.0, origin.limit) > r.patience:
+        if self.now + 2 * ahead * origin.time.read(self.now) / origin.limit > r.patience:
             return False
         hold = Hold(r)
         heappush(line, (rank, next(self.serial), hold))
         return (yield WakeAt(r.patience, hold)) is True
 
     def _open_gate(self):
-        while any(self.queues) and len(self.origin.legs) < self.origin.limit:
+        while any(self.queues) and self._room(self.origin):
             self.turn = not self.turn
             line = self.queues[self.turn] or self.queues[not self.turn]
             if self._resume(heappop(line)[2], True):
@@ -350,17 +348,18 @@
 
     def _pick(self, r, spread):
         found = self._candidates(r, max(2, spread))
+        part = 1.0 if self._within_share(r) else SURPLUS_ROOM
         if spread > 1 or not found:
-            loads = [(len(h.legs), self.random.random(), h) for h in found[:spread] if self._room(r, h)]
+            loads = [(len(h.legs), self.random.random(), h) for h in found[:spread] if self._room(h, part)]
             return min(loads)[2] if loads else None
         home, after, queued = found[0], found[-1], len(found[0].legs)
         spills = queued >= SPILL_FLOOR and queued * len(self.caches) > SPILL_FACTOR * self.cache_legs
-        if spills and len(after.legs) < queued or not self._room(r, home):
+        if spills and len(after.legs) < queued or not self._room(home, part):
             home = after
-        return home if self._room(r, home) else None
+        return home if self._room(home, part) else None
 
-    def _room(self, r, host):
-        limit = host.limit * (1.0 if self._within_share(r) else SURPLUS_ROOM)
+    def _room(self, host, part=1.0):
+        limit = host.limit * part
         if limit >= 1:
             return len(host.legs) < limit
         return not host.legs and self.now - host.last >= host.time.read(self.now) / limit
@@ -424,7 +423,8 @@
         if outcome not in RATED:
             return
         took, due = now - leg.sent, leg.retrieval.track.promised
-        host.time.add(now, took)
+        if outcome is not Outcome.FULL:  # quick, yet the slowest of all: a pace by it would flood the origin
+            host.time.add(now, took)
         target = due * ORIGIN_ON_TIME
         if host.is_cache:
             # Crowded hosts do less and stay crowded, long before answers are late: the best mean time tells.
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -235,6 +235,17 @@
     assert 1 <= sum(leg.host.name == legs[0].host.name for leg in legs) <= 15
 
 
+def test_origin_that_turns_away_or_answers_too_late_is_left_to_empty():
+    """Hundreds of balancers with a leg each keep it full of work that nobody waits for any more."""
+    bench, legs = Bench(6, balancers=300), 0
+    for key in range(1, 200):
+        bench.now += 100 * MS
+        for leg in sent(bench.ask(key, RECEIPTED, write=True)[1]):
+            legs += 1
+            bench.end(leg, Outcome.FULL if legs % 3 else Outcome.TIMED_OUT, after=MS if legs % 3 else SECOND)
+    assert legs < 30
+
+
 def test_writes_and_reads_take_turns_at_the_origin():
     bench = Bench(6)
     while len(sent(bench.ask(1, RECEIPTED, write=True)[1])):
