--- a/hopsail/benchlink/codec.py
+++ b/hopsail/benchlink/codec.py
@@ -142,7 +142,6 @@
         tracks=tracks,
         quotas=quotas,
         balancers=value("balancers", int, "1"),
-        aside=value("extra.mode", str, "through") == "aside",
         origin_kind=value("extra.originKind", int, "-1"),
         sized=value("weights", str, "none") in ("nominal", "rough"),
         subscribe=value("discovery", str) == "subscribe",
--- a/hopsail/model.py
+++ b/hopsail/model.py
@@ -52,7 +52,6 @@
     tracks: tuple[Track, ...] = (Track(),)
     quotas: tuple[float, ...] = ()  # retrievals a second within each customer's share, all balancers together
     balancers: int = 1
-    aside: bool = False  # misses come back and go on to the origin
     origin_kind: int = -1
     sized: bool = False  # listed sizes are sizes
     subscribe: bool = False  # the list must be asked for
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -13,7 +13,7 @@
 
 class Bench:
     def __init__(self, caches=6, seed=7, **settings):
-        settings = {"aside": True, "origin_kind": 9, "warm_within": 8 * SECOND, "start_share": 0.3} | settings
+        settings = {"origin_kind": 9, "warm_within": 8 * SECOND, "start_share": 0.3} | settings
         self.now, self.timers = 100 * SECOND, []
         self.balancer = Balancer(Settings(**settings), seed, self.now)
         self.list([entry(i) for i in range(1, caches + 1)] + [entry(ORIGIN, kind=9)])
