--- /dev/null
+++ b/hopsail/__main__.py
@@ -0,0 +1,98 @@
+"""Runs one balancer in the foreground until SIGTERM: `python -m hopsail`."""
+
+import argparse
+import gc
+import os
+import signal
+import sys
+
+from . import config
+from .model import MS, SECOND
+from .net.clients import Listener
+from .net.counters import Counters
+from .net.door import Door
+from .net.log import say
+from .net.loop import Loop
+
+ACCEPT_TIME = 500 * MS  # after SIGTERM: the front deals out connections for up to 0.4 s more
+LAST_TIME = 650 * MS  # and the longest hard limit: what the platform leaves until SIGKILL is 0.7 s and that
+SWEEP_EVERY = SECOND
+COLLECT_EVERY = 10  # sweeps between collections: retrievals leave no rings behind, faults may
+
+
+class Node:
+    """One balancer: its parts, and its way from start to end."""
+
+    def __init__(self, settings: config.Config):
+        self.config, self.loop, self.sweeps = settings, Loop(), 0
+        self.counters = Counters(settings.name)
+        self.door = Door(self.loop, self.counters, settings)
+        self.listener = Listener(self.loop, self.counters, self.door, settings.listen, settings.most_clients)
+        self.loop.on_signal(signal.SIGTERM, self.stop)
+        self.loop.on_signal(signal.SIGINT, self.stop)
+        self.loop.on_signal(signal.SIGUSR1, lambda: self.print("asked"))
+        self._sweep()
+
+    def run(self):
+        host, port = self.listener.address
+        say("start", f"{self.config.name} listens on {host}:{port}")
+        # Collections come at set times and leave out what stays: one of their own could stop the loop.
+        gc.collect()
+        gc.freeze()
+        gc.disable()
+        self.loop.run()
+        self.print("end")
+
+    def print(self, why):
+        clients, hosts = len(self.listener.clients), len(self.door.pool.connections)
+        self.counters.print(why, open=self.door.open, clients=clients, hosts=hosts)
+
+    def _sweep(self):
+        now = self.loop.now()
+        self.listener.sweep(now)
+        self.door.pool.sweep(now)
+        self.sweeps += 1
+        if self.sweeps % COLLECT_EVERY == 0:
+            gc.collect()
+        self.loop.at(now + SWEEP_EVERY, self._sweep)
+
+    def stop(self):
+        if self.door.stopping:
+            return
+        say("stop", f"{self.door.open} retrievals in hand")
+        now = self.loop.now()
+        self.door.stopping = True
+        self.listener.stop()
+        self.loop.at(now + ACCEPT_TIME, self._shut)
+        self.loop.at(now + LAST_TIME + self.config.longest, self.loop.stop)
+
+    def _shut(self):
+        """All that has come is answered; then the end."""
+        self.listener.shut()
+        if not self.listener.clients:
+            self.loop.stop()
+        self.loop.at(self.loop.now() + 10 * MS, self._shut)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(prog="hopsail", description="One balancer, set up by NODE_CONFIG.")
+    parser.add_argument("--check", action="store_true", help="check the configuration and exit")
+    options = parser.parse_args()
+    try:
+        settings = config.read(os.environ)
+        if options.check:
+            print(f"{settings.name}: the configuration can be used")
+            return 0
+        node = Node(settings)
+    except config.ConfigFault as fault:
+        print(f"hopsail: {fault}", file=sys.stderr)
+        return 2
+    except OSError as fault:
+        print(f"hopsail: listen: {fault}", file=sys.stderr)
+        return 2
+    node.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/hopsail/benchlink/codec.py
+++ b/hopsail/benchlink/codec.py
@@ -10,7 +10,6 @@
     Close,
     Listing,
     Outcome,
-    Repeat,
     Retrieval,
     Scope,
     Scrap,
@@ -18,11 +17,10 @@
     Settings,
     State,
     Subscribe,
-    Track,
     WakeAt,
 )
+from ..settings import US, SettingsFault, decode
 
-US = 1000  # ns in a microsecond
 LONGEST_SPAN = 71 * 60 * 1_000_000  # us, the wire's bound on a timer
 HEADER = Struct("<IQI")
 REPLY = Struct("<II")
@@ -63,8 +61,6 @@
     307: Outcome.NEVER_SENT,
 }
 SCOPES = {0: Scope.CHANGES, 1: Scope.WHOLE, 3: Scope.FAILED, 4: Scope.WHOLE}
-REPEATS = {"repeatable": Repeat.PURE, "by_key": Repeat.RECEIPTED, "once": Repeat.EFFECTFUL}
-TRUTH = {"true": True, "false": False}
 
 
 class WireError(Exception):
@@ -106,55 +102,11 @@
 
 
 def read_settings(text: str) -> Settings:
-    """Decodes the settings that the module reads; unknown keys are skipped."""
-    pairs = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
-
-    def value(key, kind, default=None):
-        found = pairs.get(key, default)
-        if found is None:
-            raise WireError(f"the settings lack {key}")
-        try:
-            return TRUTH[found] if kind is bool else kind(found)
-        except (KeyError, ValueError):
-            raise WireError(f"the setting {key} holds {found!r}") from None
-
-    def repeat(word):
-        return REPEATS[word]
-
-    def time(key, default=None):
-        return value(key, int, default) * US
-
-    tracks = tuple(
-        Track(
-            repeat=value(f"tracks.{i}.effect", repeat),
-            group=value(f"tracks.{i}.group", str, "all"),
-            remembered=time(f"tracks.{i}.keyTtlUs", "0"),
-            promised=time(f"tracks.{i}.promisedTimeUs"),
-            benefit=value(f"tracks.{i}.benefit", float, "1"),
-        )
-        for i in range(value("tracks.count", int))
-    )
-    quotas = tuple(
-        value(f"tenants.{i}.quotaPerS", float, "0") for i in range(value("tenants.count", int, "0"))
-    )
-    advised = value("limits.retryAfter", bool, "false")
-    return Settings(
-        tracks=tracks,
-        quotas=quotas,
-        balancers=value("balancers", int, "1"),
-        origin_kind=value("extra.originKind", int, "-1"),
-        sized=value("weights", str, "none") in ("nominal", "rough"),
-        subscribe=value("discovery", str) == "subscribe",
-        ask_within=time("rules.askWithinUs", "10000000"),
-        most_legs=value("limits.mostLegs", int),
-        advise_wait=time("limits.maxRetryAfterUs", "0") if advised else 0,
-        start_share=value("rules.startCapacity", float),
-        warm_within=time("rules.warmWithinUs"),
-        fall_multiple=value("rules.fallMultiple", float),
-        fall_time=time("rules.fallUs"),
-        open_price=value("penalties.connection", float, "1"),
-        dial_price=value("penalties.handshake", float, "1"),
-    )
+    """Decodes the settings that the module reads from lines of pairs."""
+    try:
+        return decode(dict(line.split("=", 1) for line in text.splitlines() if "=" in line))
+    except SettingsFault as fault:
+        raise WireError(str(fault)) from None
 
 
 class Door:
--- /dev/null
+++ b/hopsail/config.py
@@ -0,0 +1,136 @@
+"""The one place where a balancer's configuration is read, checked and given defaults."""
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+
+from .model import MS, SECOND, Settings
+from .net.discovery import ListFault, Names, address
+from .settings import Pairs, SettingsFault, decode, flatten
+
+DEFAULT_SOCKETS = 1024  # descriptors, where no limit is stated
+DEFAULT_MEMORY = 192  # MB, likewise
+LEAST_SOCKETS = 64  # descriptors with which a balancer can serve at all
+RESERVED_SOCKETS = 24  # descriptors for logs, the listener, signals, discovery and what Python opens
+PROGRAM_MEMORY = 64  # MB that the program itself takes, with its tables
+RETRIEVAL_MEMORY = 0.2  # MB that one retrieval may hold: body, answer and their copies in buffers
+
+
+class ConfigFault(Exception):
+    """The configuration cannot be used; the text names the key."""
+
+
+@dataclass(frozen=True)
+class Config:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    settings: Settings
+    tracks: dict[bytes, int]
+    customers: dict[bytes, int]
+    names: Names
+    known: tuple  # version, scope and entries of the list as this balancer last had it
+    most_clients: int
+    most_host_connections: int
+    most_open: int
+    idle_time: int  # ns
+    dial_time: int  # ns
+    longest: int  # the longest hard limit, ns
+
+
+def read(environment: Mapping[str, str]) -> Config:
+    """The configuration from NODE_CONFIG's file; NODE_NAME, NODE_LISTEN and NODE_DISCOVERY come first."""
+    path = environment.get("NODE_CONFIG")
+    if not path:
+        raise ConfigFault("NODE_CONFIG is not set: it names the configuration file")
+    try:
+        tree = json.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as fault:
+        raise ConfigFault(f"NODE_CONFIG: cannot read {path}: {fault}") from None
+    if not isinstance(tree, dict):
+        raise ConfigFault(f"NODE_CONFIG: {path} holds no JSON object")
+    for key in ("name", "listen", "discovery"):
+        if f"NODE_{key.upper()}" in environment:
+            tree[key] = environment[f"NODE_{key.upper()}"]
+    settings = part(tree, "settings", dict)
+    try:
+        decoded = decode(pairs := flatten(settings))
+    except SettingsFault as fault:
+        raise ConfigFault(f"settings: {fault}") from None
+    tracks = named(settings, "tracks")
+    names = Names(settings.get("failureDomains") or (), settings.get("kinds") or (), decoded.origin_kind)
+    limits = part(tree, "limits", dict, {})
+    sockets = whole(limits, "sockets", DEFAULT_SOCKETS, LEAST_SOCKETS) - RESERVED_SOCKETS
+    memory = whole(limits, "memory_mb", DEFAULT_MEMORY, PROGRAM_MEMORY + 1) - PROGRAM_MEMORY
+    values = Pairs(pairs)
+    try:
+        most_open = values.value("limits.maxOpen", int, "30000")
+        idle_time = values.time("limits.idleCloseUs", "10000000")
+        dial_time = values.time("limits.dialTimeoutUs", "250000")
+        longest = max(values.time(f"tracks.{i}.hardLimitUs", "3000000") for i in range(len(tracks)))
+    except (SettingsFault, ValueError) as fault:
+        raise ConfigFault(f"settings: {fault}") from None
+    return Config(
+        name=part(tree, "name", str),
+        listen=place(tree, "listen"),
+        discovery=place(tree, "discovery"),
+        seed=seed(tree),
+        settings=decoded,
+        tracks=tracks,
+        customers=named(settings, "tenants"),
+        names=names,
+        known=known(tree, names),
+        # Each retrieval in hand holds a client's connection and, at most times, one to a cache host.
+        most_clients=sockets // 2,
+        most_host_connections=sockets - sockets // 2,
+        most_open=max(1, min(most_open, int(memory / RETRIEVAL_MEMORY))),
+        idle_time=max(SECOND, idle_time),
+        dial_time=max(MS, dial_time),
+        longest=longest,
+    )
+
+
+def part(tree, key, kind, default=None):
+    value = tree.get(key, default)
+    if not isinstance(value, kind):
+        raise ConfigFault(f"{key} is missing" if value is None else f"{key} holds {value!r:.80}")
+    return value
+
+
+def whole(tree, key, default, least):
+    value = tree.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < least:
+        raise ConfigFault(f"limits.{key} holds {value!r:.80}: a number of at least {least} is needed")
+    return int(value)
+
+
+def place(tree, key):
+    try:
+        return address(part(tree, key, str))
+    except ValueError as fault:
+        raise ConfigFault(f"{key}: {fault}") from None
+
+
+def seed(tree):
+    text = tree.get("seed", "0")
+    try:
+        return int(str(text), 16)
+    except ValueError:
+        raise ConfigFault(f"seed holds {text!r:.80}, which is no hexadecimal number") from None
+
+
+def named(settings, key):
+    """Indices of the settings' tracks or customers by their names."""
+    try:
+        return {item["name"].encode(): i for i, item in enumerate(settings.get(key) or ())}
+    except (KeyError, TypeError, AttributeError):
+        raise ConfigFault(f"settings.{key}: each entry needs a name") from None
+
+
+def known(tree, names):
+    try:
+        return names.update(tree.get("known") or {"generation": 0, "reset": True, "instances": []})
+    except ListFault as fault:
+        raise ConfigFault(f"known: {fault}") from None
--- /dev/null
+++ b/hopsail/net/clients.py
@@ -0,0 +1,169 @@
+"""Clients' side: the listener and the connections that it took in."""
+
+import errno
+import socket
+
+from ..model import SECOND
+from .log import say
+from .loop import READ
+from .messages import Answer, MessageFault, RequestReader, encode_answer
+from .stream import Stream
+
+BACKLOG = 1024  # connections that the system holds until they are taken in
+TAKE_IN = 64  # connections taken in at one event: the others' turn comes in between
+REQUEST_TIME = 10 * SECOND  # for a request to come whole, and for an answer to be taken
+IDLE_TIME = 120 * SECOND  # kept with no request: clients keep connections
+LINGER_TIME = SECOND  # for the client to read a last answer: closing at once may destroy it
+FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class Client(Stream):
+    """One client's connection: reads a request, hands it to the door, writes the answer, and again."""
+
+    def __init__(self, loop, sock, listener):
+        self.listener, self.reader = listener, RequestReader()
+        self.request, self.exchange = None, None  # what is being answered, and the door's own for it
+        self.leaving, self.lingers = False, False  # no request after this one; only the end is waited for
+        self.since = loop.now()  # when it began what it is doing
+        super().__init__(loop, sock)
+
+    @property
+    def idle(self):
+        return not (self.request or self.reader.begun or self.unsent or self.lingers)
+
+    def received(self, data):
+        if self.lingers:
+            return
+        if self.request is not None:
+            self.leaving = True  # a request before the last answer: the protocol has one at a time
+            return
+        if not self.reader.begun:
+            self.since = self.loop.now()
+        try:
+            request = self.reader.feed(data)
+        except MessageFault as fault:
+            self.listener.counters.add("taken.malformed")
+            self.leaving = True
+            self._write(Answer(fault.status))
+            return
+        if request is not None:
+            self.request = request
+            self.leaving = self.leaving or self.reader.more or not request.keep
+            self.listener.door.asked(self, request)
+
+    def answer(self, answer):
+        """The one answer to the request in hand."""
+        self.request = self.exchange = None
+        self.reader.taken()
+        self._write(answer)
+
+    def _write(self, answer):
+        self.leaving = self.leaving or self.listener.stopping
+        self.since = self.loop.now()
+        self.write(encode_answer(answer, self.leaving))
+
+    def written(self):
+        if not self.leaving or self.request is not None or self.lingers:
+            return
+        self.lingers, self.since = True, self.loop.now()
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.close()
+
+    def ended(self):
+        if self.request is not None:
+            self.listener.door.left(self)
+
+    def released(self):
+        self.listener.gone(self)
+
+    def overdue(self, now):
+        stands = now - self.since
+        if self.request is not None:
+            return False  # the door answers it in time
+        if self.lingers:
+            return stands > LINGER_TIME
+        return stands > (IDLE_TIME if self.idle else REQUEST_TIME)
+
+
+class Listener:
+    """Takes clients in, at most so many at a time, and owns their connections."""
+
+    def __init__(self, loop, counters, door, address, most):
+        self.loop, self.counters, self.door, self.most = loop, counters, door, most
+        self.clients, self.stopping, self.paused = {}, False, True
+        self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(address)
+        self.sock.listen(BACKLOG)
+        self.address = self.sock.getsockname()
+        self._pause(False)
+
+    def _pause(self, pause):
+        if self.sock is None or pause == self.paused:
+            return
+        self.paused = pause
+        if pause:
+            self.loop.unwatch(self.sock)
+        else:
+            self.loop.watch(self.sock, READ, self._take_in)
+
+    def _take_in(self, _mask=READ, most=TAKE_IN):
+        for _ in range(most):
+            if len(self.clients) >= self.most and not self._make_room():
+                self._pause(True)  # until one goes: the system holds the others
+                return
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as fault:
+                # Out of descriptors: a loop that tries again at once would burn its core.
+                say("clients", f"cannot take in a connection: {fault.strerror}")
+                if fault.errno not in FULL or not (self._make_room() or self.door.spare_connection()):
+                    self._pause(True)
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.counters.add("clients.connections")
+            client = Client(self.loop, sock, self)
+            self.clients[client] = None
+
+    def _make_room(self):
+        """Closes the connection that has stood idle longest; False when none is idle."""
+        idle = [client for client in self.clients if client.idle]
+        if idle:
+            min(idle, key=lambda client: client.since).close()
+            self.counters.add("clients.closed for room")
+        return bool(idle)
+
+    def gone(self, client):
+        del self.clients[client]
+        if not self.stopping or self.sock is not None:
+            self._pause(False)
+
+    def sweep(self, now):
+        """Once a second: closes what takes too long; takes in again after a lack of descriptors."""
+        for client in [client for client in self.clients if client.overdue(now)]:
+            if client.reader.begun and not client.lingers:
+                self.counters.add("taken.slow")
+            client.close()
+        self._pause(False)
+
+    def stop(self):
+        """From now on each answer ends its connection."""
+        self.stopping = True
+
+    def shut(self):
+        """Ends taking in, after all that has already connected; idle connections are closed."""
+        if self.sock is None:
+            return
+        self._take_in(most=BACKLOG)
+        self._pause(True)
+        self.sock.close()
+        self.sock = None
+        for client in [client for client in self.clients if client.idle]:
+            client.ready(READ)  # a request may have come meanwhile
+            if client.open and client.idle:
+                client.close()
--- /dev/null
+++ b/hopsail/net/discovery.py
@@ -0,0 +1,152 @@
+"""Discovery: the watch on the list of cache hosts, and its entries as the module takes them."""
+
+import json
+from hashlib import blake2b
+
+import httptools
+
+from ..model import MS, SECOND, Listing, Scope, State
+from .log import say
+from .stream import Stream, dial
+
+# An empty line comes every 2 s. What a watch has to tell counts as told after 6 s, and must be acted on.
+SILENCE = 4500 * MS  # with nothing heard: the watch has stalled
+DIAL_TIME = SECOND  # for the connection to come up
+MOST_LINE = 4 * 1024 * 1024  # bytes of one line: some ten thousand hosts
+STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
+
+
+class ListFault(ValueError):
+    """What came is not a list of cache hosts."""
+
+
+def number(name: str) -> int:
+    """The same number for a name at every balancer: the ring is made of it."""
+    return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "little")
+
+
+def address(text):
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is not an address of the form host:port")
+    return host, int(port)
+
+
+class Names:
+    """Indices of the settings' names; one that they lack gets the next free number."""
+
+    def __init__(self, zones, kinds, origin_kind):
+        self.zones = {name: i for i, name in enumerate(zones)}
+        self.kinds = {name: i for i, name in enumerate(kinds)} | {"origin": origin_kind}
+
+    def listing(self, entry):
+        """An entry of discovery's list and the address of its host."""
+        try:
+            state = STATES[entry["lifecycle"]]
+            listing = Listing(
+                number(entry["instanceId"]),
+                self.zones.setdefault(entry.get("zone"), len(self.zones)),
+                self.kinds.setdefault(entry.get("machineType"), len(self.kinds) + 1),
+                entry.get("cell") or 0,
+                state,
+                float(entry.get("weight") or 0),
+                int(entry.get("startedAtMs") or 0) * MS,
+            )
+            return listing, address(entry["hostPort"]) if state is not State.GONE else None
+        except (KeyError, TypeError, ValueError, AttributeError) as fault:
+            raise ListFault(f"an entry cannot be read: {type(fault).__name__} {fault}") from None
+
+    def update(self, tree):
+        """A whole update: its version, its scope, and its entries with their addresses."""
+        try:
+            version, scope = int(tree["generation"]), Scope.WHOLE if tree["reset"] else Scope.CHANGES
+            return version, scope, [self.listing(entry) for entry in tree["instances"]]
+        except (KeyError, TypeError) as fault:
+            raise ListFault(f"not a list: {type(fault).__name__} {fault}") from None
+
+
+class Watch(Stream):
+    """One call that stays open and brings a JSON object a line; its end, however it comes, is a failure."""
+
+    def __init__(self, loop, sock, discovery):
+        self.discovery, self.parser, self.line = discovery, httptools.HttpResponseParser(self), bytearray()
+        self.timer, self.heard = None, loop.now()
+        super().__init__(loop, sock, dialing=True)
+        self._wait(DIAL_TIME)
+
+    def _wait(self, span):
+        self.timer = self.loop.at(self.heard + span, self._silent)
+
+    def _silent(self):
+        # Set anew only when it runs out: lines need not touch the heap.
+        if self.dialing or self.loop.now() - self.heard >= SILENCE:
+            self._end()
+        else:
+            self._wait(SILENCE)
+
+    def connected(self):
+        self.heard = self.loop.now()
+        path = b"/v1/servers?follow=1&since=%d" % self.discovery.version
+        host = b"%s:%d" % (self.discovery.address[0].encode(), self.discovery.address[1])
+        self.timer.cancel()
+        self._wait(SILENCE)
+        self.write(b"GET " + path + b" HTTP/1.1\r\nHost: " + host + b"\r\n\r\n")
+
+    def received(self, data):
+        self.heard = self.loop.now()
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as fault:
+            say("discovery", f"the watch broke: {type(fault.__context__ or fault).__name__}")
+            self._end()
+
+    def on_headers_complete(self):
+        if (status := self.parser.get_status_code()) != 200:
+            raise ListFault(f"status {status}")
+
+    def on_body(self, piece):
+        self.line += piece
+        while (at := self.line.find(b"\n")) >= 0:
+            line = bytes(self.line[:at])
+            del self.line[: at + 1]
+            if line.strip():
+                self.discovery.told(json.loads(line))
+        if len(self.line) > MOST_LINE:
+            raise ListFault("a line without end")
+
+    def on_message_complete(self):
+        self.loop.soon(self._end)
+
+    def ended(self):
+        self.discovery.failed()
+
+    def released(self):
+        if self.timer:
+            self.timer.cancel()
+
+
+class Discovery:
+    """Keeps at most one watch; `tell(scope, entries)` hands on what it brings, or that it failed."""
+
+    def __init__(self, loop, counters, address, names, version, tell):
+        self.loop, self.counters, self.address, self.names = loop, counters, address, names
+        self.version, self.tell, self.watch = version, tell, None
+
+    def ask(self):
+        if self.watch is not None:
+            return
+        self.counters.add("discovery.asked")
+        try:
+            self.watch = Watch(self.loop, dial(self.address), self)
+        except OSError:
+            self.loop.soon(self.failed)
+
+    def told(self, tree):
+        self.version, scope, entries = self.names.update(tree)
+        self.counters.add("discovery.updates")
+        self.tell(scope, entries)
+
+    def failed(self):
+        self.watch = None
+        self.counters.add("discovery.failed")
+        self.tell(Scope.FAILED, [])
--- /dev/null
+++ b/hopsail/net/door.py
@@ -0,0 +1,190 @@
+"""The door between sockets and the decision module: events go in, the module's actions are carried out.
+
+It alone knows names, paths and statuses; it chooses no host, no further leg and no limit."""
+
+import traceback
+from hashlib import blake2b
+
+from ..decide import Balancer
+from ..model import Bounce, Close, Outcome, Retrieval, Scope, Scrap, Send, State, Subscribe, WakeAt
+from .discovery import Discovery
+from .hosts import Pool
+from .log import say
+from .messages import Answer
+
+HEALTH = b"/healthz"
+LONGEST = 600.0  # seconds: a client's limit beyond it is cut
+METHODS = {b"GET": False, b"PUT": True}
+
+
+class Refusal(Exception):
+    """A request that cannot become a retrieval; `answer` says why."""
+
+    def __init__(self, status, text):
+        super().__init__(text)
+        self.answer = Answer(status, text + b"\n", b"text/plain")
+
+
+class Exchange:
+    """A retrieval's way back: the client's connection until it is answered or left, and its request."""
+
+    __slots__ = ("client", "request")
+
+    def __init__(self, client, request):
+        self.client, self.request = client, request
+
+
+class Door:
+    def __init__(self, loop, counters, config):
+        self.loop, self.counters, self.config = loop, counters, config
+        self.open = 0  # retrievals with no final answer yet
+        self.stopping = False
+        self.pool = Pool(
+            loop, counters, config.most_host_connections, config.idle_time, config.dial_time, self.leg_ended
+        )
+        version, _, entries = config.known
+        self.discovery = Discovery(loop, counters, config.discovery, config.names, version, self.listed)
+        self.balancer = Balancer(config.settings, config.seed, loop.now())
+        self.listed(Scope.WHOLE, entries)
+        if not config.settings.subscribe:
+            self.discovery.ask()  # the bench tells such an instance unasked; here nobody calls on it
+
+    def ready(self):
+        return not self.stopping and bool(self.balancer.caches)
+
+    def asked(self, client, request):
+        """A whole request has come on a client's connection, which is owed one answer."""
+        try:
+            if request.target == HEALTH:
+                self.counters.add("taken.health")
+                client.answer(Answer(200 if self.ready() else 503))
+                return
+            retrieval = self._retrieval(client, request)
+        except Refusal as refusal:
+            self.counters.add("taken.malformed")
+            client.answer(refusal.answer)
+            return
+        self.counters.add("taken.writes" if retrieval.write else "taken.reads")
+        if self.open >= self.config.most_open:
+            # What is beyond the memory is turned away before the module, as the settings' own limit says.
+            self.counters.add("answered.bounced")
+            client.answer(Answer(503))
+            return
+        self.open += 1
+        client.exchange = retrieval
+        self._step(retrieval, self.balancer.arrived, self.loop.now(), retrieval)
+
+    def _retrieval(self, client, request):
+        write = METHODS.get(request.method)
+        if write is None:
+            raise Refusal(405, b"GET reads and PUT writes")
+        track, _, key = request.target.partition(b"?")[0].strip(b"/").partition(b"/")
+        index = self.config.tracks.get(track)
+        if index is None:
+            raise Refusal(404, b"no such track")
+        if not request.trace or request.expires is None:
+            raise Refusal(400, b"X-Trace-Id and X-Expires-In are needed")
+        customer = self.config.customers.get(request.customer or b"", None if self.config.customers else 0)
+        if customer is None:
+            raise Refusal(400, b"no such customer")
+        try:
+            expires = float(request.expires)
+        except ValueError:
+            expires = 0.0
+        if not expires > 0:  # also what is not a number
+            raise Refusal(400, b"X-Expires-In must be a time that is left")
+        ends = self.loop.now() + int(min(expires, LONGEST) * 1e9)
+        track = self.config.settings.tracks[index]
+        return Retrieval(Exchange(client, request), track, hashed(key), ends, write, customer)
+
+    def left(self, client):
+        """The client closed its connection: nothing more is owed, and nothing more is sent."""
+        retrieval = client.exchange
+        if retrieval is None:
+            return
+        self.counters.add("answered.left")
+        self._forget(retrieval)
+        self._step(retrieval, self.balancer.withdrawn, self.loop.now(), retrieval)
+        for leg in list(retrieval.legs):
+            self.pool.never_send(leg)
+        self._settle(retrieval)
+
+    def leg_ended(self, leg, outcome, answer):
+        retrieval, handled = leg.retrieval, outcome is Outcome.HANDLED
+        self.counters.add("legs." + outcome.name.lower())
+        self._step(retrieval, self.balancer.leg_ended, self.loop.now(), leg, outcome, handled)
+        if handled:
+            self._answer(retrieval, Answer(200, answer.body, answer.kind), "handled")
+        self._settle(retrieval)
+
+    def listed(self, scope, entries):
+        hosts = self.balancer.hosts
+        before = {listing.name: hosts.get(listing.name) for listing, _ in entries}
+        for listing, address in entries:
+            if listing.state is not State.GONE:
+                old = before[listing.name]
+                self.pool.place(listing.name, address, old is not None and old.started != listing.started)
+        self._step(None, self.balancer.listed, self.loop.now(), scope, [listing for listing, _ in entries])
+        for name in [name for name in self.pool.addresses if name not in hosts]:
+            self.pool.forget(name)
+
+    def spare_connection(self):
+        return self.pool.spare()
+
+    def _step(self, retrieval, call, *args):
+        """Tells the module what has happened and carries out what it decides."""
+        try:
+            call(*args)
+        except Exception:
+            # A fault in one retrieval's flow must not cost the others theirs; its client is told at once.
+            say("fault", traceback.format_exc())
+            if retrieval is not None:
+                retrieval.done = True
+                self._answer(retrieval, Answer(500), "scrapped")
+        actions, self.balancer.out = self.balancer.out, []
+        for action in actions:
+            self._carry_out(action)
+
+    def _carry_out(self, action):
+        kind = type(action)
+        if kind is Send:
+            self.counters.add("legs.sent")
+            self.pool.send(action.leg, action.leg.retrieval.mark.request)
+        elif kind is Bounce:
+            self._answer(action.retrieval, Answer(503, wait=action.wait), "bounced")
+            self._settle(action.retrieval)
+        elif kind is Scrap:
+            self._answer(action.retrieval, Answer(502), "scrapped")
+            self._settle(action.retrieval)
+        elif kind is WakeAt:
+            self.loop.at(action.at, lambda: self._woken(action.token))
+        elif kind is Close:
+            self.pool.close_idle(action.host.name)
+        elif kind is Subscribe:
+            self.discovery.ask()
+
+    def _woken(self, token):
+        self._step(getattr(token, "retrieval", None), self.balancer.woken, self.loop.now(), token)
+
+    def _answer(self, retrieval, answer, word):
+        client = retrieval.mark.client
+        if client is not None:
+            self.counters.add("answered." + word)
+            self._forget(retrieval)
+            client.answer(answer)
+
+    def _forget(self, retrieval):
+        retrieval.mark.client.exchange = None
+        retrieval.mark.client = None
+        self.open -= 1
+
+    def _settle(self, retrieval):
+        """Lets go of a retrieval with nothing left to hear: it and its legs name each other, and collecting
+        such rings would stop the loop."""
+        if retrieval.done and all(leg.outcome is not None for leg in retrieval.legs):
+            retrieval.legs, retrieval.flow = [], None
+
+
+def hashed(key: bytes) -> int:
+    """A key as the module takes it, the same at every balancer; 0 where there is none."""
+    return int.from_bytes(blake2b(key, digest_size=8).digest(), "little") if key else 0
--- /dev/null
+++ b/hopsail/net/loop.py
@@ -0,0 +1,111 @@
+"""The one loop: sockets through selectors, timers on a heap, signals through a wake-up descriptor."""
+
+import selectors
+import signal
+import socket
+import traceback
+from collections import deque
+from heapq import heapify, heappop, heappush
+from itertools import count
+from time import monotonic_ns, time_ns
+
+from .log import say
+
+READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+LONGEST_WAIT = 60.0  # seconds in one select
+SPARE_TIMERS = 1000  # called-off timers on the heap before it is cleaned
+
+
+class Timer:
+    __slots__ = ("act", "loop")
+
+    def __init__(self, loop, act):
+        self.loop, self.act = loop, act
+
+    def cancel(self):
+        if self.act is not None:
+            self.act = None
+            self.loop.cancelled += 1
+
+
+class Loop:
+    def __init__(self):
+        self.selector = selectors.DefaultSelector()
+        self.timers, self.serial, self.cancelled = [], count(), 0
+        self.turns, self.running, self.signals = deque(), True, {}
+        # Steps like the monotonic clock but reads as Unix time, in which the list tells starts.
+        self.offset = time_ns() - monotonic_ns()
+
+    def now(self) -> int:
+        return monotonic_ns() + self.offset
+
+    def at(self, when: int, act) -> Timer:
+        timer = Timer(self, act)
+        heappush(self.timers, (when, next(self.serial), timer))
+        return timer
+
+    def soon(self, act, *args) -> None:
+        """Acts after what is being done now: a callback never runs inside the call that causes it."""
+        self.turns.append((act, args))
+
+    def watch(self, sock, events, act):
+        self.selector.register(sock, events, act)
+
+    def change(self, sock, events, act):
+        self.selector.modify(sock, events, act)
+
+    def unwatch(self, sock):
+        self.selector.unregister(sock)
+
+    def on_signal(self, number, act):
+        if not self.signals:
+            self.heard, bell = socket.socketpair()
+            self.heard.setblocking(False)
+            bell.setblocking(False)
+            signal.set_wakeup_fd(bell.fileno(), warn_on_full_buffer=False)
+            self.bell = bell  # kept open as long as the loop
+            self.watch(self.heard, READ, self._hear)
+        self.signals[number] = act
+        signal.signal(number, lambda *_: None)
+
+    def _hear(self, _):
+        for number in self.heard.recv(64):
+            if number in self.signals:
+                self.signals[number]()
+
+    def stop(self):
+        self.running = False
+
+    def run(self):
+        while self.running:
+            for key, mask in self.selector.select(self._wait()):
+                self._call(key.data, (mask,))
+            now = self.now()
+            for _ in range(len(self.timers)):  # what these set is for the next round: no starved sockets
+                if self.timers[0][0] > now:
+                    break
+                timer = heappop(self.timers)[2]
+                act, timer.act = timer.act, None
+                if act is None:
+                    self.cancelled -= 1
+                else:
+                    self._call(act, ())
+            for _ in range(len(self.turns)):
+                self._call(*self.turns.popleft())
+            if self.cancelled > SPARE_TIMERS and self.cancelled > len(self.timers) // 2:
+                self.timers = [entry for entry in self.timers if entry[2].act is not None]
+                heapify(self.timers)
+                self.cancelled = 0
+
+    def _wait(self):
+        if self.turns:
+            return 0
+        if not self.timers:
+            return LONGEST_WAIT
+        return min(LONGEST_WAIT, max(0, self.timers[0][0] - self.now()) / 1e9)
+
+    def _call(self, act, args):
+        try:
+            act(*args)
+        except Exception:  # one connection's fault must not end all others
+            say("fault", traceback.format_exc())
--- /dev/null
+++ b/hopsail/net/messages.py
@@ -0,0 +1,173 @@
+"""HTTP/1.1 messages: each decoded once into a small typed value by httptools, and encoded once."""
+
+from http import HTTPStatus
+from typing import NamedTuple
+
+import httptools
+
+MOST_BODY = 64 * 1024  # bytes, the protocol's bound
+MOST_HEAD = 16 * 1024  # bytes of request line and headers: names, ids and a few figures
+REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+
+class Request(NamedTuple):
+    method: bytes
+    target: bytes
+    trace: bytes | None
+    customer: bytes | None
+    expires: bytes | None
+    receipt: bytes | None
+    body: bytes
+    keep: bool  # the connection goes on after the answer
+
+
+class Answer(NamedTuple):
+    status: int
+    body: bytes = b""
+    kind: bytes | None = None  # Content-Type
+    never_ran: bool = False
+    keep: bool = True
+    wait: int = 0  # ns to stay away, 0 = no advice
+
+
+class MessageFault(Exception):
+    """What came in is no message that can be taken; `status` is the answer to it."""
+
+    def __init__(self, status):
+        super().__init__(status)
+        self.status = status
+
+
+class Reader:
+    """Collects one message at a time from pieces, as httptools finds its parts."""
+
+    parser_class = httptools.HttpRequestParser
+
+    def __init__(self):
+        self.parser = self.parser_class(self)
+        self.whole = None  # the message, once all of it is there
+        self.begun = False  # some of it is there
+        self.more = False  # bytes after the message: another one was sent before this one was answered
+        self._clear()
+
+    def _clear(self):
+        self.target, self.headers, self.body, self.head, self.headed = b"", {}, bytearray(), 0, False
+        self.fault = self.weight = 0
+
+    def feed(self, data):
+        """The message if `data` completes it; MessageFault when it never can."""
+        self.begun = True
+        if not self.headed:
+            self.head += len(data)
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if not self.whole:
+                raise MessageFault(self.fault or 400) from None
+            self.more = True
+        if self.fault and not self.whole:
+            raise MessageFault(self.fault)
+        if not self.headed and not self.whole and self.head > MOST_HEAD:
+            raise MessageFault(431)
+        return self.whole
+
+    def taken(self):
+        """The message has been dealt with; the next one may come."""
+        self.whole, self.begun = None, False
+        self._clear()
+
+    def on_message_begin(self):
+        if self.whole:
+            self.more = True
+
+    def on_url(self, piece):
+        if not self.whole:
+            self.target += piece
+            self._weigh(len(piece))
+
+    def on_header(self, name, value):
+        if not self.whole:
+            self.headers[name.lower()] = value
+            self._weigh(len(name) + len(value))
+
+    def _weigh(self, size):
+        self.weight += size
+        if self.weight > MOST_HEAD:
+            self.fault = self.fault or 431
+
+    def on_headers_complete(self):
+        self.headed = True
+
+    def on_body(self, piece):
+        if self.whole:
+            return
+        if len(self.body) + len(piece) > MOST_BODY:
+            self.fault = self.fault or 413
+        elif not self.fault:
+            self.body += piece
+
+    def on_message_complete(self):
+        if not self.whole and not self.fault:
+            self.whole = self._message()
+
+
+class RequestReader(Reader):
+    def _message(self):
+        get = self.headers.get
+        return Request(
+            self.parser.get_method(),
+            self.target,
+            get(b"x-trace-id"),
+            get(b"x-customer"),
+            get(b"x-expires-in"),
+            get(b"idempotency-key"),
+            bytes(self.body),
+            self.parser.should_keep_alive(),
+        )
+
+
+class AnswerReader(Reader):
+    parser_class = httptools.HttpResponseParser
+
+    def _message(self):
+        status = self.parser.get_status_code()
+        if status < 200:  # an interim answer: the real one follows
+            self._clear()
+            return None
+        never = status in (503, 504) and self.headers.get(b"x-never-ran") == b"1"
+        keep = self.parser.should_keep_alive()
+        return Answer(status, bytes(self.body), self.headers.get(b"content-type"), never, keep)
+
+    def at_end(self):
+        """The message if the connection's end is what completes it."""
+        framed = b"content-length" in self.headers or b"transfer-encoding" in self.headers
+        if self.headed and not framed and not self.fault:
+            self.whole = self._message()
+        return self.whole
+
+
+def encode_request(request: Request, host: bytes, left: int) -> bytes:
+    """The request for a cache host that is told how long, in ns, the balancer will wait."""
+    lines = [
+        b"%s %s HTTP/1.1" % (request.method, request.target),
+        b"Host: " + host,
+        b"X-Trace-Id: " + (request.trace or b""),
+        b"X-Expires-In: %.3f" % (left / 1e9),
+    ]
+    if request.receipt is not None:
+        lines.append(b"Idempotency-Key: " + request.receipt)
+    if request.body or request.method != b"GET":
+        lines.append(b"Content-Length: %d" % len(request.body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+
+def encode_answer(answer: Answer, close: bool) -> bytes:
+    lines = [b"HTTP/1.1 %d %s" % (answer.status, REASONS.get(answer.status, b"Unknown"))]
+    lines.append(b"Content-Length: %d" % len(answer.body))
+    if answer.kind is not None:
+        lines.append(b"Content-Type: " + answer.kind)
+    if answer.wait:
+        lines.append(b"Retry-After: %.3f" % (answer.wait / 1e9))
+    if close:
+        lines.append(b"Connection: close")
+    return b"\r\n".join(lines) + b"\r\n\r\n" + answer.body
--- /dev/null
+++ b/hopsail/settings.py
@@ -0,0 +1,85 @@
+"""The settings that an instance is given at its start, decoded once for the module: the same object comes as
+`path=value` lines on the bench's wire and as nested JSON in a balancer's configuration."""
+
+from .model import Repeat, Settings, Track
+
+US = 1000  # ns in a microsecond
+REPEATS = {"repeatable": Repeat.PURE, "by_key": Repeat.RECEIPTED, "once": Repeat.EFFECTFUL}
+TRUTH = {"true": True, "false": False}
+
+
+class SettingsFault(ValueError):
+    """A setting is missing or holds what it cannot; the text names its key."""
+
+
+def flatten(tree, path=""):
+    """Nested JSON as the wire's pairs: objects and lists become dotted paths, a list tells its length."""
+    pairs = {}
+    if isinstance(tree, dict):
+        for name, value in tree.items():
+            pairs |= flatten(value, f"{path}.{name}" if path else name)
+    elif isinstance(tree, list) and any(isinstance(item, dict) for item in tree):
+        pairs[f"{path}.count"] = str(len(tree))
+        for i, item in enumerate(tree):
+            pairs |= flatten(item, f"{path}.{i}")
+    elif isinstance(tree, list):
+        pairs[path] = ",".join(str(item) for item in tree)
+    elif tree is not None:
+        pairs[path] = str(tree).lower() if isinstance(tree, bool) else str(tree)
+    return pairs
+
+
+class Pairs:
+    """Typed reading of pairs of text."""
+
+    def __init__(self, pairs):
+        self.pairs = pairs
+
+    def value(self, key, kind, default=None):
+        found = self.pairs.get(key, default)
+        if found is None:
+            raise SettingsFault(f"the settings lack {key}")
+        try:
+            return TRUTH[found] if kind is bool else kind(found)
+        except (KeyError, ValueError):
+            raise SettingsFault(f"the setting {key} holds {found!r}") from None
+
+    def time(self, key, default=None):
+        return self.value(key, int, default) * US
+
+
+def decode(pairs) -> Settings:
+    """The settings that the module reads; unknown keys are skipped."""
+    pairs = Pairs(pairs)
+    value, time = pairs.value, pairs.time
+    tracks = tuple(
+        Track(
+            repeat=value(f"tracks.{i}.effect", REPEATS.__getitem__),
+            group=value(f"tracks.{i}.group", str, "all"),
+            remembered=time(f"tracks.{i}.keyTtlUs", "0"),
+            promised=time(f"tracks.{i}.promisedTimeUs"),
+            benefit=value(f"tracks.{i}.benefit", float, "1"),
+        )
+        for i in range(value("tracks.count", int))
+    )
+    quotas = tuple(
+        value(f"tenants.{i}.quotaPerS", float, "0") for i in range(value("tenants.count", int, "0"))
+    )
+    advised = value("limits.retryAfter", bool, "false")
+    return Settings(
+        tracks=tracks,
+        quotas=quotas,
+        balancers=value("balancers", int, "1"),
+        origin_kind=value("extra.originKind", int, "-1"),
+        sized=value("weights", str, "none") in ("nominal", "rough"),
+        subscribe=value("discovery", str) == "subscribe",
+        ask_within=time("rules.askWithinUs", "10000000"),
+        most_legs=value("limits.mostLegs", int),
+        advise_wait=time("limits.maxRetryAfterUs", "0") if advised else 0,
+        start_share=value("rules.startCapacity", float),
+        warm_within=time("rules.warmWithinUs"),
+        fall_multiple=value("rules.fallMultiple", float),
+        fall_time=time("rules.fallUs"),
+        open_price=value("penalties.connection", float, "1"),
+        dial_price=value("penalties.handshake", float, "1"),
+    )
