A stop that answers all in time, descriptors running out survived; tests on sockets

At SIGTERM all in hand is cut to 3.5 s: a write may have 4 s left, and SIGKILL may come after 3.7 s. One bad entry of the list no longer keeps the others from being heard. A client that waits for 100 Continue gets it. Tests play clients, hosts and discovery on loopback sockets around one balancer whose loop they turn by hand.

--- a/hopsail/__main__.py
+++ b/hopsail/__main__.py
@@ -15,7 +15,8 @@
 from .net.loop import Loop
 
 ACCEPT_TIME = 500 * MS  # after SIGTERM: the front deals out connections for up to 0.4 s more
-LAST_TIME = 650 * MS  # and the longest hard limit: what the platform leaves until SIGKILL is 0.7 s and that
+LAST_TIME = 3500 * MS  # after SIGTERM all is answered: SIGKILL comes 0.2 s later at the earliest
+END_TIME = 3600 * MS  # and the process ends, whoever has not read its answer yet
 SWEEP_EVERY = SECOND
 COLLECT_EVERY = 10  # sweeps between collections: retrievals leave no rings behind, faults may
 
@@ -42,6 +43,13 @@
         gc.disable()
         self.loop.run()
         self.print("end")
+        self.close()
+
+    def close(self):
+        """Gives back all sockets."""
+        self.listener.close()
+        self.door.close()
+        self.loop.close()
 
     def print(self, why):
         clients, hosts = len(self.listener.clients), len(self.door.pool.connections)
@@ -57,14 +65,14 @@
         self.loop.at(now + SWEEP_EVERY, self._sweep)
 
     def stop(self):
-        if self.door.stopping:
+        if self.listener.stopping:
             return
         say("stop", f"{self.door.open} retrievals in hand")
         now = self.loop.now()
-        self.door.stopping = True
         self.listener.stop()
+        self.door.stop(self.listener.clients, now + LAST_TIME)
         self.loop.at(now + ACCEPT_TIME, self._shut)
-        self.loop.at(now + LAST_TIME + self.config.longest, self.loop.stop)
+        self.loop.at(now + END_TIME, self.loop.stop)
 
     def _shut(self):
         """All that has come is answered; then the end."""
--- a/hopsail/benchlink/codec.py
+++ b/hopsail/benchlink/codec.py
@@ -245,5 +245,3 @@
                     cause = f"{type(fault).__name__}: {fault}"
                     reply.text(100, instance, f"instance {instance}: {cause}")
         return reply.encode()
-
-
--- a/hopsail/config.py
+++ b/hopsail/config.py
@@ -1,6 +1,7 @@
 """The one place where a balancer's configuration is read, checked and given defaults."""
 
 import json
+import resource
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
@@ -37,7 +38,6 @@
     most_open: int
     idle_time: int  # ns
     dial_time: int  # ns
-    longest: int  # the longest hard limit, ns
 
 
 def read(environment: Mapping[str, str]) -> Config:
@@ -62,19 +62,19 @@
     tracks = named(settings, "tracks")
     names = Names(settings.get("failureDomains") or (), settings.get("kinds") or (), decoded.origin_kind)
     limits = part(tree, "limits", dict, {})
-    sockets = whole(limits, "sockets", DEFAULT_SOCKETS, LEAST_SOCKETS) - RESERVED_SOCKETS
+    sockets = whole(limits, "sockets", DEFAULT_SOCKETS, LEAST_SOCKETS)
+    sockets = min(sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVED_SOCKETS
     memory = whole(limits, "memory_mb", DEFAULT_MEMORY, PROGRAM_MEMORY + 1) - PROGRAM_MEMORY
     values = Pairs(pairs)
     try:
         most_open = values.value("limits.maxOpen", int, "30000")
         idle_time = values.time("limits.idleCloseUs", "10000000")
         dial_time = values.time("limits.dialTimeoutUs", "250000")
-        longest = max(values.time(f"tracks.{i}.hardLimitUs", "3000000") for i in range(len(tracks)))
-    except (SettingsFault, ValueError) as fault:
+    except SettingsFault as fault:
         raise ConfigFault(f"settings: {fault}") from None
     return Config(
         name=part(tree, "name", str),
-        listen=place(tree, "listen"),
+        listen=place(tree, "listen", least=0),
         discovery=place(tree, "discovery"),
         seed=seed(tree),
         settings=decoded,
@@ -88,7 +88,6 @@
         most_open=max(1, min(most_open, int(memory / RETRIEVAL_MEMORY))),
         idle_time=max(SECOND, idle_time),
         dial_time=max(MS, dial_time),
-        longest=longest,
     )
 
 
@@ -106,9 +105,9 @@
     return int(value)
 
 
-def place(tree, key):
+def place(tree, key, least=1):
     try:
-        return address(part(tree, key, str))
+        return address(part(tree, key, str), least)
     except ValueError as fault:
         raise ConfigFault(f"{key}: {fault}") from None
 
--- a/hopsail/net/clients.py
+++ b/hopsail/net/clients.py
@@ -1,20 +1,18 @@
 """Clients' side: the listener and the connections that it took in."""
 
-import errno
 import socket
 
 from ..model import SECOND
 from .log import say
 from .loop import READ
-from .messages import Answer, MessageFault, RequestReader, encode_answer
-from .stream import Stream
+from .messages import CONTINUE, Answer, MessageFault, RequestReader, encode_answer
+from .stream import SHORT, Stream
 
 BACKLOG = 1024  # connections that the system holds until they are taken in
 TAKE_IN = 64  # connections taken in at one event: the others' turn comes in between
 REQUEST_TIME = 10 * SECOND  # for a request to come whole, and for an answer to be taken
 IDLE_TIME = 120 * SECOND  # kept with no request: clients keep connections
 LINGER_TIME = SECOND  # for the client to read a last answer: closing at once may destroy it
-FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class Client(Stream):
@@ -46,6 +44,8 @@
             self.leaving = True
             self._write(Answer(fault.status))
             return
+        if self.reader.awaited():
+            self.write(CONTINUE)
         if request is not None:
             self.request = request
             self.leaving = self.leaving or self.reader.more or not request.keep
@@ -111,7 +111,7 @@
 
     def _take_in(self, _mask=READ, most=TAKE_IN):
         for _ in range(most):
-            if len(self.clients) >= self.most and not self._make_room():
+            if len(self.clients) >= self.most and not any(client.idle for client in self.clients):
                 self._pause(True)  # until one goes: the system holds the others
                 return
             try:
@@ -121,9 +121,11 @@
             except OSError as fault:
                 # Out of descriptors: a loop that tries again at once would burn its core.
                 say("clients", f"cannot take in a connection: {fault.strerror}")
-                if fault.errno not in FULL or not (self._make_room() or self.door.spare_connection()):
+                if fault.errno not in SHORT or not (self._make_room() or self.door.spare_connection()):
                     self._pause(True)
                 return
+            if len(self.clients) >= self.most:
+                self._make_room()
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.counters.add("clients.connections")
@@ -140,8 +142,7 @@
 
     def gone(self, client):
         del self.clients[client]
-        if not self.stopping or self.sock is not None:
-            self._pause(False)
+        self._pause(False)  # there is room for another
 
     def sweep(self, now):
         """Once a second: closes what takes too long; takes in again after a lack of descriptors."""
@@ -151,18 +152,26 @@
             client.close()
         self._pause(False)
 
+    def _close_door(self):
+        self._pause(True)
+        self.sock.close()
+        self.sock = None
+
+    def close(self):
+        if self.sock is not None:
+            self._close_door()
+        for client in list(self.clients):
+            client.close()
+
     def stop(self):
         """From now on each answer ends its connection."""
         self.stopping = True
 
     def shut(self):
         """Ends taking in, after all that has already connected; idle connections are closed."""
-        if self.sock is None:
-            return
-        self._take_in(most=BACKLOG)
-        self._pause(True)
-        self.sock.close()
-        self.sock = None
+        if self.sock is not None:
+            self._take_in(most=BACKLOG)
+            self._close_door()
         for client in [client for client in self.clients if client.idle]:
             client.ready(READ)  # a request may have come meanwhile
             if client.open and client.idle:
--- a/hopsail/net/discovery.py
+++ b/hopsail/net/discovery.py
@@ -25,9 +25,9 @@
     return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "little")
 
 
-def address(text):
+def address(text, least=1):
     host, _, port = text.rpartition(":")
-    if not host or not port.isdecimal() or not 0 < int(port) < 65536:
+    if not host or not port.isdecimal() or not least <= int(port) < 65536:
         raise ValueError(f"{text!r} is not an address of the form host:port")
     return host, int(port)
 
@@ -60,9 +60,16 @@
         """A whole update: its version, its scope, and its entries with their addresses."""
         try:
             version, scope = int(tree["generation"]), Scope.WHOLE if tree["reset"] else Scope.CHANGES
-            return version, scope, [self.listing(entry) for entry in tree["instances"]]
-        except (KeyError, TypeError) as fault:
+            entries = list(tree["instances"])
+        except (KeyError, TypeError, ValueError) as fault:
             raise ListFault(f"not a list: {type(fault).__name__} {fault}") from None
+        read = []
+        for entry in entries:
+            try:
+                read.append(self.listing(entry))
+            except ListFault as fault:  # one bad entry must not keep the others from being heard
+                say("discovery", str(fault))
+        return version, scope, read
 
 
 class Watch(Stream):
@@ -141,6 +148,10 @@
         except OSError:
             self.loop.soon(self.failed)
 
+    def close(self):
+        if self.watch is not None:
+            self.watch.close()
+
     def told(self, tree):
         self.version, scope, entries = self.names.update(tree)
         self.counters.add("discovery.updates")
--- a/hopsail/net/door.py
+++ b/hopsail/net/door.py
@@ -38,7 +38,7 @@
     def __init__(self, loop, counters, config):
         self.loop, self.counters, self.config = loop, counters, config
         self.open = 0  # retrievals with no final answer yet
-        self.stopping = False
+        self.ends = None  # when all must be answered, once the process is to end
         self.pool = Pool(
             loop, counters, config.most_host_connections, config.idle_time, config.dial_time, self.leg_ended
         )
@@ -50,7 +50,7 @@
             self.discovery.ask()  # the bench tells such an instance unasked; here nobody calls on it
 
     def ready(self):
-        return not self.stopping and bool(self.balancer.caches)
+        return self.ends is None and bool(self.balancer.caches)
 
     def asked(self, client, request):
         """A whole request has come on a client's connection, which is owed one answer."""
@@ -94,9 +94,20 @@
         if not expires > 0:  # also what is not a number
             raise Refusal(400, b"X-Expires-In must be a time that is left")
         ends = self.loop.now() + int(min(expires, LONGEST) * 1e9)
+        if self.ends is not None:
+            ends = min(ends, self.ends)
         track = self.config.settings.tracks[index]
         return Retrieval(Exchange(client, request), track, hashed(key), ends, write, customer)
 
+    def stop(self, clients, ends):
+        """The process ends: what is in hand, or comes now, is answered by then."""
+        self.ends = ends
+        for client in clients:
+            if (retrieval := client.exchange) is not None and retrieval.ends > ends:
+                retrieval.ends = ends
+                for leg in retrieval.legs:
+                    self.pool.hasten(leg, ends)
+
     def left(self, client):
         """The client closed its connection: nothing more is owed, and nothing more is sent."""
         retrieval = client.exchange
@@ -128,6 +139,10 @@
         for name in [name for name in self.pool.addresses if name not in hosts]:
             self.pool.forget(name)
 
+    def close(self):
+        self.discovery.close()
+        self.pool.close()
+
     def spare_connection(self):
         return self.pool.spare()
 
--- a/hopsail/net/hosts.py
+++ b/hopsail/net/hosts.py
@@ -4,7 +4,7 @@
 from .log import say
 from .loop import READ
 from .messages import AnswerReader, MessageFault, encode_request
-from .stream import Stream, dial
+from .stream import SHORT, Stream, dial
 
 REUSE_PART = 0.8  # of the time after which hosts close idle connections: closed under a leg, one resets it
 
@@ -147,10 +147,12 @@
             self.counters.add("hosts.no room")
             return None
         try:
-            connection = HostConnection(self.loop, dial(address), self, name, address)
+            sock = dial(address)
         except OSError as fault:
             say("hosts", f"cannot connect to {address[0]}:{address[1]}: {fault.strerror}")
-            return None
+            # Out of descriptors: an idle connection's is given up, and this asks once more with one fewer.
+            return self._dial(name) if fault.errno in SHORT and self.spare() else None
+        connection = HostConnection(self.loop, sock, self, name, address)
         self.counters.add("hosts.dialed")
         self.connections[connection] = None
         connection.dial_timer = self.loop.at(self.loop.now() + self.dial_time, connection._end)
@@ -180,6 +182,13 @@
         connection, _ = self.busy[leg]
         self._end(leg, connection.given_up() if connection else Outcome.NO_CONNECTION, None)
 
+    def hasten(self, leg, ends):
+        """Cuts the time that a leg may still take."""
+        if leg in self.busy:
+            connection, timer = self.busy[leg]
+            timer.cancel()
+            self.busy[leg] = connection, self.loop.at(ends, lambda: self.give_up(leg))
+
     def never_send(self, leg):
         """Takes back a leg whose request is not yet written; a written one is left to end by itself."""
         connection, _ = self.busy.get(leg, (None, None))
@@ -187,6 +196,10 @@
             connection.close()
             self._end(leg, Outcome.NEVER_SENT, None)
 
+    def close(self):
+        for connection in list(self.connections):
+            connection.close()
+
     def close_idle(self, name):
         for connection in list(self.idle.get(name, ())):
             connection.close()
--- a/hopsail/net/loop.py
+++ b/hopsail/net/loop.py
@@ -76,33 +76,47 @@
     def stop(self):
         self.running = False
 
+    def close(self):
+        """Gives back what the loop itself holds; sockets belong to those who watch them."""
+        if self.signals:
+            signal.set_wakeup_fd(-1)
+            for number in self.signals:
+                signal.signal(number, signal.SIG_DFL)
+            self.heard.close()
+            self.bell.close()
+        self.selector.close()
+
     def run(self):
         while self.running:
-            for key, mask in self.selector.select(self._wait()):
-                self._call(key.data, (mask,))
-            now = self.now()
-            for _ in range(len(self.timers)):  # what these set is for the next round: no starved sockets
-                if self.timers[0][0] > now:
-                    break
-                timer = heappop(self.timers)[2]
-                act, timer.act = timer.act, None
-                if act is None:
-                    self.cancelled -= 1
-                else:
-                    self._call(act, ())
-            for _ in range(len(self.turns)):
-                self._call(*self.turns.popleft())
-            if self.cancelled > SPARE_TIMERS and self.cancelled > len(self.timers) // 2:
-                self.timers = [entry for entry in self.timers if entry[2].act is not None]
-                heapify(self.timers)
-                self.cancelled = 0
+            self.round(LONGEST_WAIT)
+
+    def round(self, longest):
+        """All that is due now, after a wait of `longest` seconds at most for something to be."""
+        for key, mask in self.selector.select(min(longest, self._wait())):
+            self._call(key.data, (mask,))
+        now = self.now()
+        for _ in range(len(self.timers)):  # what these set is for the next round: no starved sockets
+            if self.timers[0][0] > now:
+                break
+            timer = heappop(self.timers)[2]
+            act, timer.act = timer.act, None
+            if act is None:
+                self.cancelled -= 1
+            else:
+                self._call(act, ())
+        for _ in range(len(self.turns)):
+            self._call(*self.turns.popleft())
+        if self.cancelled > SPARE_TIMERS and self.cancelled > len(self.timers) // 2:
+            self.timers = [entry for entry in self.timers if entry[2].act is not None]
+            heapify(self.timers)
+            self.cancelled = 0
 
     def _wait(self):
         if self.turns:
             return 0
         if not self.timers:
             return LONGEST_WAIT
-        return min(LONGEST_WAIT, max(0, self.timers[0][0] - self.now()) / 1e9)
+        return max(0, self.timers[0][0] - self.now()) / 1e9
 
     def _call(self, act, args):
         try:
--- a/hopsail/net/messages.py
+++ b/hopsail/net/messages.py
@@ -7,6 +7,7 @@
 
 MOST_BODY = 64 * 1024  # bytes, the protocol's bound
 MOST_HEAD = 16 * 1024  # bytes of request line and headers: names, ids and a few figures
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
 
@@ -88,7 +89,7 @@
     def on_header(self, name, value):
         if not self.whole:
             self.headers[name.lower()] = value
-            self._weigh(len(name) + len(value))
+            self._weigh(len(name) + len(value) + 4)
 
     def _weigh(self, size):
         self.weight += size
@@ -112,6 +113,11 @@
 
 
 class RequestReader(Reader):
+    def awaited(self):
+        """True once when the client waits for a word before it sends the body."""
+        asks = self.headed and not self.whole and self.headers.pop(b"expect", b"").lower() == b"100-continue"
+        return asks and not self.body
+
     def _message(self):
         get = self.headers.get
         return Request(
--- a/hopsail/net/stream.py
+++ b/hopsail/net/stream.py
@@ -9,6 +9,8 @@
 
 CHUNK = 64 * 1024  # bytes read at one event: one busy connection must not hold up the others
 UP_SOON = (0, errno.EINPROGRESS)
+# Out of descriptors or memory: nothing is wrong with the other side.
+SHORT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
 class Stream:
@@ -67,8 +69,9 @@
             self._end()
 
     def write(self, data):
-        self.unsent += data
-        self._flush()
+        if self.open:
+            self.unsent += data
+            self._flush()
 
     def _flush(self):
         if self.unsent:
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,503 @@
+"""The network code: messages, and a balancer on sockets with stand-ins for all that it talks to."""
+
+import errno
+import gc
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import pytest
+from helpers import Rig, at, instance, listener, message, reply, update
+
+from hopsail.model import Outcome
+from hopsail.net.hosts import outcome
+from hopsail.net.loop import Loop
+from hopsail.net.messages import MOST_BODY, AnswerReader, MessageFault, RequestReader
+
+GET = message("GET /read/k HTTP/1.1", X_Trace_Id="t")
+BIG = bytes(range(256)) * 256  # 64 KiB with every byte value
+CHUNKED = b"PUT /note/k HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+
+
+@pytest.fixture
+def rig(tmp_path):
+    made = []
+
+    def make(*args, **more):
+        made.append(Rig(tmp_path / "config.json", *args, **more))
+        return made[-1]
+
+    yield make
+    for one in made:
+        one.close()
+
+
+@pytest.mark.parametrize(
+    "data, status, body, more",
+    [
+        (GET, 0, b"", False),
+        (message("PUT /note/k HTTP/1.1", BIG), 0, BIG, False),
+        (CHUNKED, 0, b"abc", False),
+        (message("PUT /note/k HTTP/1.1", BIG + b"x"), 413, None, False),
+        (b"GET /read/" + b"k" * 20000 + b" HTTP/1.1\r\n\r\n", 431, None, False),
+        (b"GET /read/k HTTP/1.1\r\n" + b"A: b\r\n" * 5000 + b"\r\n", 431, None, False),
+        (b"GET /read/k HTTP/1.1\r\nA" + b"a" * 20000, 431, None, False),
+        (b"\x16\x03\x01\x02\x00\x01\x00", 400, None, False),
+        (b"PUT /note/k HTTP/1.1\r\nContent-Length: -4\r\n\r\n", 400, None, False),
+        (b"CONNECT a:1 HTTP/1.1\r\n\r\n", 0, b"", True),
+        (GET + GET, 0, b"", True),
+        (GET[:-2], 0, None, False),
+        (message("PUT /note/k HTTP/1.1", b"abc")[:-1], 0, None, False),
+    ],
+)
+@pytest.mark.parametrize("size", [1 << 20, 7])
+def test_requests_are_read_whole_or_in_pieces(data, status, body, more, size):
+    reader, found, got = RequestReader(), None, 0
+    try:
+        for i in range(0, len(data), size):
+            found = reader.feed(data[i : i + size])
+    except MessageFault as fault:
+        got = fault.status
+    assert (got, found and found.body, reader.more) == (status, body, more)
+
+
+@pytest.mark.parametrize(
+    "data, expected",
+    [
+        (reply(200), Outcome.HANDLED),
+        (reply(404), Outcome.MISS),
+        (reply(500), Outcome.ERROR),
+        (reply(503, X_Never_Ran="1"), Outcome.FULL),
+        (reply(504, X_Never_Ran="1"), Outcome.FULL),
+        (reply(503), Outcome.ERROR),  # it may have run: taken for unseen it would run twice
+        (reply(500, X_Never_Ran="1"), Outcome.ERROR),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + reply(200), Outcome.HANDLED),
+    ],
+)
+def test_outcomes_of_answers(data, expected):
+    assert outcome(AnswerReader().feed(data)) is expected
+
+
+def test_an_answer_that_the_end_of_the_connection_completes():
+    reader = AnswerReader()
+    assert reader.feed(b"HTTP/1.1 200 OK\r\n\r\nval") is None and reader.at_end().body == b"val"
+    reader = AnswerReader()
+    assert reader.feed(reply(200)[:-1]) is None and reader.at_end() is None
+
+
+def test_timers_come_in_order_and_a_fault_ends_none_of_the_others(capsys):
+    loop, seen = Loop(), []
+    now = loop.now()
+    for i, when in enumerate([3, 1, 2]):
+        loop.at(now + when, lambda i=i: seen.append(i))
+    loop.at(now, lambda: 1 / 0)
+    for timer in [loop.at(now + 10**12, seen.clear) for _ in range(1500)]:
+        timer.cancel()
+    while len(seen) < 3:
+        loop.round(0.01)
+    assert seen == [1, 2, 0] and not loop.timers and "ZeroDivisionError" in capsys.readouterr().err
+    loop.close()
+
+
+@pytest.mark.parametrize("body", [b"", b"value", BIG])
+def test_a_read_goes_out_unchanged_and_its_answer_comes_back_unchanged(rig, body):
+    rig = rig()
+    client = rig.ask("/read/k%201?x=1")
+    host, request = rig.leg()
+    assert request.startswith(b"GET /read/k%201?x=1 HTTP/1.1\r\n") and b"\r\nX-Trace-Id: t1\r\n" in request
+    left = float(request.split(b"X-Expires-In: ")[1].split()[0])
+    assert 1.5 < left <= 2
+    host.sendall(reply(200, body, Content_Type="a/b"))
+    head, _, got = rig.read(client).partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 OK") and b"Content-Type: a/b" in head and got == body
+    # The connection is used again, by the client and towards the host.
+    client.sendall(message("GET /read/k%201 HTTP/1.1", X_Trace_Id="t2", X_Customer="acme", X_Expires_In="1"))
+    assert b"X-Trace-Id: t2" in rig.read(host)
+    host.sendall(reply(200, b"again"))
+    assert rig.read(client).endswith(b"again")
+    assert rig.counts["hosts.dialed"] == rig.counts["hosts.reused"] == 1
+
+
+def test_a_write_goes_to_the_origin_with_body_and_mark(rig):
+    rig = rig()
+    client = rig.ask("/note/k1", "PUT", BIG, Idempotency_Key="m1")
+    origin = rig.accept(rig.origin)
+    request = rig.read(origin)
+    assert request.startswith(b"PUT /note/k1 ") and b"\r\nIdempotency-Key: m1\r\n" in request
+    assert request.endswith(b"\r\n\r\n" + BIG)
+    origin.sendall(reply(200, b""))
+    assert rig.status(client) == 200
+
+
+def test_a_miss_goes_on_to_the_origin(rig):
+    rig = rig()
+    client = rig.ask()
+    rig.leg()[0].sendall(reply(404, X_Store="miss"))
+    origin = rig.accept(rig.origin)
+    assert b"X-Trace-Id: t1" in rig.read(origin)
+    origin.sendall(reply(200, b"fresh"))
+    assert rig.read(client).endswith(b"fresh")
+
+
+def reset(sock):
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    sock.close()
+
+
+def part(sock):
+    sock.sendall(reply(200, BIG)[:-1])
+    sock.close()
+
+
+BREAKS = {
+    "turned away": lambda sock: sock.sendall(reply(503, X_Never_Ran="1")),
+    "error": lambda sock: sock.sendall(reply(500)),
+    "reset": reset,
+    "closed": lambda sock: sock.close(),
+    "half an answer": part,
+    "no answer": lambda sock: sock.sendall(b"220 smtp\r\n\r\n"),
+    "too much": lambda sock: sock.sendall(reply(200, b"x" * (MOST_BODY + 1))),
+}
+
+
+@pytest.mark.parametrize("what", BREAKS)
+def test_a_pure_read_goes_elsewhere_when_its_host_fails(rig, what):
+    rig = rig()
+    client = rig.ask()
+    first, _ = rig.leg()
+    BREAKS[what](first)
+    second, request = rig.leg()
+    assert b"X-Trace-Id: t1" in request
+    second.sendall(reply(200, b"second"))
+    assert rig.read(client).endswith(b"second")
+
+
+@pytest.mark.parametrize("what", ["turned away", "error", "reset", "closed", "half an answer"])
+def test_an_effect_that_may_have_happened_is_not_asked_for_again(rig, what):
+    rig = rig()
+    client = rig.ask("/once/k1", "PUT", b"v")
+    origin = rig.accept(rig.origin)
+    rig.read(origin)
+    BREAKS[what](origin)
+    if again := what == "turned away":  # known not to have run
+        assert rig.read(origin).startswith(b"PUT /once/k1 ")
+        origin.sendall(reply(200))
+    assert rig.status(client) == (200 if again else 502) and rig.counts["legs.sent"] == 1 + again
+
+
+@pytest.mark.parametrize("expires, effect, status", [("0.300", "read", 503), ("0.300", "once", 502)])
+def test_a_silent_host_is_given_up_at_the_limit_and_told_by_closing(rig, expires, effect, status):
+    rig = rig()
+    client = rig.ask(f"/{effect}/k", "PUT", X_Expires_In=expires)
+    origin = rig.accept(rig.origin)
+    rig.read(origin)
+    rig.skip(0.3)
+    assert rig.status(client) == status and rig.ended(origin) and rig.counts["legs.timed_out"] == 1
+
+
+def stuck():
+    """A listener whose queue is full: further connections to it never come up."""
+    sock = listener(0)
+    fill = socket.create_connection(sock.getsockname())
+    return sock, fill
+
+
+def test_a_connection_that_never_comes_up_counts_as_never_run(rig):
+    rig = rig(hosts=0, known=update(1, instance("h", "127.0.0.1:9"), reset=True))
+    sock, fill = stuck()
+    rig.open += [sock, fill]
+    rig.node.door.discovery.told(update(2, instance("o", at(sock), "origin"), reset=True))
+    client = rig.ask("/once/k", "PUT")
+    rig.until(lambda: rig.counts["legs.sent"] or None)
+    rig.skip(0.3)
+    assert rig.counts["legs.no_connection"] == 1 and rig.counts["legs.timed_out"] == 0
+    rig.skip(3)
+    assert rig.status(client) == 503  # a bounce: it is known not to have run
+
+
+def test_nothing_is_sent_for_a_client_that_has_left(rig):
+    rig = rig(hosts=0, known=update(1, reset=True))
+    sock, fill = stuck()
+    rig.open += [sock, fill]
+    rig.node.door.discovery.told(update(2, instance("h", at(sock)), reset=True))
+    rig.ask().close()
+    rig.until(lambda: rig.counts["legs.never_sent"] or None)
+    assert rig.counts["answered.left"] == 1 and rig.node.door.open == 0 and not rig.node.door.pool.connections
+
+
+def test_a_leg_under_way_ends_by_itself_after_its_client_left(rig):
+    rig = rig()
+    client = rig.ask()
+    host, _ = rig.leg()
+    client.close()
+    rig.until(lambda: rig.counts["answered.left"] or None)
+    host.sendall(reply(200))
+    rig.until(lambda: rig.counts["legs.handled"] or None)
+    assert [len(idle) for idle in rig.node.door.pool.idle.values()] == [1]
+
+
+def test_an_idle_connection_that_the_host_closed_is_replaced_before_anything_is_sent(rig):
+    rig = rig(hosts=1)
+    client = rig.ask()
+    host, _ = rig.leg()
+    host.sendall(reply(200))
+    assert rig.status(client) == 200
+    host.close()
+    client.sendall(message("GET /read/k1 HTTP/1.1", X_Trace_Id="t", X_Customer="acme", X_Expires_In="1"))
+    rig.leg()[0].sendall(reply(200))
+    assert rig.status(client) == 200 and rig.counts["legs.sent"] == 2
+
+
+@pytest.mark.parametrize("seconds, kept", [(6, 1), (9, 0)])
+def test_idle_connections_are_closed_before_the_host_would(rig, seconds, kept):
+    rig = rig()
+    client = rig.ask()
+    host, _ = rig.leg()
+    host.sendall(reply(200))
+    assert rig.status(client) == 200
+    rig.skip(seconds)
+    assert len(rig.node.door.pool.connections) == kept
+
+
+BAD = {
+    "no track": (b"GET /nothing/k HTTP/1.1\r\n\r\n", 404),
+    "no path": (b"GET / HTTP/1.1\r\n\r\n", 404),
+    "method": (message("DELETE /read/k HTTP/1.1", X_Trace_Id="t"), 405),
+    "no id": (message("GET /read/k HTTP/1.1", X_Customer="acme", X_Expires_In="1"), 400),
+    "no limit": (message("GET /read/k HTTP/1.1", X_Customer="acme", X_Trace_Id="t"), 400),
+    "no customer": (message("GET /read/k HTTP/1.1", X_Trace_Id="t", X_Expires_In="1"), 400),
+    "customer": (message("GET /read/k HTTP/1.1", X_Trace_Id="t", X_Expires_In="1", X_Customer="x"), 400),
+    "garbage": (b"\0\1\2\3\r\n\r\n", 400),
+    "too long": (message("PUT /read/k HTTP/1.1", b"x" * 70000), 413),
+    "limit": (message("GET /read/k HTTP/1.1", X_Trace_Id="t", X_Customer="acme", X_Expires_In="nan"), 400),
+    "limit over": (message("GET /read/k HTTP/1.1", X_Trace_Id="t", X_Customer="acme", X_Expires_In="0"), 400),
+    "limit word": (message("GET /read/k HTTP/1.1", X_Trace_Id="t", X_Customer="acme", X_Expires_In="x"), 400),
+}
+
+
+@pytest.mark.parametrize("what", BAD)
+def test_what_cannot_be_taken_gets_a_plain_answer_and_others_are_served(rig, what, capsys):
+    rig, (data, status) = rig(), BAD[what]
+    assert rig.status(rig.client(data)) == status
+    client = rig.ask()
+    rig.leg()[0].sendall(reply(200))
+    assert rig.status(client) == 200 and "fault" not in capsys.readouterr().err
+
+
+def test_a_request_sent_before_the_last_answer_ends_the_connection_after_it(rig):
+    rig = rig()
+    client = rig.ask()
+    client.send(GET)
+    host, _ = rig.leg()
+    host.sendall(reply(200))
+    answer = rig.read(client)
+    assert answer.startswith(b"HTTP/1.1 200") and b"Connection: close" in answer and rig.ended(client)
+
+
+def test_a_client_that_waits_for_a_word_before_its_body_gets_it(rig):
+    rig = rig()
+    headers = {"X_Trace_Id": "t", "X_Customer": "acme", "X_Expires_In": "1", "Expect": "100-continue"}
+    client = rig.client(message("PUT /note/k HTTP/1.1", b"v", **headers)[:-1])
+    assert rig.status(client) == 100
+    client.send(b"v")
+    assert rig.read(rig.accept(rig.origin)).endswith(b"\r\n\r\nv")
+
+
+@pytest.mark.parametrize("data, seconds", [(GET[:20], 11), (b"", 121)])
+def test_slow_and_idle_clients_do_not_hold_a_connection_for_good(rig, data, seconds):
+    rig = rig()
+    client = rig.client(data)
+    rig.until(lambda: [c.idle for c in rig.node.listener.clients] == [not data])
+    rig.skip(seconds)
+    assert rig.ended(client) and not rig.node.listener.clients
+
+
+def test_clients_beyond_the_room_take_the_place_of_idle_ones(rig):
+    rig = rig(limits={"sockets": 64, "memory_mb": 192})
+    most = rig.node.listener.most
+    busy = rig.ask()
+    host, _ = rig.leg()
+    clients = [rig.client() for _ in range(most + 5)]
+    rig.until(lambda: rig.counts["clients.connections"] == most + 6)
+    assert len(rig.node.listener.clients) == most and rig.counts["clients.closed for room"] == 6
+    host.sendall(reply(200))
+    assert rig.status(busy) == 200 and rig.ended(clients[0])
+
+
+def test_a_lack_of_descriptors_is_survived(rig, monkeypatch):
+    rig = rig()
+
+    def lack(*_):
+        raise OSError(errno.EMFILE, "Too many open files")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(socket.socket, "accept", lack)
+        client = rig.ask()
+        rig.until(lambda: rig.node.listener.paused)
+    rig.skip(1.1)
+    rig.leg()[0].sendall(reply(200))
+    assert rig.status(client) == 200
+    with monkeypatch.context() as patch:
+        patch.setattr("hopsail.net.hosts.dial", lack)
+        client = rig.ask("/note/k", "PUT")
+        rig.until(lambda: rig.counts["legs.no_connection"] or None)
+    assert not rig.node.door.pool.idle  # the idle connection was given up for it
+
+
+def test_retrievals_beyond_the_memory_are_bounced(rig):
+    rig = rig(limits={"sockets": 256, "memory_mb": 65})
+    first = [rig.ask(f"/read/k{i}") for i in range(rig.node.config.most_open)]
+    rig.until(lambda: rig.node.door.open == len(first))
+    assert rig.status(rig.ask()) == 503
+
+
+def test_a_fault_in_the_module_scraps_that_retrieval_only(rig, monkeypatch, capsys):
+    rig = rig()
+    with monkeypatch.context() as patch:
+        patch.setattr(rig.node.door.balancer, "arrived", lambda *_: 1 / 0)
+        assert rig.status(rig.ask()) == 500
+    assert "ZeroDivisionError" in capsys.readouterr().err and rig.node.door.open == 0
+    client = rig.ask()
+    rig.leg()[0].sendall(reply(200))
+    assert rig.status(client) == 200
+
+
+def test_retrievals_leave_nothing_for_the_collector(rig):
+    rig = rig(hosts=1)
+    client = rig.ask()
+    host, _ = rig.leg()
+    host.sendall(reply(404))
+    origin = rig.accept(rig.origin)
+    rig.read(origin)
+    origin.sendall(reply(200))
+    assert rig.status(client) == 200
+    gc.collect()
+    for _ in range(20):
+        client.sendall(message("GET /read/k1 HTTP/1.1", X_Trace_Id="t", X_Customer="acme", X_Expires_In="1"))
+        rig.read(host)
+        host.sendall(reply(200))
+        assert rig.status(client) == 200
+    assert gc.collect() < 20
+
+
+def watch(rig, first):
+    """Discovery takes the call and answers with a first line; the connection and the request."""
+    sock = rig.accept(rig.discovery)
+    request = rig.read(sock)
+    sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    tell(sock, first)
+    return sock, request
+
+
+def tell(sock, tree):
+    line = json.dumps(tree).encode() + b"\n" if tree else b"\n"
+    for piece in (line[:9], line[9:]):  # lines and chunks need not end together
+        if piece:
+            sock.sendall(b"%x\r\n%s\r\n" % (len(piece), piece))
+
+
+def heard(rig, number):
+    rig.until(lambda: rig.counts["discovery.updates"] == number)
+
+
+def test_changes_of_the_list_are_followed(rig):
+    rig = rig(hosts=1)
+    sock, request = watch(rig, update(8))
+    assert request.startswith(b"GET /v1/servers?follow=1&since=7 HTTP/1.1\r\n")
+    heard(rig, 1)
+    new = listener()
+    tell(sock, None)
+    gone = instance("h0", at(rig.hosts[0]), state="terminating")
+    tell(sock, update(9, gone, {"odd": 1}, instance("h9", at(new))))
+    heard(rig, 2)
+    client, old = rig.ask(), rig.hosts[0]
+    rig.hosts.append(new)
+    rig.open.append(new)
+    host = rig.accept(old, new)
+    assert host.getsockname() == new.getsockname()  # the drain is kept
+    rig.read(host)
+    host.sendall(reply(200))
+    assert rig.status(client) == 200
+    tell(sock, update(10, instance("h9", at(new), started=5)))
+    heard(rig, 3)
+    assert rig.ended(host)  # started anew: connections from before lead nowhere
+    tell(sock, update(11, instance("h9", at(new), state="terminated")))
+    heard(rig, 4)
+    assert rig.status(rig.client(message("GET /healthz HTTP/1.1"))) == 503
+
+
+@pytest.mark.parametrize("end", ["closed", "refused", "garbage", "silent", "stalled"])
+def test_a_watch_that_ends_is_asked_for_again_from_the_last_version(rig, end):
+    rig = rig()
+    if end == "refused":
+        sock = rig.accept(rig.discovery)
+        sock.sendall(reply(503, b""))
+        since = b"since=7 "
+    elif end == "silent":
+        rig.read(rig.accept(rig.discovery))
+        rig.skip(4.6)
+        since = b"since=7 "
+    else:
+        sock, _ = watch(rig, update(8))
+        heard(rig, 1)
+        since = b"since=8 "
+        if end == "closed":
+            sock.close()
+        elif end == "garbage":
+            tell(sock, ["no list"])
+        else:
+            rig.skip(4)
+            tell(sock, None)
+            rig.loop.round(0.01)
+            rig.skip(4)
+            assert rig.counts["discovery.failed"] == 0
+            rig.skip(1)
+    rig.until(lambda: rig.counts["discovery.failed"] or None)
+    rig.skip(5)
+    assert since in rig.read(rig.accept(rig.discovery)) and rig.counts["discovery.failed"] == 1
+
+
+def test_after_sigterm_all_that_comes_in_time_is_answered(rig):
+    rig = rig()
+    idle, busy = rig.client(), rig.ask("/read/a", X_Expires_In="60")
+    host, _ = rig.leg()
+    os.kill(os.getpid(), signal.SIGTERM)
+    rig.until(lambda: rig.node.listener.stopping or None)
+    late = rig.ask("/read/b", X_Expires_In="60")
+    other, _ = rig.leg()
+    other.sendall(reply(200, b"late"))
+    assert b"Connection: close" in rig.read(late)
+    assert rig.status(rig.client(message("GET /healthz HTTP/1.1"))) == 503
+    rig.skip(0.5)
+    assert rig.ended(idle) and rig.loop.running
+    with pytest.raises(OSError):
+        rig.client()
+    rig.skip(3)  # what no host has answered is given up before the process is killed
+    assert rig.status(busy) == 503 and rig.ended(host)
+    busy.close()
+    rig.until(lambda: not rig.loop.running)
+
+
+@pytest.mark.parametrize("ready", [True, False])
+def test_health_tells_whether_it_can_serve(rig, ready):
+    rig = rig() if ready else rig(known=None)
+    assert rig.status(rig.client(message("GET /healthz HTTP/1.1"))) == (200 if ready else 503)
+
+
+def test_the_process_prints_its_counters_and_ends(rig, tmp_path):
+    rig = rig()  # writes the configuration
+    command = [sys.executable, "-m", "hopsail"]
+    environment = os.environ | {"NODE_CONFIG": str(tmp_path / "config.json"), "NODE_NAME": "n9"}
+    process = subprocess.Popen(command, stderr=subprocess.PIPE, env=environment, text=True)
+    try:
+        assert "n9 listens on 127.0.0.1:" in process.stderr.readline()
+        process.send_signal(signal.SIGUSR1)
+        assert '"why": "asked"' in process.stderr.readline()
+        process.send_signal(signal.SIGTERM)
+        assert '"why": "end"' in process.communicate(timeout=20)[1] and process.returncode == 0
+    finally:
+        process.kill()
+        process.wait()
