--- a/hopsail/settings.py
+++ b/hopsail/settings.py
@@ -25,7 +25,8 @@
     elif isinstance(tree, list):
         pairs[path] = ",".join(str(item) for item in tree)
     elif tree is not None:
-        pairs[path] = str(tree).lower() if isinstance(tree, bool) else str(tree)
+        whole = isinstance(tree, float) and tree.is_integer()  # JSON has one kind of number, the wire two
+        pairs[path] = str(tree).lower() if isinstance(tree, bool) else str(int(tree) if whole else tree)
     return pairs
 
 
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,111 @@
+"""The configuration: what it gives, and that each fault names its key."""
+
+import json
+import os
+import subprocess
+import sys
+from copy import deepcopy
+
+import pytest
+from helpers import SETTINGS, instance, update
+
+from hopsail import config
+from hopsail.benchlink.codec import read_settings
+from hopsail.model import MS, SECOND, Repeat, State
+from hopsail.settings import decode, flatten
+
+TREE = {
+    "name": "n3",
+    "listen": "127.0.0.1:0",
+    "discovery": "127.0.0.1:8500",
+    "seed": "8c1f30d27a5be964",
+    "limits": {"memory_mb": 192, "sockets": 1024},
+    "known": update(41, instance("h", "127.0.0.1:1", state="terminating", started=1500), reset=True),
+    "settings": SETTINGS,
+}
+
+
+def read(tmp_path, tree, **environment):
+    path = tmp_path / "config.json"
+    path.write_text(tree if isinstance(tree, str) else json.dumps(tree))
+    return config.read({"NODE_CONFIG": str(path)} | environment)
+
+
+def changed(key, value):
+    """The tree with one value set, or taken out when it is None; `key` is a path with dots."""
+    tree = deepcopy(TREE)
+    *path, last = [int(part) if part.isdigit() else part for part in key.split(".")]
+    at = tree
+    for part in path:
+        at = at[part]
+    if value is None:
+        del at[last]
+    else:
+        at[last] = value
+    return tree
+
+
+def test_what_a_balancer_is_told(tmp_path):
+    found = read(tmp_path, TREE, NODE_NAME="n4", NODE_LISTEN="127.0.0.1:80", NODE_DISCOVERY="127.0.0.1:85")
+    assert (found.name, found.listen, found.discovery) == ("n4", ("127.0.0.1", 80), ("127.0.0.1", 85))
+    assert found.seed == 0x8C1F30D27A5BE964 and found.dial_time == 250 * MS and found.idle_time == 10 * SECOND
+    assert found.tracks[b"once"] == 2 and found.settings.tracks[2].repeat is Repeat.EFFECTFUL
+    version, _, [(listing, address)] = found.known
+    assert (version, listing.state, listing.started, address) == (
+        41, State.DRAINING, 1500 * MS, ("127.0.0.1", 1)
+    )  # fmt: skip
+    # Clients, cache hosts and the rest stay together below the limit.
+    assert found.most_clients + found.most_host_connections <= 1024 - 20
+
+
+@pytest.mark.parametrize("sockets, memory, clients, open_", [(64, 192, 20, 640), (1024, 65, 500, 5)])
+def test_bounds_follow_the_limits(tmp_path, sockets, memory, clients, open_):
+    found = read(tmp_path, TREE | {"limits": {"sockets": sockets, "memory_mb": memory}})
+    assert (found.most_clients, found.most_open) == (clients, open_)
+
+
+def test_settings_are_the_same_object_on_the_wire_and_in_json():
+    pairs = flatten(SETTINGS | {"unheard": [1, 2], "nothing": None, "balancers": 1.0})
+    assert pairs["kinds"] == "box,origin" and pairs["limits.retryAfter"] == "true"
+    text = "\n".join(f"{key}={value}" for key, value in pairs.items())
+    assert decode(pairs) == read_settings(text)
+
+
+@pytest.mark.parametrize(
+    "key, value",
+    [
+        ("name", None),
+        ("listen", None),
+        ("listen", "nowhere"),
+        ("listen", "127.0.0.1:99999"),
+        ("discovery", "127.0.0.1:x"),
+        ("seed", "not hex"),
+        ("settings", None),
+        ("settings.tracks", [{"effect": "once", "promisedTimeUs": 1}]),
+        ("settings.tracks.0.effect", "sometimes"),
+        ("settings.tracks.0.promisedTimeUs", None),
+        ("settings.limits.mostLegs", "many"),
+        ("settings.limits.idleCloseUs", "long"),
+        ("settings.rules.fallUs", None),
+        ("limits.sockets", 8),
+        ("limits.sockets", "many"),
+        ("limits.memory_mb", 1),
+        ("known", {"generation": 1}),
+    ],
+)
+def test_a_fault_names_its_key(tmp_path, key, value):
+    with pytest.raises(config.ConfigFault) as fault:
+        read(tmp_path, changed(key, value))
+    assert key.split(".")[-1] in str(fault.value)
+
+
+@pytest.mark.parametrize("text, says", [("{", "cannot read"), ("[]", "no JSON object"), (None, "not set")])
+def test_the_process_ends_with_a_message_when_it_cannot_start(tmp_path, text, says):
+    path = tmp_path / "config.json"
+    path.write_text(text or "")
+    environment = {key: value for key, value in os.environ.items() if not key.startswith("NODE_")}
+    if text:
+        environment["NODE_CONFIG"] = str(path)
+    run = subprocess.run([sys.executable, "-m", "hopsail"], capture_output=True, env=environment, timeout=60)
+    assert run.returncode == 2 and b"NODE_CONFIG" in run.stderr and says in run.stderr.decode()
+    assert b"Traceback" not in run.stderr
