A client's connection with an unread request is not closed to make room; small limits are accepted

Now 25 MB and 32 descriptors are enough. Found while testing the bound on clients: a connection just taken in counts as idle until its request is read.

--- a/hopsail/config.py
+++ b/hopsail/config.py
@@ -12,9 +12,9 @@
 
 DEFAULT_SOCKETS = 1024  # descriptors, where no limit is stated
 DEFAULT_MEMORY = 192  # MB, likewise
-LEAST_SOCKETS = 64  # descriptors with which a balancer can serve at all
-RESERVED_SOCKETS = 24  # descriptors for logs, the listener, signals, discovery and what Python opens
-PROGRAM_MEMORY = 64  # MB that the program itself takes, with its tables
+LEAST_SOCKETS = 32  # descriptors with which a balancer can serve at all
+RESERVED_SOCKETS = 16  # descriptors for logs, the listener, signals, discovery and one client too many
+PROGRAM_MEMORY = 24  # MB that the program itself takes, with its tables
 RETRIEVAL_MEMORY = 0.2  # MB that one retrieval may hold: body, answer and their copies in buffers
 
 
--- a/hopsail/net/clients.py
+++ b/hopsail/net/clients.py
@@ -71,6 +71,13 @@
         except OSError:
             self.close()
 
+    def let_go(self):
+        """Closes an idle connection, unless a request has come that is not yet read; whether it did."""
+        self.ready(READ)
+        if self.open and self.idle:
+            self.close()
+        return not self.open
+
     def ended(self):
         if self.request is not None:
             self.listener.door.left(self)
@@ -134,11 +141,11 @@
 
     def _make_room(self):
         """Closes the connection that has stood idle longest; False when none is idle."""
-        idle = [client for client in self.clients if client.idle]
-        if idle:
-            min(idle, key=lambda client: client.since).close()
-            self.counters.add("clients.closed for room")
-        return bool(idle)
+        for client in sorted(self.clients, key=lambda client: client.since):
+            if client.idle and client.let_go():
+                self.counters.add("clients.closed for room")
+                return True
+        return False
 
     def gone(self, client):
         del self.clients[client]
@@ -173,6 +180,4 @@
             self._take_in(most=BACKLOG)
             self._close_door()
         for client in [client for client in self.clients if client.idle]:
-            client.ready(READ)  # a request may have come meanwhile
-            if client.open and client.idle:
-                client.close()
+            client.let_go()
