--- a/hopsail/net/clients.py
+++ b/hopsail/net/clients.py
@@ -118,7 +118,8 @@
 
     def _take_in(self, _mask=READ, most=TAKE_IN):
         for _ in range(most):
-            if len(self.clients) >= self.most and not any(client.idle for client in self.clients):
+            full = len(self.clients) >= self.most
+            if len(self.clients) > self.most or full and not any(client.idle for client in self.clients):
                 self._pause(True)  # until one goes: the system holds the others
                 return
             try:
@@ -131,8 +132,8 @@
                 if fault.errno not in SHORT or not (self._make_room() or self.door.spare_connection()):
                     self._pause(True)
                 return
-            if len(self.clients) >= self.most:
-                self._make_room()
+            if full:
+                self._make_room()  # only now: a look into an empty queue is worth no connection
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.counters.add("clients.connections")
--- a/hopsail/net/loop.py
+++ b/hopsail/net/loop.py
@@ -13,6 +13,7 @@
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 LONGEST_WAIT = 60.0  # seconds in one select
+LATE = 30_000_000  # ns behind a timer: more than work in hand explains, answers are in danger
 SPARE_TIMERS = 1000  # called-off timers on the heap before it is cleaned
 
 
@@ -95,6 +96,8 @@
         for key, mask in self.selector.select(min(longest, self._wait())):
             self._call(key.data, (mask,))
         now = self.now()
+        if self.timers and now - self.timers[0][0] > LATE:
+            say("late", f"a timer came {(now - self.timers[0][0]) // 1_000_000} ms late")
         for _ in range(len(self.timers)):  # what these set is for the next round: no starved sockets
             if self.timers[0][0] > now:
                 break
