A hold ends before half of what the client waits, not only of the promised time

At fault: `patience` in `arrived` took half of the promised time although a client's try may be shorter, and exactly half is past half once the way is added.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -50,7 +50,7 @@
 ASIDE_TIME = 1500 * MS  # fixed part, and the most of the random one: what a process needs to restart
 RETRY_SHARE = 0.2  # further legs per first leg: a failing fleet must not be fed with retries
 RETRY_SLACK = 4.0  # further legs at once after a calm stretch
-HOLD_PART = 0.5  # of the promised time: held longer, too little is left for an answer
+HOLD_PART = 0.48  # of the promised time, or of what the client waits if less: past half, a bounce costs extra
 CROWD = 75  # balancers that may keep idle connections at each host, at equal prices: by price alone, 100
 COLD_ROOM = 0.4  # of the stated multiple: the rest is for chance and for what spills over
 COLD_SLACK = 3.0  # legs of all balancers together on top of that in each window, and saved up for a burst
@@ -159,7 +159,7 @@
 
     def arrived(self, now, r):
         self.now = now
-        r.patience = min(now + int(HOLD_PART * r.track.promised), r.ends - MS)
+        r.patience = now + int(HOLD_PART * min(r.track.promised, r.ends - now))
         r.flow = self._write(r) if r.write else self._read(r)
         self._run(r)
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -72,6 +72,14 @@
     assert names(told) == [leg.host.name] * 2  # to the cache that was filled
 
 
+@pytest.mark.parametrize("lasts, early, late", [(2000, 400, 100), (400, 180, 20)])
+def test_a_hold_ends_before_half_of_what_the_client_waits(lasts, early, late):
+    bench = Bench()
+    bench.end(sent(bench.ask(5)[1])[0], MISS)
+    r, _ = bench.ask(5, lasts=lasts * MS)  # waits for the fetch
+    assert bench.wait(early * MS) == [] and bench.wait(late * MS) == [Bounce(r, 0)]
+
+
 def test_failed_fetch_is_taken_on_by_one_of_those_that_wait():
     bench = Bench(6, most_legs=2)
     _, actions = bench.ask(5)
