A list in which no entry can be read empties no ring; nothing is taken after the last answer

Found by reading: a whole list whose entries are all spelt otherwise would have taken every host off the ring, and a weight of NaN would have ended the module's update half-way. A client that went on sending while its last answer was still being written got another request taken in.

--- a/hopsail/net/clients.py
+++ b/hopsail/net/clients.py
@@ -30,8 +30,8 @@
         return not (self.request or self.reader.begun or self.unsent or self.lingers)
 
     def received(self, data):
-        if self.lingers:
-            return
+        if self.leaving:
+            return  # its last answer is on the way: what comes after it is not taken
         if self.request is not None:
             self.leaving = True  # a request before the last answer: the protocol has one at a time
             return
--- a/hopsail/net/discovery.py
+++ b/hopsail/net/discovery.py
@@ -12,6 +12,7 @@
 # An empty line comes every 2 s. What a watch has to tell counts as told after 6 s, and must be acted on.
 SILENCE = 4500 * MS  # with nothing heard: the watch has stalled
 DIAL_TIME = SECOND  # for the connection to come up
+MOST_WEIGHT = 1e6  # times the common size: beyond it a listed size is no size
 MOST_LINE = 4 * 1024 * 1024  # bytes of one line: some ten thousand hosts
 STATES = {"in_service": State.READY, "terminating": State.DRAINING, "terminated": State.GONE}
 
@@ -42,14 +43,16 @@
     def listing(self, entry):
         """An entry of discovery's list and the address of its host."""
         try:
-            state = STATES[entry["lifecycle"]]
+            state, weight = STATES[entry["lifecycle"]], float(entry.get("weight") or 0)
+            if not 0 <= weight < MOST_WEIGHT:  # also what is not a number
+                raise ValueError(f"weight {weight}")
             listing = Listing(
                 number(entry["instanceId"]),
                 self.zones.setdefault(entry.get("zone"), len(self.zones)),
                 self.kinds.setdefault(entry.get("machineType"), len(self.kinds) + 1),
                 entry.get("cell") or 0,
                 state,
-                float(entry.get("weight") or 0),
+                weight,
                 int(entry.get("startedAtMs") or 0) * MS,
             )
             return listing, address(entry["hostPort"]) if state is not State.GONE else None
@@ -69,6 +72,8 @@
                 read.append(self.listing(entry))
             except ListFault as fault:  # one bad entry must not keep the others from being heard
                 say("discovery", str(fault))
+        if entries and not read:
+            raise ListFault("no entry can be read")  # a fleet must not be taken for gone over its spelling
         return version, scope, read
 
 
--- a/hopsail/net/door.py
+++ b/hopsail/net/door.py
@@ -4,6 +4,7 @@
 
 import traceback
 from hashlib import blake2b
+from urllib.parse import unquote_to_bytes
 
 from ..decide import Balancer
 from ..model import Bounce, Close, Outcome, Retrieval, Scope, Scrap, Send, State, Subscribe, WakeAt
@@ -79,7 +80,7 @@
         if write is None:
             raise Refusal(405, b"GET reads and PUT writes")
         track, _, key = request.target.partition(b"?")[0].strip(b"/").partition(b"/")
-        index = self.config.tracks.get(track)
+        index = self.config.tracks.get(unquote_to_bytes(track))
         if index is None:
             raise Refusal(404, b"no such track")
         if not request.trace or request.expires is None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -104,6 +104,18 @@
     loop.close()
 
 
+def test_nothing_is_taken_after_the_last_answer(rig):
+    rig = rig()
+    rig.node.listener.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+    client = rig.ask(Connection="close")
+    rig.leg()[0].sendall(reply(200, BIG))
+    rig.until(lambda: rig.counts["answered.handled"] or None)
+    client.sendall(NEXT)
+    for _ in range(5):
+        rig.loop.round(0.01)
+    assert rig.read(client).endswith(BIG) and rig.counts["taken.reads"] == 1
+
+
 @pytest.mark.parametrize("body", [b"", b"value", BIG])
 def test_a_read_goes_out_unchanged_and_its_answer_comes_back_unchanged(rig, body):
     rig = rig()
@@ -477,7 +489,8 @@
     new = listener()
     tell(sock, None)
     gone = instance("h0", at(rig.hosts[0]), state="terminating")
-    tell(sock, update(9, gone, {"odd": 1}, instance("h9", at(new))))
+    odd = instance("h8", at(new)) | {"weight": float("nan")}
+    tell(sock, update(9, gone, {"odd": 1}, odd, instance("h9", at(new))))
     heard(rig, 2)
     client, old = rig.ask(), rig.hosts[0]
     rig.hosts.append(new)
@@ -501,7 +514,10 @@
     assert rig.status(rig.client(message("GET /healthz HTTP/1.1"))) == 503
 
 
-@pytest.mark.parametrize("end", ["closed", "over", "refused", "garbage", "silent", "stalled", "stuck"])
+ENDS = ["closed", "over", "refused", "garbage", "unread", "silent", "stalled", "stuck"]
+
+
+@pytest.mark.parametrize("end", ENDS)
 def test_a_watch_that_ends_is_asked_for_again_from_the_last_version(rig, end):
     rig = rig()
     if end == "refused":
@@ -533,6 +549,10 @@
             sock.sendall(b"0\r\n\r\n")
         elif end == "garbage":
             tell(sock, ["no list"])
+        elif end == "unread":  # no entry can be: taken for a whole list, it would empty the ring
+            tell(sock, update(9, {"odd": 1}, reset=True))
+            rig.until(lambda: rig.counts["discovery.failed"] or None)
+            assert len(rig.node.door.balancer.caches) == 2
         else:
             rig.skip(4)
             tell(sock, None)
