--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -198,6 +198,14 @@
         sock = self.accept(*self.hosts)
         return sock, self.read(sock)
 
+    def served(self):
+        """A client whose read a host has answered, and the host's side of that connection."""
+        client = self.ask()
+        host, _ = self.leg()
+        host.sendall(reply(200))
+        assert self.status(client) == 200
+        return client, host
+
     def status(self, client):
         return int((self.read(client) or b"HTTP/1.1 0").split()[1])
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -256,10 +256,7 @@
 
 def test_an_idle_connection_that_the_host_closed_is_replaced_before_anything_is_sent(rig):
     rig = rig(hosts=1)
-    client = rig.ask()
-    host, _ = rig.leg()
-    host.sendall(reply(200))
-    assert rig.status(client) == 200
+    client, host = rig.served()
     [name] = rig.node.door.pool.idle
     host.close()
     assert rig.node.door.pool._reuse(name) is None  # before the loop has seen the end
@@ -270,9 +267,7 @@
 
 def test_a_kept_connection_that_breaks_before_the_last_byte_is_replaced_for_the_same_leg(rig):
     rig = rig(hosts=1)
-    client = rig.ask()
-    rig.leg()[0].sendall(reply(200))
-    assert rig.status(client) == 200
+    client, _ = rig.served()
     [[kept]] = rig.node.door.pool.idle.values()
     kept._flush = lambda: rig.loop.soon(kept._end)
     client.sendall(NEXT)
@@ -291,10 +286,7 @@
 
 def test_what_comes_unasked_is_not_taken_for_the_next_answer(rig):
     rig = rig(hosts=1)
-    client = rig.ask()
-    host, _ = rig.leg()
-    host.sendall(reply(200))
-    assert rig.status(client) == 200
+    client, host = rig.served()
     client.sendall(NEXT)
     host.sendall(reply(200, b"not asked for"))
     rig.leg()[0].sendall(reply(200, b"asked for"))
@@ -304,10 +296,7 @@
 @pytest.mark.parametrize("seconds, kept", [(6, 1), (9, 0)])
 def test_idle_connections_are_closed_before_the_host_would(rig, seconds, kept):
     rig = rig()
-    client = rig.ask()
-    host, _ = rig.leg()
-    host.sendall(reply(200))
-    assert rig.status(client) == 200
+    client, host = rig.served()
     rig.skip(seconds)
     assert len(rig.node.door.pool.connections) == kept
 
@@ -332,9 +321,8 @@
 def test_what_cannot_be_taken_gets_a_plain_answer_and_others_are_served(rig, what, capsys):
     rig, (data, status) = rig(), BAD[what]
     assert rig.status(rig.client(data)) == status
-    client = rig.ask()
-    rig.leg()[0].sendall(reply(200))
-    assert rig.status(client) == 200 and "fault" not in capsys.readouterr().err
+    rig.served()
+    assert "fault" not in capsys.readouterr().err
 
 
 @pytest.mark.parametrize("at_once", [True, False])
@@ -440,9 +428,7 @@
         patch.setattr(rig.node.door.balancer, "arrived", lambda *_: 1 / 0)
         assert rig.status(rig.ask()) == 500
     assert "ZeroDivisionError" in capsys.readouterr().err and rig.node.door.open == 0
-    client = rig.ask()
-    rig.leg()[0].sendall(reply(200))
-    assert rig.status(client) == 200
+    rig.served()
 
 
 def test_retrievals_leave_nothing_for_the_collector(rig):
@@ -596,10 +582,7 @@
 
 def test_what_has_come_is_served_when_the_door_shuts(rig):
     rig = rig()
-    idle = rig.ask()
-    host, _ = rig.leg()
-    host.sendall(reply(200))
-    assert rig.status(idle) == 200
+    idle, _ = rig.served()
     idle.sendall(NEXT)
     new = rig.ask("/read/b")
     rig.node.listener.stop()
