Repeats in the network code taken together; no change of behaviour

Log lines and faults are written in one place, the number of a host's name and of a key is made by one function, the Host header is made once a connection, sockets get their options in Stream, configuration faults of the settings are turned once, and a client's retrieval is called that.

--- a/hopsail/config.py
+++ b/hopsail/config.py
@@ -56,29 +56,25 @@
             tree[key] = environment[f"NODE_{key.upper()}"]
     settings = part(tree, "settings", dict)
     try:
-        decoded = decode(pairs := flatten(settings))
+        pairs = flatten(settings)
+        decoded, values = decode(pairs), Pairs(pairs)
+        most_open = values.value("limits.maxOpen", int, "30000")
+        idle_time = values.time("limits.idleCloseUs", "10000000")
+        dial_time = values.time("limits.dialTimeoutUs", "250000")
     except SettingsFault as fault:
         raise ConfigFault(f"settings: {fault}") from None
-    tracks = named(settings, "tracks")
     names = Names(settings.get("failureDomains") or (), settings.get("kinds") or (), decoded.origin_kind)
     limits = part(tree, "limits", dict, {})
     sockets = whole(limits, "sockets", DEFAULT_SOCKETS, LEAST_SOCKETS)
     sockets = min(sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVED_SOCKETS
     memory = whole(limits, "memory_mb", DEFAULT_MEMORY, PROGRAM_MEMORY + 1) - PROGRAM_MEMORY
-    values = Pairs(pairs)
-    try:
-        most_open = values.value("limits.maxOpen", int, "30000")
-        idle_time = values.time("limits.idleCloseUs", "10000000")
-        dial_time = values.time("limits.dialTimeoutUs", "250000")
-    except SettingsFault as fault:
-        raise ConfigFault(f"settings: {fault}") from None
     return Config(
         name=part(tree, "name", str),
         listen=place(tree, "listen", least=0),
         discovery=place(tree, "discovery"),
         seed=seed(tree),
         settings=decoded,
-        tracks=tracks,
+        tracks=named(settings, "tracks"),
         customers=named(settings, "tenants"),
         names=names,
         known=known(tree, names),
--- a/hopsail/net/clients.py
+++ b/hopsail/net/clients.py
@@ -20,7 +20,7 @@
 
     def __init__(self, loop, sock, listener):
         self.listener, self.reader = listener, RequestReader()
-        self.request, self.exchange = None, None  # what is being answered, and the door's own for it
+        self.request, self.retrieval = None, None  # what is being answered, and what the door made of it
         self.leaving, self.lingers = False, False  # no request after this one; only the end is waited for
         self.since = loop.now()  # when it began what it is doing
         super().__init__(loop, sock)
@@ -53,7 +53,7 @@
 
     def answer(self, answer):
         """The one answer to the request in hand."""
-        self.request = self.exchange = None
+        self.request = self.retrieval = None
         self.reader.taken()
         self._write(answer)
 
@@ -134,8 +134,6 @@
                 return
             if full:
                 self._make_room()  # only now: a look into an empty queue is worth no connection
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.counters.add("clients.connections")
             client = Client(self.loop, sock, self)
             self.clients[client] = None
--- a/hopsail/net/discovery.py
+++ b/hopsail/net/discovery.py
@@ -7,6 +7,7 @@
 
 from ..model import MS, SECOND, Listing, Scope, State
 from .log import say
+from .messages import authority
 from .stream import Stream, dial
 
 # An empty line comes every 2 s. What a watch has to tell counts as told after 6 s, and must be acted on.
@@ -21,9 +22,9 @@
     """What came is not a list of cache hosts."""
 
 
-def number(name: str) -> int:
-    """The same number for a name at every balancer: the ring is made of it."""
-    return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "little")
+def number(name: bytes) -> int:
+    """The same number for a host's name or a key at every balancer: the ring is made of them."""
+    return int.from_bytes(blake2b(name, digest_size=8).digest(), "little")
 
 
 def address(text, least=1):
@@ -47,7 +48,7 @@
             if not 0 <= weight < MOST_WEIGHT:  # also what is not a number
                 raise ValueError(f"weight {weight}")
             listing = Listing(
-                number(entry["instanceId"]),
+                number(entry["instanceId"].encode()),
                 self.zones.setdefault(entry.get("zone"), len(self.zones)),
                 self.kinds.setdefault(entry.get("machineType"), len(self.kinds) + 1),
                 entry.get("cell") or 0,
@@ -99,10 +100,9 @@
     def connected(self):
         self.heard = self.loop.now()
         path = b"/v1/servers?follow=1&since=%d" % self.discovery.version
-        host = b"%s:%d" % (self.discovery.address[0].encode(), self.discovery.address[1])
         self.timer.cancel()
         self._wait(SILENCE)
-        self.write(b"GET " + path + b" HTTP/1.1\r\nHost: " + host + b"\r\n\r\n")
+        self.write(b"GET " + path + b" HTTP/1.1\r\nHost: " + authority(self.discovery.address) + b"\r\n\r\n")
 
     def received(self, data):
         self.heard = self.loop.now()
--- a/hopsail/net/door.py
+++ b/hopsail/net/door.py
@@ -2,15 +2,13 @@
 
 It alone knows names, paths and statuses; it chooses no host, no further leg and no limit."""
 
-import traceback
-from hashlib import blake2b
 from urllib.parse import unquote_to_bytes
 
 from ..decide import Balancer
 from ..model import Bounce, Close, Outcome, Retrieval, Scope, Scrap, Send, State, Subscribe, WakeAt
-from .discovery import Discovery
+from .discovery import Discovery, number
 from .hosts import Pool
-from .log import say
+from .log import fault
 from .messages import Answer
 
 HEALTH = b"/healthz"
@@ -72,7 +70,7 @@
             client.answer(Answer(503))
             return
         self.open += 1
-        client.exchange = retrieval
+        client.retrieval = retrieval
         self._step(retrieval, self.balancer.arrived, self.loop.now(), retrieval)
 
     def _retrieval(self, client, request):
@@ -98,20 +96,20 @@
         if self.ends is not None:
             ends = min(ends, self.ends)
         track = self.config.settings.tracks[index]
-        return Retrieval(Exchange(client, request), track, hashed(key), ends, write, customer)
+        return Retrieval(Exchange(client, request), track, number(key) if key else 0, ends, write, customer)
 
     def stop(self, clients, ends):
         """The process ends: what is in hand, or comes now, is answered by then."""
         self.ends = ends
         for client in clients:
-            if (retrieval := client.exchange) is not None and retrieval.ends > ends:
+            if (retrieval := client.retrieval) is not None and retrieval.ends > ends:
                 retrieval.ends = ends
                 for leg in retrieval.legs:
                     self.pool.hasten(leg, ends)
 
     def left(self, client):
         """The client closed its connection: nothing more is owed, and nothing more is sent."""
-        retrieval = client.exchange
+        retrieval = client.retrieval
         if retrieval is None:
             return
         self.counters.add("answered.left")
@@ -131,10 +129,9 @@
 
     def listed(self, scope, entries):
         hosts = self.balancer.hosts
-        before = {listing.name: hosts.get(listing.name) for listing, _ in entries}
         for listing, address in entries:
             if listing.state is not State.GONE:
-                old = before[listing.name]
+                old = hosts.get(listing.name)
                 self.pool.place(listing.name, address, old is not None and old.started != listing.started)
         self._step(None, self.balancer.listed, self.loop.now(), scope, [listing for listing, _ in entries])
         for name in [name for name in self.pool.addresses if name not in hosts]:
@@ -153,7 +150,7 @@
             call(*args)
         except Exception:
             # A fault in one retrieval's flow must not cost the others theirs; its client is told at once.
-            say("fault", traceback.format_exc())
+            fault()
             if retrieval is not None:
                 retrieval.done = True
                 self._answer(retrieval, Answer(500), "scrapped")
@@ -190,7 +187,7 @@
             client.answer(answer)
 
     def _forget(self, retrieval):
-        retrieval.mark.client.exchange = None
+        retrieval.mark.client.retrieval = None
         retrieval.mark.client = None
         self.open -= 1
 
@@ -199,8 +196,3 @@
         such rings would stop the loop."""
         if retrieval.done and all(leg.outcome is not None for leg in retrieval.legs):
             retrieval.legs, retrieval.flow = [], None
-
-
-def hashed(key: bytes) -> int:
-    """A key as the module takes it, the same at every balancer; 0 where there is none."""
-    return int.from_bytes(blake2b(key, digest_size=8).digest(), "little") if key else 0
--- a/hopsail/net/hosts.py
+++ b/hopsail/net/hosts.py
@@ -3,7 +3,7 @@
 from ..model import MS, Outcome
 from .log import say
 from .loop import READ
-from .messages import AnswerReader, MessageFault, encode_request
+from .messages import AnswerReader, MessageFault, authority, encode_request
 from .stream import SHORT, Stream, dial
 
 REUSE_PART = 0.8  # of the time after which hosts close idle connections: closed under a leg, one resets it
@@ -13,7 +13,7 @@
     """Carries a leg: dials if need be, writes the request, reads the answer, tells the pool how it ended."""
 
     def __init__(self, loop, sock, pool, name, address):
-        self.pool, self.name, self.address = pool, name, address
+        self.pool, self.name, self.host = pool, name, authority(address)
         self.reader, self.leg, self.request = AnswerReader(), None, None
         self.sent, self.used, self.since = False, False, loop.now()
         self.dial_timer = None
@@ -26,13 +26,11 @@
 
     def connected(self):
         self.dial_timer.cancel()
-        if self.leg is not None:
-            self._begin()
+        self._begin()
 
     def _begin(self):
-        host = b"%s:%d" % (self.address[0].encode(), self.address[1])
         left = self.leg.sent + self.leg.limit - self.loop.now()
-        self.write(encode_request(self.request, host, max(MS, left)))
+        self.write(encode_request(self.request, self.host, max(MS, left)))
 
     def written(self):
         # From here on the host may have run it; before, it never has.
--- a/hopsail/net/log.py
+++ b/hopsail/net/log.py
@@ -1,6 +1,7 @@
 """Log lines: plain print to standard error, so many a second for each topic."""
 
 import sys
+import traceback
 from time import monotonic
 
 PER_SECOND = 5  # lines of one topic: enough to see what goes on, too few to hold up the loop
@@ -19,7 +20,17 @@
         return
     more = f" ({entry[2]} more left out)" if entry[2] else ""
     entry[2] = 0
+    line(topic, text + more)
+
+
+def fault() -> None:
+    """Tells of the exception that is being handled."""
+    say("fault", traceback.format_exc())
+
+
+def line(topic: str, text: str) -> None:
+    """One line, whatever else was said this second."""
     try:
-        print(f"hopsail: {topic}: {text}{more}", file=sys.stderr, flush=True)
+        print(f"hopsail: {topic}: {text}", file=sys.stderr, flush=True)
     except OSError:
-        pass  # a full or closed log must not take the balancer down
+        pass  # a full or closed log must not take the balancer down, nor keep it from its end
--- a/hopsail/net/loop.py
+++ b/hopsail/net/loop.py
@@ -3,13 +3,12 @@
 import selectors
 import signal
 import socket
-import traceback
 from collections import deque
 from heapq import heapify, heappop, heappush
 from itertools import count
 from time import monotonic_ns, time_ns
 
-from .log import say
+from .log import fault, say
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
 LONGEST_WAIT = 60.0  # seconds in one select
@@ -125,4 +124,4 @@
         try:
             act(*args)
         except Exception:  # one connection's fault must not end all others
-            say("fault", traceback.format_exc())
+            fault()
--- a/hopsail/net/messages.py
+++ b/hopsail/net/messages.py
@@ -152,6 +152,11 @@
         return self.whole
 
 
+def authority(address) -> bytes:
+    """An address as the Host header has it."""
+    return b"%s:%d" % (address[0].encode(), address[1])
+
+
 def encode_request(request: Request, host: bytes, left: int) -> bytes:
     """The request for a cache host that is told how long, in ns, the balancer will wait."""
     lines = [
--- a/hopsail/net/stream.py
+++ b/hopsail/net/stream.py
@@ -2,9 +2,8 @@
 
 import errno
 import socket
-import traceback
 
-from .log import say
+from .log import fault
 from .loop import READ, WRITE
 
 CHUNK = 64 * 1024  # bytes read at one event: one busy connection must not hold up the others
@@ -21,6 +20,8 @@
     def __init__(self, loop, sock, dialing=False):
         self.loop, self.sock, self.dialing = loop, sock, dialing
         self.unsent, self.open, self.writing = bytearray(), True, dialing
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         loop.watch(sock, WRITE if dialing else READ, self.ready)
 
     def connected(self): ...
@@ -45,7 +46,7 @@
             if mask & READ and self.open:
                 self._fill()
         except Exception:
-            say("fault", traceback.format_exc())
+            fault()
             self._end()
 
     def _come_up(self):
@@ -111,7 +112,6 @@
     """A socket on its way to the address; OSError when that fails at once."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
     try:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         error = sock.connect_ex(address)
         if error not in UP_SOON:
             raise OSError(error, errno.errorcode.get(error, "connect"))
