Bad clients: 2 s for a request, one request and one id at a time, mute ones make room

Checked with a trace of what comes in: several requests at once were served once (clients.py received), ids of open requests went out again (door.py _retrieval), a half-sent request stood 10 s (REQUEST_TIME), a silent one 120 s, bodies of 60 MB were read to the bound and drained for a second. float() took inf and 1_0 as limits.

--- a/hopsail/__main__.py
+++ b/hopsail/__main__.py
@@ -18,8 +18,8 @@
 ACCEPT_TIME = 500 * MS  # after SIGTERM: the front deals out connections for up to 0.4 s more
 LAST_TIME = 3500 * MS  # after SIGTERM all is answered: SIGKILL comes 0.2 s later at the earliest
 END_TIME = 3600 * MS  # and the process ends, whoever has not read its answer yet
-SWEEP_EVERY = SECOND
-COLLECT_EVERY = 10  # sweeps between collections: retrievals leave no rings behind, faults may
+SWEEP_EVERY = SECOND // 4
+COLLECT_EVERY = 40  # sweeps between collections: retrievals leave no rings behind, faults may
 
 
 class Node:
--- a/hopsail/net/clients.py
+++ b/hopsail/net/clients.py
@@ -10,9 +10,12 @@
 
 BACKLOG = 1024  # connections that the system holds until they are taken in
 TAKE_IN = 64  # connections taken in at one event: the others' turn comes in between
-REQUEST_TIME = 10 * SECOND  # for a request to come whole, and for an answer to be taken
-IDLE_TIME = 120 * SECOND  # kept with no request: clients keep connections
+REQUEST_TIME = 2 * SECOND  # for a request to come whole, from connecting for the first: 3 s are owed
+ANSWER_TIME = 5 * SECOND  # for an answer to be taken
+IDLE_TIME = 10 * SECOND  # kept with no request: clients keep connections, some of them for good
+FRESH_TIME = SECOND // 4  # after connecting no room is made at its cost: its request is on the way
 LINGER_TIME = SECOND  # for the client to read a last answer: closing at once may destroy it
+LINGER_BYTES = 1 << 20  # that it may send meanwhile: a body of any length must not take the core
 
 
 class Client(Stream):
@@ -22,6 +25,7 @@
         self.listener, self.reader = listener, RequestReader()
         self.request, self.retrieval = None, None  # what is being answered, and what the door made of it
         self.leaving, self.lingers = False, False  # no request after this one; only the end is waited for
+        self.mute, self.dropped = True, 0  # no request has come whole yet; bytes that came after the last one
         self.since = loop.now()  # when it began what it is doing
         super().__init__(loop, sock)
 
@@ -30,27 +34,40 @@
         return not (self.request or self.reader.begun or self.unsent or self.lingers)
 
     def received(self, data):
-        if self.leaving:
-            return  # its last answer is on the way: what comes after it is not taken
+        if self.leaving and self.request is None:
+            # Its last answer is on the way: what comes after it is not taken.
+            self.dropped += len(data)
+            if self.dropped > LINGER_BYTES:
+                self.close()
+            return
         if self.request is not None:
-            self.leaving = True  # a request before the last answer: the protocol has one at a time
+            if data.strip(b"\r\n"):  # more than the request's stated length: who knows where it ends
+                self.listener.door.left(self)
+                self.request = None
+                self._refuse(400)
             return
-        if not self.reader.begun:
+        if not self.reader.begun and not self.mute:
             self.since = self.loop.now()
         try:
             request = self.reader.feed(data)
         except MessageFault as fault:
-            self.listener.counters.add("taken.malformed")
-            self.leaving = True
-            self._write(Answer(fault.status))
+            self._refuse(fault.status)
             return
         if self.reader.awaited():
             self.write(CONTINUE)
-        if request is not None:
-            self.request = request
-            self.leaving = self.leaving or self.reader.more or not request.keep
+        if request is not None and self.reader.more:
+            self._refuse(400)  # several at once: the protocol has one at a time
+        elif request is not None:
+            self.request, self.mute = request, False
+            self.leaving = self.leaving or not request.keep
             self.listener.door.asked(self, request)
 
+    def _refuse(self, status):
+        """The last answer on a connection whose bytes cannot be trusted any more."""
+        self.listener.counters.add("taken.malformed")
+        self.leaving = True
+        self._write(Answer(status))
+
     def answer(self, answer):
         """The one answer to the request in hand."""
         self.request = self.retrieval = None
@@ -89,9 +106,9 @@
         stands = now - self.since
         if self.request is not None:
             return False  # the door answers it in time
-        if self.lingers:
-            return stands > LINGER_TIME
-        return stands > (IDLE_TIME if self.idle else REQUEST_TIME)
+        if self.lingers or self.unsent:
+            return stands > (LINGER_TIME if self.lingers else ANSWER_TIME)
+        return stands > (IDLE_TIME if self.idle and not self.mute else REQUEST_TIME)
 
 
 class Listener:
@@ -139,8 +156,10 @@
             self.clients[client] = None
 
     def _make_room(self):
-        """Closes the connection that has stood idle longest; False when none is idle."""
-        for client in sorted(self.clients, key=lambda client: client.since):
+        """Closes the idle connection that is missed least; False when none is idle."""
+        fresh = self.loop.now() - FRESH_TIME
+        # First those that said nothing: a crowd of them must not cost those that ask theirs.
+        for client in sorted(self.clients, key=lambda c: (not c.mute or c.since > fresh, c.since)):
             if client.idle and client.let_go():
                 self.counters.add("clients.closed for room")
                 return True
@@ -151,7 +170,7 @@
         self._pause(False)  # there is room for another
 
     def sweep(self, now):
-        """Once a second: closes what takes too long; takes in again after a lack of descriptors."""
+        """At set times: closes what takes too long; takes in again after a lack of descriptors."""
         for client in [client for client in self.clients if client.overdue(now)]:
             if client.reader.begun and not client.lingers:
                 self.counters.add("taken.slow")
--- a/hopsail/net/door.py
+++ b/hopsail/net/door.py
@@ -2,10 +2,11 @@
 
 It alone knows names, paths and statuses; it chooses no host, no further leg and no limit."""
 
+import re
 from urllib.parse import unquote_to_bytes
 
 from ..decide import Balancer
-from ..model import Bounce, Close, Outcome, Retrieval, Scope, Scrap, Send, State, Subscribe, WakeAt
+from ..model import SECOND, Bounce, Close, Outcome, Retrieval, Scope, Scrap, Send, State, Subscribe, WakeAt
 from .discovery import Discovery, number
 from .hosts import Pool
 from .log import fault
@@ -13,6 +14,9 @@
 
 HEALTH = b"/healthz"
 LONGEST = 600.0  # seconds: a client's limit beyond it is cut
+LIMIT = re.compile(rb"\d{1,9}(\.\d{1,9})?")  # seconds; float() would take "nan", "inf" and "1_0" too
+ID_TIME = 6 * SECOND  # that an id is known at least: longer than a retrieval and its legs take
+MOST_IDS = 10_000  # in that time, with what came before it about 3 MB
 METHODS = {b"GET": False, b"PUT": True}
 
 
@@ -24,6 +28,22 @@
         self.answer = Answer(status, text + b"\n", b"text/plain")
 
 
+class Ids:
+    """The ids that came lately, at most so many: a second request under one of them is not its client's, and
+    cache hosts would take it for another copy of the first."""
+
+    def __init__(self):
+        self.since, self.young, self.old = 0, set(), set()
+
+    def new(self, trace, now):
+        """Whether the id has not come before; from now on it has."""
+        if now - self.since > ID_TIME or len(self.young) >= MOST_IDS:
+            self.since, self.young, self.old = now, set(), self.young
+        known = trace in self.young or trace in self.old
+        self.young.add(trace)
+        return not known
+
+
 class Exchange:
     """A retrieval's way back: the client's connection until it is answered or left, and its request."""
 
@@ -36,6 +56,7 @@
 class Door:
     def __init__(self, loop, counters, config):
         self.loop, self.counters, self.config = loop, counters, config
+        self.ids = Ids()
         self.open = 0  # retrievals with no final answer yet
         self.ends = None  # when all must be answered, once the process is to end
         self.pool = Pool(loop, counters, config, self.leg_ended)
@@ -90,12 +111,11 @@
         customer = self.config.customers.get(request.customer or b"", None if self.config.customers else 0)
         if customer is None:
             raise Refusal(400, b"no such customer")
-        try:
-            expires = float(request.expires)
-        except ValueError:
-            expires = 0.0
-        if not expires > 0:  # also what is not a number
+        expires = float(request.expires) if LIMIT.fullmatch(request.expires) else 0.0
+        if not expires:
             raise Refusal(400, b"X-Expires-In must be a time that is left")
+        if not self.ids.new(request.trace, self.loop.now()):
+            raise Refusal(409, b"X-Trace-Id has come before")
         ends = self.loop.now() + int(min(expires, LONGEST) * 1e9)
         if self.ends is not None:
             ends = min(ends, self.ends)
--- a/hopsail/net/messages.py
+++ b/hopsail/net/messages.py
@@ -43,6 +43,7 @@
     """Collects one message at a time from pieces, as httptools finds its parts."""
 
     parser_class = httptools.HttpRequestParser
+    single = frozenset()  # headers of which a message has one at most
 
     def __init__(self):
         self.parser = self.parser_class(self)
@@ -88,7 +89,10 @@
 
     def on_header(self, name, value):
         if not self.whole:
-            self.headers[name.lower()] = value
+            name = name.lower()
+            if name in self.single and name in self.headers:
+                self.fault = self.fault or 400  # which of the two holds is anyone's guess
+            self.headers[name] = value
             self._weigh(len(name) + len(value) + 4)
 
     def _weigh(self, size):
@@ -98,6 +102,9 @@
 
     def on_headers_complete(self):
         self.headed = True
+        # Told at once: to wait for bytes that will not be kept holds the connection, and the core.
+        if not self.whole and int(self.headers.get(b"content-length") or 0) > MOST_BODY:
+            self.fault = self.fault or 413
 
     def on_body(self, piece):
         if self.whole:
@@ -113,6 +120,8 @@
 
 
 class RequestReader(Reader):
+    single = frozenset({b"x-trace-id", b"x-customer", b"x-expires-in", b"idempotency-key"})
+
     def awaited(self):
         """True once when the client waits for a word before it sends the body."""
         asks = self.headed and not self.whole and self.headers.pop(b"expect", b"").lower() == b"100-continue"
