A leg that may be repeated ends at 0.4 of the promised time or six mean times

Ruled out: the loop (no timer late after the start). Effectful legs, those past their mark's time, the last leg allowed and those with too little time or retry budget left still run to the end.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -49,6 +49,7 @@
 MOST_ASIDE = 0.67  # of the ready caches: a whole zone may be lost, but not everything is the hosts' fault
 ASIDE_TIME = 1500 * MS  # fixed part, and the most of the random one: what a process needs to restart
 RETRY_SHARE = 0.2  # further legs per first leg: a failing fleet must not be fed with retries
+SILENT_PART, SILENT_TIMES = 0.4, 6  # of the promised time, and times the host's mean: no answer will come
 RETRY_SLACK = 4.0  # further legs at once after a calm stretch
 HOLD_PART = 0.48  # of the promised time, or of what the client waits if less: past half, a bounce costs extra
 CROWD = 75  # balancers that may keep idle connections at each host, at equal prices: by price alone, 100
@@ -302,12 +303,21 @@
 
     def _again(self, r):
         """Whether a further leg fits into the retrieval's limits and into the retry budget."""
-        budget = RETRY_SLACK + RETRY_SHARE * self.first_legs.read(self.now) - self.more_legs.read(self.now)
-        again = len(r.legs) < self.settings.most_legs and r.ends - self.now >= MS and budget >= 0
-        if again:
-            self.more_legs.add(self.now)
+        again = len(r.legs) < self.settings.most_legs and r.ends - self.now >= MS and self._budget() >= 0
+        self.more_legs.add(self.now, again)
         return again
 
+    def _budget(self):
+        return RETRY_SLACK + RETRY_SHARE * self.first_legs.read(self.now) - self.more_legs.read(self.now)
+
+    def _limit(self, r, host):
+        """A connection may fall silent while its host serves others: what may be repeated is, in time."""
+        left, track, mean = r.ends - self.now, r.track, host.time.read(self.now)
+        limit = int(max(SILENT_PART * track.promised, SILENT_TIMES * max(mean, self.time)))
+        may = track.repeat is Repeat.PURE or track.repeat is Repeat.RECEIPTED and limit < track.remembered
+        more = may and len(r.legs) + 1 < self.settings.most_legs and self._budget() >= RETRY_SLACK / 2
+        return limit if more and 2 * limit <= left else left
+
     def _may_repeat(self, r, host):
         for leg in r.legs:
             if leg.outcome in NEVER_RAN or r.track.repeat is Repeat.PURE:
@@ -320,9 +330,8 @@
 
     def _send(self, r, host):
         now = self.now
-        if host.is_cache:
-            self.cache_legs += 1
-            self.sent.add(now)
+        self.cache_legs += host.is_cache
+        self.sent.add(now, host.is_cache)
         if not r.legs:
             self.first_legs.add(now)
             if self.granted and self._within_share(r):
@@ -331,7 +340,7 @@
             host.back_at = now + ASIDE_TIME  # others pass over it until this leg has ended
         host.last = now
         host.tokens.level -= 1
-        leg = Leg(r, host, len(r.legs), now, r.ends - now)
+        leg = Leg(r, host, len(r.legs), now, self._limit(r, host))
         host.legs[leg] = None
         r.legs.append(leg)
         return Send(leg)
@@ -352,9 +361,8 @@
             return min(loads)[2] if loads else None
         home, after, queued = found[0], found[-1], len(found[0].legs)
         spills = queued >= SPILL_FLOOR and queued * len(self.caches) > SPILL_FACTOR * self.cache_legs
-        if spills and len(after.legs) < queued or not self._room(home, part):
-            home = after
-        return home if self._room(home, part) else None
+        tried = (after,) if spills and len(after.legs) < queued else (home, after)
+        return next((host for host in tried if self._room(host, part)), None)
 
     def _room(self, host, part=1.0):
         limit = host.limit * part
@@ -365,18 +373,15 @@
     def _candidates(self, r, most):
         """The first `most` distinct caches after the key that may be sent this retrieval."""
         place = digests(r.key or self.random.getrandbits(64))[0]
-        found, reach = [], min(most + REACH, len(self.caches))  # no walk round the ring for one that isn't there
+        found, reach = [], min(most + REACH, len(self.caches))  # no search for more than there are
         for part in (place, None) if reach else ():
             near = (h for h in self.ring.walk(place, reach) if self._passable(h, r, part))
             found = found or list(islice(near, most))
         return found
 
     def _passable(self, host, r, place=None):
-        now = self.now
-        if host.state is not State.READY or now < host.back_at:
-            return False
-        tried = any(leg.host is host and leg.outcome is not Outcome.MISS for leg in r.legs)
-        if tried or not self._may_repeat(r, host):
+        now, tried = self.now, any(leg.host is host and leg.outcome is not Outcome.MISS for leg in r.legs)
+        if host.state is not State.READY or now < host.back_at or tried or not self._may_repeat(r, host):
             return False
         # Many balancers with one leg each overdrive a small host: below one leg, it is left a part of its
         # keys, the same ones at all balancers. A cold host falls over, too, when all send it their whole
@@ -387,8 +392,7 @@
             return False
         if not cold:
             return True
-        # Each balancer's part of the budget may be far less than a leg in a window.
-        slack = COLD_SLACK / self.settings.balancers
+        slack = COLD_SLACK / self.settings.balancers  # a balancer's part: maybe far less than a leg
         usual = self.sent.read(now) * log(2) * host.size / self.size
         budget = slack + COLD_ROOM * self.settings.fall_multiple * share * usual
         host.tokens.rate, host.tokens.most = budget * SECOND / self.settings.fall_time, 1 + slack
@@ -405,8 +409,7 @@
     def _learn(self, leg):
         host, outcome, now = leg.host, leg.outcome, self.now
         del host.legs[leg]
-        if host.is_cache:
-            self.cache_legs -= 1
+        self.cache_legs -= host.is_cache
         if outcome is Outcome.HANDLED or outcome is Outcome.MISS:
             host.good.add(now)
             self.good.add(now)
@@ -418,8 +421,7 @@
             self.bad.add(now)
             if host.is_cache:
                 self._judge(host)
-        if outcome in HEARD:
-            host.heard = now
+        host.heard = now if outcome in HEARD else host.heard
         if outcome not in RATED:
             return
         took, due = now - leg.sent, leg.retrieval.track.promised
--- a/hopsail/net/hosts.py
+++ b/hopsail/net/hosts.py
@@ -151,7 +151,8 @@
             return Outcome.NO_CONNECTION
         if len(self.connections) >= self.most and not self.spare():
             self.counters.add("hosts.no room")
-            return Outcome.NEVER_SENT  # a lack here: taken for the host's fault, it would set sound hosts aside
+            # A lack here: taken for the host's fault, it would set sound hosts aside.
+            return Outcome.NEVER_SENT
         try:
             sock = dial(address)
         except OSError as fault:
