After SIGTERM kept connections are served for 0.65 s before each answer ends its own

Checked in the logs: one balancer stops at 15.21 s, 0.2 s before the other listens again; clients.py _write ended each connection from the signal on, and the clients' new connections met nobody. Ruled out: configurations taken over (none in that window), hosts (no reset, no failed connect).

--- a/hopsail/__main__.py
+++ b/hopsail/__main__.py
@@ -15,7 +15,9 @@
 from .net.log import say
 from .net.loop import Loop
 
-ACCEPT_TIME = 500 * MS  # after SIGTERM: the front deals out connections for up to 0.4 s more
+# After SIGTERM clients are served as before: the front deals out connections for up to 0.4 s more, and those
+# that are there go on being used. SIGKILL comes no sooner than the longest limit and 0.7 s after SIGTERM.
+ACCEPT_TIME = 650 * MS
 LAST_TIME = 3500 * MS  # after SIGTERM all is answered: SIGKILL comes 0.2 s later at the earliest
 END_TIME = 3600 * MS  # and the process ends, whoever has not read its answer yet
 SWEEP_EVERY = SECOND // 4
@@ -84,17 +86,17 @@
             say("reload", f"only a new start changes {', '.join(left)}")
 
     def stop(self):
-        if self.listener.stopping:
+        if self.door.ends is not None:
             return
         say("stop", f"{self.door.open} retrievals in hand")
         now = self.loop.now()
-        self.listener.stop()
         self.door.stop(self.listener.clients, now + LAST_TIME)
         self.loop.at(now + ACCEPT_TIME, self._shut)
         self.loop.at(now + END_TIME, self.loop.stop)
 
     def _shut(self):
         """All that has come is answered; then the end."""
+        self.listener.stop()
         self.listener.shut()
         if not self.listener.clients:
             self.loop.stop()
