Connections that ask once and stay are bounded; kept ones end after 2 s without a request

Checked by a trace of each second and of each connection's end: all 128 connections that clients may hold had asked once and stood idle (clients.py overdue let them stay 10 s). Ruled out: admission, limits, hosts aside, a paused listener, a full accept queue. Also: a closed connection's reader and parser name each other; they are parted, so that nothing waits for a collection.

--- a/hopsail/__main__.py
+++ b/hopsail/__main__.py
@@ -32,7 +32,7 @@
         self.loop, self.sweeps, settings = Loop(), 0, self.config
         self.counters = Counters(settings.name)
         self.door = Door(self.loop, self.counters, settings)
-        self.listener = Listener(self.loop, self.counters, self.door, settings.listen, settings.most_clients)
+        self.listener = Listener(self.loop, self.counters, self.door, settings)
         self.loop.on_signal(signal.SIGTERM, self.stop)
         self.loop.on_signal(signal.SIGINT, self.stop)
         self.loop.on_signal(signal.SIGHUP, self.reload)  # unheard, it would end the process
@@ -78,7 +78,7 @@
             say("reload", f"the old configuration stays: {fault}")
             return
         self.config, left = config.renewed(self.config, new)
-        self.listener.most = self.config.most_clients
+        self.listener.configure(self.config)
         self.door.configure(self.config)
         self.counters.add("configuration.taken")
         say("reload", "discovery at {}:{}".format(*self.config.discovery))
--- a/hopsail/config.py
+++ b/hopsail/config.py
@@ -14,6 +14,7 @@
 DEFAULT_MEMORY = 192  # MB, likewise
 LEAST_SOCKETS = 32  # descriptors with which a balancer can serve at all
 RESERVED_SOCKETS = 16  # descriptors for logs, the listener, signals, discovery and one client too many
+ASKED_ONCE = 8  # of the descriptors one in so many for connections that were answered once and stay
 PROGRAM_MEMORY = 24  # MB that the program itself takes, with its tables
 RETRIEVAL_MEMORY = 0.2  # MB that one retrieval may hold: body, answer and their copies in buffers
 
@@ -34,6 +35,7 @@
     names: Names
     known: tuple  # version, scope and entries of the list as this balancer last had it
     most_clients: int
+    most_asked_once: int
     most_host_connections: int
     most_open: int
     idle_time: int  # ns
@@ -85,6 +87,7 @@
         known=known(tree, names),
         # Each retrieval in hand holds a client's connection and, at most times, one to a cache host.
         most_clients=sockets // 2,
+        most_asked_once=sockets // ASKED_ONCE,
         most_host_connections=sockets - sockets // 2,
         most_open=max(1, min(most_open, int(memory / RETRIEVAL_MEMORY))),
         idle_time=max(SECOND, idle_time),
--- a/hopsail/net/clients.py
+++ b/hopsail/net/clients.py
@@ -12,7 +12,7 @@
 TAKE_IN = 64  # connections taken in at one event: the others' turn comes in between
 REQUEST_TIME = 2 * SECOND  # for a request to come whole, from connecting for the first: 3 s are owed
 ANSWER_TIME = 5 * SECOND  # for an answer to be taken
-IDLE_TIME = 10 * SECOND  # kept with no request: clients keep connections, some of them for good
+IDLE_TIME = 2 * SECOND  # kept with no request: some ask once and stay for good, in the place of others
 FRESH_TIME = SECOND // 4  # after connecting no room is made at its cost: its request is on the way
 LINGER_TIME = SECOND  # for the client to read a last answer: closing at once may destroy it
 LINGER_BYTES = 1 << 20  # that it may send meanwhile: a body of any length must not take the core
@@ -25,10 +25,14 @@
         self.listener, self.reader = listener, RequestReader()
         self.request, self.retrieval = None, None  # what is being answered, and what the door made of it
         self.leaving, self.lingers = False, False  # no request after this one; only the end is waited for
-        self.mute, self.dropped = True, 0  # no request has come whole yet; bytes that came after the last one
+        self.asked, self.dropped = 0, 0  # requests that have come whole; bytes that came after the last one
         self.since = loop.now()  # when it began what it is doing
         super().__init__(loop, sock)
 
+    @property
+    def mute(self):
+        return not self.asked
+
     @property
     def idle(self):
         return not (self.request or self.reader.begun or self.unsent or self.lingers)
@@ -46,6 +50,7 @@
                 self.request = None
                 self._refuse(400)
             return
+        self.listener.once.pop(self, None)
         if not self.reader.begun and not self.mute:
             self.since = self.loop.now()
         try:
@@ -58,7 +63,7 @@
         if request is not None and self.reader.more:
             self._refuse(400)  # several at once: the protocol has one at a time
         elif request is not None:
-            self.request, self.mute = request, False
+            self.request, self.asked = request, self.asked + 1
             self.leaving = self.leaving or not request.keep
             self.listener.door.asked(self, request)
 
@@ -73,6 +78,8 @@
         self.request = self.retrieval = None
         self.reader.taken()
         self._write(answer)
+        if self.asked == 1 and not self.leaving:
+            self.listener.asked_once(self)
 
     def _write(self, answer):
         self.leaving = self.leaving or self.listener.stopping
@@ -100,6 +107,7 @@
             self.listener.door.left(self)
 
     def released(self):
+        self.loop.soon(self.reader.forget)
         self.listener.gone(self)
 
     def overdue(self, now):
@@ -114,8 +122,10 @@
 class Listener:
     """Takes clients in, at most so many at a time, and owns their connections."""
 
-    def __init__(self, loop, counters, door, address, most):
-        self.loop, self.counters, self.door, self.most = loop, counters, door, most
+    def __init__(self, loop, counters, door, config):
+        self.loop, self.counters, self.door, address = loop, counters, door, config.listen
+        self.configure(config)
+        self.once = {}  # those that have been answered once and no more, the longest idle first
         self.clients, self.stopping, self.paused = {}, False, True
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM | socket.SOCK_NONBLOCK)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -124,6 +134,22 @@
         self.address = self.sock.getsockname()
         self._pause(False)
 
+    def configure(self, config):
+        self.most, self.most_once = config.most_clients, config.most_asked_once
+
+    def asked_once(self, client):
+        """It may stay for good without a second request, and clients hold only so many: few may wait."""
+        self.once[client] = None
+        if len(self.once) > self.most_once:
+            self.loop.soon(self._trim)
+
+    def _trim(self):
+        while len(self.once) > self.most_once:
+            client = next(iter(self.once))
+            del self.once[client]
+            if client.let_go():
+                self.counters.add("clients.closed after one")
+
     def _pause(self, pause):
         if self.sock is None or pause == self.paused:
             return
@@ -167,6 +193,7 @@
 
     def gone(self, client):
         del self.clients[client]
+        self.once.pop(client, None)
         self._pause(False)  # there is room for another
 
     def sweep(self, now):
--- a/hopsail/net/hosts.py
+++ b/hopsail/net/hosts.py
@@ -76,6 +76,7 @@
     def released(self):
         if self.dial_timer is not None:
             self.dial_timer.cancel()
+        self.loop.soon(self.reader.forget)
         self.pool.gone(self)
 
 
--- a/hopsail/net/messages.py
+++ b/hopsail/net/messages.py
@@ -78,6 +78,10 @@
         self.whole, self.begun = None, False
         self._clear()
 
+    def forget(self):
+        """After the connection's end: parser and reader name each other, which only a collection would undo."""
+        self.parser = None
+
     def on_message_begin(self):
         if self.whole:
             self.more = True
