A host's first limit is ten legs of all balancers together, not four

Checked with a trace of each second: in the first one 116 to 170 of 400 retrievals are bounced while each host and the origin stand at their first limit (2 legs a balancer) and answer in 20 to 80 ms; two retrievals wait at the origin's gate. Ruled out: descriptors, core (0.17 s), admission (1.0 to 2.0). Line at fault: decide.py FIRST_LIMIT.

--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -69,6 +69,12 @@
     assert seen[0] == seen[1] != seen[2]
 
 
+@pytest.mark.parametrize("balancers, first", [(1, 10), (2, 5), (340, 1)])
+def test_a_fresh_balancer_has_its_part_of_what_a_calm_host_takes(balancers, first):
+    bench = Bench(1, balancers=balancers)  # with less, each start turns clients away until limits have grown
+    assert sum(bool(sent(bench.ask(key)[1])) for key in range(1, 40)) == first
+
+
 def test_full_host_sheds_and_says_when_to_come_back():
     bench = Bench(1, advise_wait=SECOND)
     answers = [bench.ask(k)[1] for k in range(1, 40)]
