--- a/hopsail/config.py
+++ b/hopsail/config.py
@@ -14,6 +14,7 @@
 DEFAULT_MEMORY = 192  # MB, likewise
 LEAST_SOCKETS = 32  # descriptors with which a balancer can serve at all
 RESERVED_SOCKETS = 16  # descriptors for logs, the listener, signals, discovery and one client too many
+MOST = 2**31  # of anything counted: also what JSON calls NaN or Infinity must not pass for a limit
 ASKED_ONCE = 8  # of the descriptors one in so many for connections that were answered once and stay
 PROGRAM_MEMORY = 24  # MB that the program itself takes, with its tables
 RETRIEVAL_MEMORY = 0.2  # MB that one retrieval may hold: body, answer and their copies in buffers
@@ -51,7 +52,7 @@
         raise ConfigFault("NODE_CONFIG is not set: it names the configuration file")
     try:
         tree = json.loads(Path(path).read_bytes())
-    except (OSError, ValueError) as fault:
+    except (OSError, ValueError, RecursionError) as fault:
         raise ConfigFault(f"NODE_CONFIG: cannot read {path}: {fault}") from None
     if not isinstance(tree, dict):
         raise ConfigFault(f"NODE_CONFIG: {path} holds no JSON object")
@@ -70,7 +71,7 @@
         dial_time = values.time("limits.dialTimeoutUs", "250000")
     except SettingsFault as fault:
         raise ConfigFault(f"settings: {fault}") from None
-    names = Names(settings.get("failureDomains") or (), settings.get("kinds") or (), decoded.origin_kind)
+    names = Names(words(settings, "failureDomains"), words(settings, "kinds"), decoded.origin_kind)
     limits = part(tree, "limits", dict, {})
     sockets = whole(limits, "sockets", DEFAULT_SOCKETS, LEAST_SOCKETS)
     sockets = min(sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - RESERVED_SOCKETS
@@ -114,11 +115,18 @@
 
 def whole(tree, key, default, least):
     value = tree.get(key, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < least:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < MOST:
         raise ConfigFault(f"limits.{key} holds {value!r:.80}: a number of at least {least} is needed")
     return int(value)
 
 
+def words(settings, key):
+    value = settings.get(key) or []
+    if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
+        raise ConfigFault(f"settings.{key} holds {value!r:.80}: a list of names is needed")
+    return value
+
+
 def place(tree, key, least=1):
     try:
         return address(part(tree, key, str), least)
