--- a/hopsail/net/clients.py
+++ b/hopsail/net/clients.py
@@ -216,7 +216,7 @@
             client.close()
 
     def shut(self):
-        """Ends taking in, after all that has connected; answers end their connections, idle ones are closed."""
+        """Ends taking in, after all that has connected; answers end their connections, idle ones go."""
         self.stopping = True
         if self.sock is not None:
             self._take_in(most=BACKLOG)
