--- a/hopsail/benchlink/codec.py
+++ b/hopsail/benchlink/codec.py
@@ -10,6 +10,7 @@
     Close,
     Listing,
     Outcome,
+    Report,
     Retrieval,
     Scope,
     Scrap,
@@ -34,7 +35,7 @@
     ENDPOINTS: Struct("<xIBQII"),
     SUBMIT: Struct("<xIIBfIHQIH"),
     FLOWING: Struct("<xIIHII"),
-    RESPONSE: Struct("<xIIIIIHHB"),
+    RESPONSE: Struct("<xIIIIIHHBB4f"),
     WITHDRAWN: Struct("<xII"),
     WAKE: Struct("<xIQ"),
     ECHO: Struct("<xIIHI"),
@@ -123,21 +124,23 @@
     def take(self, code: int, fields: tuple, now: int, tail: memoryview, reply: "Reply") -> None:
         balancer = self.balancer
         if code == RESPONSE:
-            _, ticket, _, _, _, number, result, complete = fields
+            _, ticket, _, _, _, number, result, complete, told, *values = fields
             retrieval = self.held.get(ticket)
             if retrieval is None or number >= len(retrieval.legs):
                 return
             outcome = OUTCOMES.get(result, Outcome.ERROR)
-            balancer.leg_ended(now, retrieval.legs[number], outcome, bool(complete))
+            report = Report.read(self.settings.columns, values[:told]) if told else None
+            balancer.leg_ended(now, retrieval.legs[number], outcome, bool(complete), report)
             self._forget(retrieval)
         elif code == SUBMIT:
-            _, ticket, bits, _, _, track, key, expires, customer = fields
+            _, ticket, bits, _, work, track, key, expires, customer = fields
             retrieval = Retrieval(
                 ticket,
                 self.settings.tracks[track],
                 key,
                 now + expires * US,
                 bool(bits & 4),
+                work * US if bits & 1 else 0,
                 customer,
             )
             self.held[ticket] = retrieval
--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -10,7 +10,7 @@
 from hashlib import blake2b
 from heapq import heappop, heappush
 from itertools import count, islice
-from math import ceil, log, log2
+from math import ceil, inf, log, log2
 from random import Random
 from struct import unpack
 
@@ -19,7 +19,8 @@
 from .tables import Counts, Ring
 
 POINTS = 96  # ring points of a cache of common size: keeps shares within about a tenth of each other
-PART_LEAST, PART_MOST = 0.05, 8.0  # of the common size: a listed size beyond them is taken as a slip
+PART_LEAST, PART_MOST = 0.05, 8.0  # of the common size: no host has fewer or more points than that
+SIZE_LEAST, SIZE_MOST = 1e-3, 1e4  # a listed size beyond them is a slip and counts as the common one
 HALVING = 60 * SECOND  # half-life of read counts: a balancer of hundreds sees a few reads a second
 HOT_FLOOR = 2  # reads counted before a key can be hot: a second copy of a key that is not is cheap
 SPREAD_FACTOR = 2  # caches for a hot key, per share x n: keeps each under half of a fair cache's reads
@@ -62,7 +63,7 @@
 class Host:
     def __init__(self, entry, settings, now):
         self.name, self.zone, self.cell = entry.name, entry.zone, entry.cell
-        self.size = settings.sized and entry.size or 1.0
+        self.kind, self.size = entry.kind, 1.0
         self.salt = digests(entry.name ^ 0x9E3779B97F4A7C15)[0]
         self.is_cache = entry.kind != settings.origin_kind
         self.state, self.started = entry.state, entry.started
@@ -89,10 +90,12 @@
     def __init__(self, settings, seed, now):
         self.settings, self.random = settings, Random(seed)
         self.hosts, self.caches, self.origin = {}, {}, None  # caches: those that are ready, on the ring
+        self.largest = {}  # the largest size listed of each kind of host
         self.ring, self.unit, self.size, self.counts = Ring(), 1.0, 0.0, Counts(HALVING, now)
         self.good, self.bad, self.sent = Sum(SPAN, now), Sum(SPAN, now), Sum(settings.fall_time, now)
         # A host's table of connections is soon full of idle ones that keep other balancers out.
-        self.closes = settings.balancers > CROWD * (settings.dial_price / (settings.open_price or 1.0) or 1.0)
+        dial, kept = settings.dial_price, settings.open_price
+        self.closes = settings.balancers > CROWD * (dial / kept if dial and kept else inf if dial else 1)
         self.cache_legs, self.aside, self.fetches, self.queues = 0, 0, {}, ([], [])
         self.serial, self.turn, self.least = count(), False, max(LEAST_PART, LEAST_LIMIT / settings.balancers)
         shares = [SHARE_SLACK * quota / settings.balancers for quota in settings.quotas]
@@ -116,7 +119,7 @@
         self.failures = 0
         for name in self.hosts.keys() - {e.name for e in entries} if scope is Scope.WHOLE else ():
             self._leave(self.hosts[name])
-        joined = []
+        joined, grown = [], self._sizes(entries)
         for entry in entries:
             host = self.hosts.get(entry.name)
             if host is not None and (entry.started != host.started or entry.state is not State.READY):
@@ -126,6 +129,7 @@
             if host is None or entry.started != host.started:
                 # A restart, too, makes a new host: its memory is empty and its old troubles are gone.
                 host = Host(entry, settings, now)
+                host.size = self._sized(entry)
                 host.tokens.level = self.random.random()  # all balancers at once would push it over
             host.state = entry.state
             self.hosts[host.name] = host
@@ -136,7 +140,26 @@
                 self.size += host.size
                 self.aside += bool(host.back_at)
                 joined.append(host)
-        self._join(joined)
+        if grown:
+            self.size = 0.0
+            for host in self.caches.values():
+                host.size = self.largest.get(host.kind, 1.0)
+                self.size += host.size
+        self._join(joined, grown)
+
+    def _sizes(self, entries):
+        """Weights that fall with the load say how large a host is only when it is idle: of a kind, one always
+        is, so that the largest ever listed is its size. True when one is larger than was known."""
+        grown = False
+        for entry in entries if self.settings.live else ():
+            if SIZE_LEAST <= entry.size <= SIZE_MOST and entry.size > self.largest.get(entry.kind, 0.0):
+                grown = self.largest[entry.kind] = entry.size
+        return bool(grown)
+
+    def _sized(self, entry):
+        if self.settings.live:
+            return self.largest.get(entry.kind, 1.0)
+        return entry.size if self.settings.sized and SIZE_LEAST <= entry.size <= SIZE_MOST else 1.0
 
     def _leave(self, host):
         self.hosts.pop(host.name, None)
@@ -148,10 +171,10 @@
         for place in host.places(self.unit):
             self.ring.take(place)
 
-    def _join(self, joined):
+    def _join(self, joined, anew=False):
         # A power of two as the unit, so that single changes of the list do not move the others' points.
         unit = 2.0 ** round(log2(self.size / len(self.caches))) if self.caches else self.unit
-        if unit != self.unit:
+        if unit != self.unit or anew:
             self.unit, self.ring, joined = unit, Ring(), self.caches.values()
         for place, _, host in sorted((place, h.name, h) for h in joined for place in h.places(unit)):
             self.ring.put(place, host)
@@ -162,11 +185,11 @@
         r.flow = self._write(r) if r.write else self._read(r)
         self._run(r)
 
-    def leg_ended(self, now, leg, outcome, complete):
+    def leg_ended(self, now, leg, outcome, complete, report=None):
         if leg.outcome is not None:
             return
         self.now, leg.outcome = now, outcome
-        self._learn(leg)
+        self._learn(leg, report)
         if complete and outcome is not Outcome.HANDLED:
             self.withdrawn(now, leg.retrieval)  # a stream that broke: the client knows
         else:
@@ -406,7 +429,7 @@
     def _within_share(self, r):
         return not self.granted or self.granted[r.customer].read(self.now) >= 1
 
-    def _learn(self, leg):
+    def _learn(self, leg, report):
         host, outcome, now = leg.host, leg.outcome, self.now
         del host.legs[leg]
         self.cache_legs -= host.is_cache
--- a/hopsail/model.py
+++ b/hopsail/model.py
@@ -54,6 +54,10 @@
     balancers: int = 1
     origin_kind: int = -1
     sized: bool = False  # listed sizes are sizes
+    live: bool = False  # listed sizes fall with the load and are renewed all the time
+    zone: int = 0  # this balancer's own
+    cross_price: float = 0.0  # of a leg to another zone, on the scale of a retrieval's benefit
+    columns: tuple[str, ...] = ()  # what a report on an answer holds, in this order: see `Report`
     subscribe: bool = False  # the list must be asked for
     ask_within: int = 10 * SECOND  # ns
     most_legs: int = 4
@@ -66,6 +70,29 @@
     dial_price: float = 1.0  # of a new connection for each retrieval, on the same scale
 
 
+class Report(NamedTuple):
+    """What a host tells of its load with an answer; None for what the deployment's reports do not hold."""
+
+    waiting: float | None = None  # retrievals that wait there
+    active: float | None = None  # retrievals that it holds, those that wait too
+    rate: float | None = None  # retrievals that it answers a second
+    service: float | None = None  # ns that a retrieval takes there, without waiting
+
+    @classmethod
+    def read(cls, columns, values):
+        """The report that these values are; None when they can be no load."""
+        if len(values) != len(columns) or not all(0 <= value < REPORT_MOST for value in values):
+            return None  # also what is not a number
+        known = [
+            (*FIELDS[name], value) for name, value in zip(columns, values, strict=True) if name in FIELDS
+        ]
+        return cls(**{name: unit * value for name, unit, value in known}) if known else None
+
+
+REPORT_MOST = 1e9  # of anything reported: beyond it a value is a slip
+FIELDS = {"waiting": ("waiting", 1), "active": ("active", 1), "rps": ("rate", 1), "avg_ms": ("service", MS)}
+
+
 class State(Enum):
     GONE = 0
     READY = 1
@@ -105,6 +132,7 @@
     key: int
     ends: int  # hard limit of this try, ns
     write: bool = False
+    work: int = 0  # ns that it is said to take on a common core, 0 = not said
     customer: int = 0
     patience: int = 0  # how long it may be held with no leg out
     done: bool = False
--- a/hopsail/net/door.py
+++ b/hopsail/net/door.py
@@ -119,8 +119,8 @@
         ends = self.loop.now() + int(min(expires, LONGEST) * 1e9)
         if self.ends is not None:
             ends = min(ends, self.ends)
-        track = self.config.settings.tracks[index]
-        return Retrieval(Exchange(client, request), track, number(key) if key else 0, ends, write, customer)
+        track, key = self.config.settings.tracks[index], number(key) if key else 0
+        return Retrieval(Exchange(client, request), track, key, ends, write, 0, customer)
 
     def stop(self, clients, ends):
         """The process ends: what is in hand, or comes now, is answered by then."""
--- a/hopsail/settings.py
+++ b/hopsail/settings.py
@@ -66,6 +66,7 @@
     quotas = tuple(
         value(f"tenants.{i}.quotaPerS", float, "0") for i in range(value("tenants.count", int, "0"))
     )
+    via = value("feedback.via", str, "none")
     advised = value("limits.retryAfter", bool, "false")
     return Settings(
         tracks=tracks,
@@ -73,6 +74,10 @@
         balancers=value("balancers", int, "1"),
         origin_kind=value("extra.originKind", int, "-1"),
         sized=value("weights", str, "none") in ("nominal", "rough"),
+        live=value("weights", str, "none") == "live",
+        zone=value("myZone", int, "0"),
+        cross_price=value("penalties.crossZone", float, "0"),
+        columns=tuple(value("feedback.columns", str, "").split(",")) if via == "answers" else (),
         subscribe=value("discovery", str) == "subscribe",
         ask_within=time("rules.askWithinUs", "10000000"),
         most_legs=value("limits.mostLegs", int),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -33,15 +33,15 @@
         self.balancer.listed(self.now, scope, entries)
         return self.take()
 
-    def ask(self, key=1, track=PURE, write=False, lasts=2 * SECOND, customer=0):
-        r = Retrieval("r", track, key, self.now + lasts, write, customer)
+    def ask(self, key=1, track=PURE, write=False, lasts=2 * SECOND, customer=0, work=0):
+        r = Retrieval("r", track, key, self.now + lasts, write, work, customer)
         self.balancer.arrived(self.now, r)
         return r, self.take()
 
-    def end(self, leg, outcome, after=10 * MS, complete=None):
+    def end(self, leg, outcome, after=10 * MS, complete=None, report=None):
         self.now += after
         done = outcome.name == "HANDLED" if complete is None else complete
-        self.balancer.leg_ended(self.now, leg, outcome, done)
+        self.balancer.leg_ended(self.now, leg, outcome, done, report)
         return self.take()
 
     def wait(self, span):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -49,6 +49,30 @@
     assert low < sum(home_of(bench, key) == 2 for key in range(1, 500)) / 499 < high
 
 
+def test_live_weights_give_the_size_of_a_kind_and_move_no_home():
+    bench = Bench(0, live=True)
+    hosts = [entry(1, kind=1, size=0.4), entry(2, kind=2, size=0.9), entry(3, kind=2, size=4.0)]
+    bench.list([*hosts, entry(4, kind=1, size=1.0), entry(ORIGIN, kind=9)])
+    homes = [home_of(bench, key) for key in range(1, 400)]
+    assert 0.7 < sum(home in (2, 3) for home in homes) / len(homes) < 0.9 and {1, 2, 3, 4} == set(homes)
+    ring = bench.balancer.ring
+    for size in (0.2, 0.0, float("nan"), float("inf"), -1.0, 1e9):  # crowded, or a slip
+        bench.list([entry(2, kind=2, size=size)], Scope.CHANGES)
+        assert [home_of(bench, key) for key in range(1, 400)] == homes and bench.balancer.ring is ring
+    bench.list([entry(2, kind=2, size=8.0)], Scope.CHANGES)  # idle for once: a larger kind
+    assert sum(home_of(bench, key) in (2, 3) for key in range(1, 400)) / 399 > 0.85
+    for name in (1, 2, 3, 4):
+        bench.list([entry(name, state=State.GONE)], Scope.CHANGES)
+    assert not bench.balancer.ring.places and bench.balancer.size == 0
+
+
+@pytest.mark.parametrize("size", [0.0, float("nan"), -2.0, 1e7])
+def test_a_listed_size_that_is_none_counts_as_the_common_one(size):
+    bench = Bench(0, sized=True)
+    bench.list([entry(1, size=1.0), entry(2, size=size), entry(ORIGIN, kind=9)])
+    assert 0.4 < sum(home_of(bench, key) == 2 for key in range(1, 500)) / 499 < 0.6
+
+
 @pytest.mark.parametrize("reads, hot", [(1, False), (40, True)])
 def test_hot_key_spreads_over_successors(reads, hot):
     bench, hosts = Bench(6), set()
@@ -350,9 +374,15 @@
     assert bench.end(fetch, HANDLED) == []
 
 
-@pytest.mark.parametrize("balancers, dial, closed", [(3, 1.0, False), (300, 1.0, True), (300, 9.0, False)])
-def test_idle_connections_of_many_balancers_are_closed(balancers, dial, closed):
-    bench = Bench(6, balancers=balancers, dial_price=dial)
+@pytest.mark.parametrize(
+    "balancers, dial, kept, closed",
+    [
+        (3, 1.0, 1.0, False), (300, 1.0, 1.0, True), (300, 9.0, 1.0, False),
+        (60, 0.02, 0.0, False), (60, 0.0, 0.0, False), (300, 0.0, 0.0, True),  # no price: kept
+    ],
+)  # fmt: skip
+def test_idle_connections_of_many_balancers_are_closed(balancers, dial, kept, closed):
+    bench = Bench(6, balancers=balancers, dial_price=dial, open_price=kept)
     (leg,) = sent(bench.ask(5)[1])
     assert [a.host for a in bench.end(leg, HANDLED)] == ([leg.host] if closed else [])
 
