--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -14,8 +14,8 @@
 from random import Random
 from struct import unpack
 
-from .model import BROKEN, HEARD, MS, NEVER_RAN, RATED, SECOND, Bounce, Close, Fetch, Hold, Leg, Mean
-from .model import Outcome, Repeat, Scope, Scrap, Send, State, Subscribe, Sum, Tokens, WakeAt
+from .model import BROKEN, HEARD, MS, NEVER_RAN, NEVER_REACHED, RATED, SECOND, Bounce, Close, Fetch, Hold
+from .model import Leg, Mean, Outcome, Repeat, Scope, Scrap, Send, State, Subscribe, Sum, Tokens, WakeAt
 from .tables import Counts, Ring
 
 POINTS = 96  # ring points of a cache of common size: keeps shares within about a tenth of each other
@@ -287,6 +287,9 @@
                 if leg.outcome is not Outcome.MISS:
                     if not self._again(r):
                         return self._turn_away(r)
+                    if len(r.legs) + 1 >= self.settings.most_legs > 1 and self.origin is not None:
+                        # The last leg: a cache that may miss would leave none for the origin.
+                        return (yield from self._write(r))
                 elif lead or r.key not in self.fetches:
                     if r.key and not lead:
                         lead = self.fetches[r.key] = Fetch()
@@ -353,7 +356,8 @@
     def _again(self, r):
         """Whether a further leg fits into the retrieval's limits and into the retry budget."""
         again = len(r.legs) < self.settings.most_legs and r.ends - self.now >= MS and self._budget() >= 0
-        self.more_legs.add(self.now, again)
+        # What never reached a host fed nobody: with a site lost, half of all legs end so.
+        self.more_legs.add(self.now, again and r.legs[-1].outcome not in NEVER_REACHED)
         return again
 
     def _budget(self):
--- a/hopsail/model.py
+++ b/hopsail/model.py
@@ -33,6 +33,7 @@
 
 
 NEVER_RAN = frozenset({Outcome.MISS, Outcome.FULL, Outcome.NO_CONNECTION, Outcome.NEVER_SENT})
+NEVER_REACHED = frozenset({Outcome.NO_CONNECTION, Outcome.NEVER_SENT})
 HEARD = frozenset({Outcome.HANDLED, Outcome.MISS, Outcome.ERROR, Outcome.FULL})  # the host itself answered
 BROKEN = frozenset({Outcome.ERROR, Outcome.RESET, Outcome.NO_CONNECTION})
 RATED = frozenset({Outcome.HANDLED, Outcome.FULL, Outcome.TIMED_OUT, Outcome.NO_CONNECTION})  # tell of room
