--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -280,7 +280,8 @@
                 straight = filled and self._passable(filled, r) and self._room(filled)
                 host, filled = filled if straight else self._pick(r, spread), None
                 if host is None:
-                    return self._turn_away(r)
+                    # No cache has room: the origin may have.
+                    return (yield from self._write(r)) if self.origin else self._turn_away(r)
                 leg = yield self._send(r, host)
                 if leg.outcome is Outcome.HANDLED:
                     return None
@@ -316,7 +317,10 @@
     def _hand_over(self, r, lead):
         """The key is in a cache now: all go there. Or the fetch failed: the next in line takes it on."""
         if r.legs and r.legs[-1].outcome is Outcome.HANDLED:
-            lead.filled = [leg.host for leg in r.legs if leg.host.is_cache][-1]
+            # Only caches that were asked and missed have it now; the origin may have been asked alone.
+            told = (Outcome.MISS, Outcome.HANDLED)
+            had = [leg.host for leg in r.legs if leg.host.is_cache and leg.outcome in told]
+            lead.filled = had[-1] if had else None
         while lead.holds:
             if self._resume(lead.holds.popleft(), lead.filled or lead) and lead.filled is None:
                 return
