--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -167,7 +167,8 @@
     (fetch,) = sent(bench.end(sent(bench.ask(5)[1])[0], MISS))
     waiting = [bench.ask(5)[0] for _ in range(2)]
     for host in bench.balancer.caches.values():
-        host.limit = 0.0001
+        host.limit, host.last = 0.0001, bench.now
+        host.time.add(bench.now, SECOND)
     (alone,) = sent(bench.end(fetch, ERROR))  # takes the fetch on, and no cache is asked
     assert alone.host.name == ORIGIN and alone.retrieval is waiting[0]
     # Answered, but stored nowhere: the next takes the fetch on. There is no cache to send the others to.
