--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -32,7 +32,7 @@
 LIMIT_GROWTH = 0.2  # of the limit for each answer in time, and at most one leg a round
 LIMIT_CUT = 0.75  # factor upon a late answer, once per leg time: halves within about three
 TOLD_SPAN = 1 * SECOND  # half-life of what reports tell: they are a second or more old when they come
-TOLD_PRIOR = 0.2  # reports' worth of an idle host, so that what is old counts for little
+TOLD_PRIOR = 0.02  # reports' worth of an idle host, so that what is old counts for little
 NEAR_LEAST = 0.05  # of the own zone's keys stay there: else nothing shows that it has room again
 FULL_LOAD, LOAD_LEAST, LOAD_MOST = (
     0.85,
@@ -47,6 +47,11 @@
 BASE_RISE = 1.0002  # for each answer: about a hundredth a second, to follow a slow change of the work
 BASE_COUNT = 40  # answers that the mean time is taken over, however few a second: chance evens out
 LATE, LATE_MOST, LATE_MEAN = 0.35, 0.6, 2  # of the promised time; in between, times the best mean
+HEAVY, HOPELESS = (
+    0.4,
+    1.5,
+)  # of the promised time: hinted work between them is done in time on fast hosts only
+PACE_MOST = 4.0  # bound of one answer's time, in times its hinted work
 LATE_CROWD = 2.0  # times as crowded as a host may be by its reports: there, answers count as late
 LATE_SURPLUS, LATE_SHARE = 0.25, 0.4  # of all legs to caches, before the surplus is shed, and then the rest
 ADMIT_GAIN = 4.0  # of the late share, over a half-life of outcomes: sheds within seconds
@@ -61,6 +66,7 @@
 ASIDE_TIME = 1500 * MS  # fixed part, and the most of the random one: what a process needs to restart
 RETRY_SHARE = 0.2  # further legs per first leg: a failing fleet must not be fed with retries
 SILENT_PART, SILENT_TIMES = 0.4, 6  # of the promised time, and times the host's mean: no answer will come
+SILENT_WORK = 3  # the same, times the hinted work
 RETRY_SLACK = 4.0  # further legs at once after a calm stretch
 HOLD_PART = 0.48  # of the promised time, or of what the client waits if less: past half, a bounce costs extra
 CROWD = 75  # balancers that may keep idle connections at each host, at equal prices: by price alone, 100
@@ -105,6 +111,7 @@
     def __init__(self, settings, seed, now):
         self.settings, self.random = settings, Random(seed)
         self.hosts, self.caches, self.origin = {}, {}, None  # caches: those that are ready, on the ring
+        self.paces = {}  # of each kind of host: the time that answers took, in times their hinted work
         self.largest = {}  # the largest size listed of each kind of host
         # Two rings where crossing zones is dear, this balancer's own zone first; else all are on the first.
         self.rings, self.ready, self.unit, self.size = (Ring(), Ring()), [0, 0], 1.0, 0.0
@@ -370,7 +377,9 @@
     def _limit(self, r, host):
         """A connection may fall silent while its host serves others: what may be repeated is, in time."""
         left, track, mean = r.ends - self.now, r.track, host.time.read(self.now)
-        limit = int(max(SILENT_PART * track.promised, SILENT_TIMES * max(mean, self.time)))
+        limit = int(
+            max(SILENT_PART * track.promised, SILENT_TIMES * max(mean, self.time), SILENT_WORK * r.work)
+        )
         may = track.repeat is Repeat.PURE or track.repeat is Repeat.RECEIPTED and limit < track.remembered
         more = may and len(r.legs) + 1 < self.settings.most_legs and self._budget() >= RETRY_SLACK / 2
         return limit if more and 2 * limit <= left else left
@@ -411,7 +420,10 @@
         return min(n, max(2, ceil(SPREAD_FACTOR * reads / all_reads * n)))
 
     def _pick(self, r, spread):
-        found = self._candidates(r, max(2, spread), spread > 1)
+        heavy = HEAVY < r.work / r.track.promised < HOPELESS
+        found = self._candidates(r, max(2, spread, REACH if heavy else 0), spread > 1)
+        if heavy:  # only a fast host has it done in time: the first of the fastest kind is its home
+            found.sort(key=lambda h: self.paces[h.kind].read(self.now) if h.kind in self.paces else 1.0)
         part = 1.0 if self._within_share(r) else SURPLUS_ROOM
         if spread > 1 or not found:
             near = [h for h in found[:spread] if self._room(h, part)]
@@ -420,7 +432,7 @@
                 for i, h in enumerate(near)
             ]
             return near[min(loads)[2]] if loads else None
-        home, after, queued = found[0], found[-1], len(found[0].legs)
+        home, after, queued = found[0], found[:2][-1], len(found[0].legs)
         spills = queued >= SPILL_FLOOR and queued * len(self.caches) > SPILL_FACTOR * self.cache_legs
         tried = (after,) if spills and len(after.legs) < queued else (home, after)
         return next((host for host in tried if self._room(host, part)), None)
@@ -498,6 +510,9 @@
         target = due * ORIGIN_ON_TIME
         if host.is_cache:
             # Crowded hosts do less and stay crowded, long before answers are late: the best mean time tells.
+            if leg.retrieval.work and outcome is Outcome.HANDLED:
+                pace = self.paces.setdefault(host.kind, Mean(HALVING, now))
+                pace.add(now, min(PACE_MOST, took / leg.retrieval.work))
             self.times += 1
             self.time += (took - self.time) / min(self.times, BASE_COUNT)
             base = self.base or due
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -407,6 +407,26 @@
     assert sent(bench.ask(99, track, lasts=lasts * MS)[1])[0].limit // MS in (limit, limit - 1)
 
 
+def test_a_leg_with_much_hinted_work_is_given_time_for_it():
+    bench = Bench(6)
+    assert sent(bench.ask(5, lasts=9 * SECOND, work=SECOND)[1])[0].limit == 3 * SECOND
+
+
+@pytest.mark.parametrize("work, fast", [(100, False), (700, True), (4000, False)])
+def test_heavy_reads_go_where_they_are_done_in_time(work, fast):
+    bench = Bench(0)
+    bench.list([entry(i, kind=1 + i % 2) for i in range(1, 7)] + [entry(ORIGIN, kind=9)])
+    for key in range(1, 60):  # the second kind takes three times as long
+        (leg,) = sent(bench.ask(key, work=20 * MS)[1])
+        bench.end(leg, HANDLED, after=(15 if leg.host.kind == 1 else 45) * MS)
+    kinds = []
+    for key in range(100, 160):
+        (leg,) = sent(bench.ask(key, work=work * MS)[1])
+        bench.end(leg, HANDLED)
+        kinds.append(leg.host.kind)
+    assert (set(kinds) == {1}) is fast and (fast or 15 < kinds.count(1) < 45)
+
+
 def test_a_leg_is_not_cut_short_when_no_other_may_follow():
     bench = not_hot(Bench(1))
     bench.balancer.more_legs.add(bench.now, 100.0)  # the retry budget is used up
