--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -24,7 +24,7 @@
 SIZE_LEAST, SIZE_MOST = 1e-3, 1e4  # a listed size beyond them is a slip and counts as the common one
 HALVING = 60 * SECOND  # half-life of read counts: a balancer of hundreds sees a few reads a second
 HOT_FLOOR = 2  # reads counted before a key can be hot: a second copy of a key that is not is cheap
-SPREAD_FACTOR = 4  # caches for a hot key, per share x n: keeps each under half of a fair cache's reads
+SPREAD_FACTOR = 4  # caches for a hot key, per share x n: keeps each under a quarter of a fair cache's reads
 SPILL_FLOOR, SPILL_FACTOR = 2, 3  # own legs at home, and times the mean per cache, before it spills
 FIRST_LIMIT, LEAST_LIMIT = 10.0, 2.5  # legs of all balancers together: a calm start; a core at work
 LEAST_PART = 0.1  # of a crowded host's keys are still sent to it: else nothing shows that it has room again
@@ -32,13 +32,11 @@
 LIMIT_GROWTH = 0.2  # of the limit for each answer in time, and at most one leg a round
 LIMIT_CUT = 0.75  # factor upon a late answer, once per leg time: halves within about three
 TOLD_SPAN = 1 * SECOND  # half-life of what reports tell: they are a second or more old when they come
-TOLD_PRIOR = 0.02  # reports' worth of an idle host, so that what is old counts for little
+CALM, TOLD_PRIOR = 0.6, 0.02  # a calm host's crowd, and how many reports it is worth: old ones near it
+CROWD_MOST = 20.0  # of one report: a slip must not weigh for minutes
 NEAR_LEAST = 0.05  # of the own zone's keys stay there: else nothing shows that it has room again
-FULL_LOAD, LOAD_LEAST, LOAD_MOST = (
-    0.85,
-    0.1,
-    3.0,
-)  # of a zone's cores: more is passed on; bounds of one report
+FULL_LOAD = 0.85  # of the own zone's cores: beyond it, or beyond the other zones' load, keys are passed on
+LOAD_LEAST, LOAD_MOST = 0.1, 3.0  # bounds of a zone's load
 PART_CUT = 0.5  # the same below one leg: one late answer is often all that a balancer of hundreds sees
 ON_TIME = 0.17  # of the promised time: an answer inside it shows that the host has room
 ON_TIME_MOST = 0.4  # of the promised time, where the work itself takes long
@@ -47,12 +45,8 @@
 BASE_RISE = 1.0002  # for each answer: about a hundredth a second, to follow a slow change of the work
 BASE_COUNT = 40  # answers that the mean time is taken over, however few a second: chance evens out
 LATE, LATE_MOST, LATE_MEAN = 0.35, 0.6, 2  # of the promised time; in between, times the best mean
-HEAVY, HOPELESS = (
-    0.4,
-    1.5,
-)  # of the promised time: hinted work between them is done in time on fast hosts only
+HEAVY, HOPELESS = 0.4, 1.5  # of the promised time: hinted work in between needs a fast host
 PACE_MOST = 4.0  # bound of one answer's time, in times its hinted work
-LATE_CROWD = 2.0  # times as crowded as a host may be by its reports: there, answers count as late
 LATE_SURPLUS, LATE_SHARE = 0.25, 0.4  # of all legs to caches, before the surplus is shed, and then the rest
 ADMIT_GAIN = 4.0  # of the late share, over a half-life of outcomes: sheds within seconds
 ADMIT_LEAST = 0.2  # of what lies within shares is always let in, else nothing shows that the crowd is gone
@@ -91,10 +85,8 @@
         self.good, self.bad = Sum(SPAN, now), Sum(SPAN, now)
         self.last = 0  # when it was sent its last leg
         self.tokens = Tokens(0.0, 1.0, 0.0, now)  # legs that it may be sent while cold
-        self.report, self.told = (
-            None,
-            Mean(TOLD_SPAN, now),
-        )  # its last, and the time of an answer by all of them
+        self.report = None  # the last one that it gave
+        self.told = Mean(TOLD_SPAN, now)  # how crowded it is by its reports, 1 = as much as may be
         self.back_at = 0  # when a host that was set aside may be tried, 0 = trusted
 
     def places(self, unit):
@@ -115,10 +107,8 @@
         self.largest = {}  # the largest size listed of each kind of host
         # Two rings where crossing zones is dear, this balancer's own zone first; else all are on the first.
         self.rings, self.ready, self.unit, self.size = (Ring(), Ring()), [0, 0], 1.0, 0.0
-        self.counts, self.near = (
-            Counts(HALVING, now),
-            1.0,
-        )  # near: part of the keys that is at home in the zone
+        self.counts = Counts(HALVING, now)
+        self.near = 1.0  # part of the keys that is at home in the own zone
         self.good, self.bad, self.sent = Sum(SPAN, now), Sum(SPAN, now), Sum(settings.fall_time, now)
         # A host's table of connections is soon full of idle ones that keep other balancers out.
         dial, kept = settings.dial_price, settings.open_price
@@ -129,10 +119,7 @@
         self.granted = [Tokens(share, 1 + SHARE_BURST * share, 1 + share, now) for share in shares]
         self.admission = 1.0  # above 1: the part of the surplus that is let in, below: of all else
         self.time, self.times, self.base = 0.0, 0, 0.0  # mean over all caches, its count, its best
-        self.loads = (
-            Mean(TOLD_SPAN, now),
-            Mean(TOLD_SPAN, now),
-        )  # told by the own zone's caches, by the others
+        self.loads = Mean(TOLD_SPAN, now), Mean(TOLD_SPAN, now)  # told by the own zone's caches, the others
         self.first_legs, self.more_legs = Sum(SPAN, now), Sum(SPAN, now)
         self.turns, self.out, self.now, self.asked, self.failures = deque(), [], now, False, 0
 
@@ -150,7 +137,7 @@
         self.failures = 0
         for name in self.hosts.keys() - {e.name for e in entries} if scope is Scope.WHOLE else ():
             self._leave(self.hosts[name])
-        joined, grown = [], self._sizes(entries)
+        joined, grown = [], self._grown(entries)
         for entry in entries:
             host = self.hosts.get(entry.name)
             if host is not None and (entry.started != host.started or entry.state is not State.READY):
@@ -172,21 +159,19 @@
                 self.ready[host.far] += 1
                 self.aside += bool(host.back_at)
                 joined.append(host)
-        if grown:
-            self.size = 0.0
-            for host in self.caches.values():
-                host.size = self.largest.get(host.kind, 1.0)
-                self.size += host.size
+        for host in self.caches.values() if grown else ():
+            self.size += self.largest.get(host.kind, 1.0) - host.size
+            host.size = self.largest.get(host.kind, 1.0)
         self._join(joined, grown)
 
-    def _sizes(self, entries):
-        """Weights that fall with the load say how large a host is only when it is idle: of a kind, one always
-        is, so that the largest ever listed is its size. True when one is larger than was known."""
-        grown = False
-        for entry in entries if self.settings.live else ():
-            if SIZE_LEAST <= entry.size <= SIZE_MOST and entry.size > self.largest.get(entry.kind, 0.0):
-                grown = self.largest[entry.kind] = entry.size
-        return bool(grown)
+    def _grown(self, entries):
+        """Live weights tell a size only when a host is idle, and of a kind one always is: the largest ever
+        listed is the kind's size. True when one is larger than was known."""
+        old = dict(self.largest)
+        for kind, size in ((e.kind, e.size) for e in entries if self.settings.live):
+            if max(SIZE_LEAST, self.largest.get(kind, 0.0)) < size <= SIZE_MOST:
+                self.largest[kind] = size
+        return self.largest != old
 
     def _sized(self, entry):
         if self.settings.live:
@@ -420,18 +405,15 @@
         return min(n, max(2, ceil(SPREAD_FACTOR * reads / all_reads * n)))
 
     def _pick(self, r, spread):
-        heavy = HEAVY < r.work / r.track.promised < HOPELESS
+        heavy = HEAVY * r.track.promised < r.work < HOPELESS * r.track.promised
         found = self._candidates(r, max(2, spread, REACH if heavy else 0), spread > 1)
         if heavy:  # only a fast host has it done in time: the first of the fastest kind is its home
             found.sort(key=lambda h: self.paces[h.kind].read(self.now) if h.kind in self.paces else 1.0)
         part = 1.0 if self._within_share(r) else SURPLUS_ROOM
         if spread > 1 or not found:
             near = [h for h in found[:spread] if self._room(h, part)]
-            loads = [
-                (len(h.legs), self.random.random() * (self._crowd(h.told) or 1.0), i)
-                for i, h in enumerate(near)
-            ]
-            return near[min(loads)[2]] if loads else None
+            loads = [(len(h.legs), self.random.random() * self._crowd(h.told), h) for h in near]
+            return min(loads)[2] if loads else None
         home, after, queued = found[0], found[:2][-1], len(found[0].legs)
         spills = queued >= SPILL_FLOOR and queued * len(self.caches) > SPILL_FACTOR * self.cache_legs
         tried = (after,) if spills and len(after.legs) < queued else (home, after)
@@ -517,7 +499,7 @@
             self.time += (took - self.time) / min(self.times, BASE_COUNT)
             base = self.base or due
             late = took > min(LATE_MOST * due, max(LATE * due, LATE_MEAN * base))
-            late = (self._crowd(host.told) > LATE_CROWD if host.report else late) or outcome is Outcome.FULL
+            late = took > due if host.report else late or outcome is Outcome.FULL
             step = (LATE_SURPLUS if self.admission > 1 else LATE_SHARE) - late
             step *= ADMIT_GAIN / max(BASE_COUNT // 2, self.first_legs.read(now))
             self.admission = min(2.0, max(ADMIT_LEAST, self.admission + step))
@@ -539,7 +521,7 @@
         crowd *= service / (ON_TIME * due) if service else 1 / CROWDED
         if crowd <= 1 and (host.limit < 1 or len(host.legs) + 1 >= host.limit / 2):
             host.limit += min(LIMIT_GROWTH * host.limit, 1 / host.limit)
-        host.told.add(now, crowd)
+        host.told.add(now, min(CROWD_MOST, crowd))
         if report.busy is None or not self.ready[1]:
             return
         near, far = self.loads
@@ -556,8 +538,9 @@
         return max(self.least, min(host.limit, 1 / max(1.0, self._crowd(host.told))))
 
     def _crowd(self, told):
-        """The mean of what was told; what is old counts for little, as if little was going on."""
-        return told.total.read(self.now) / (told.count.read(self.now) + TOLD_PRIOR)
+        """The mean of what was told; as it grows old, it nears a calm host's, and does not fall below."""
+        count = told.count.read(self.now) + TOLD_PRIOR
+        return (told.total.read(self.now) + TOLD_PRIOR * CALM) / count
 
     def _judge(self, host):
         """Sets a host aside when it fails and the rest does not."""
--- a/hopsail/settings.py
+++ b/hopsail/settings.py
@@ -8,6 +8,12 @@
 TRUTH = {"true": True, "false": False}
 
 
+def positive(text):
+    if not 0 < (number := int(text)) < 2**62:
+        raise ValueError(text)
+    return number
+
+
 class SettingsFault(ValueError):
     """A setting is missing or holds what it cannot; the text names its key."""
 
@@ -58,7 +64,7 @@
             repeat=value(f"tracks.{i}.effect", REPEATS.__getitem__),
             group=value(f"tracks.{i}.group", str, "all"),
             remembered=time(f"tracks.{i}.keyTtlUs", "0"),
-            promised=time(f"tracks.{i}.promisedTimeUs"),
+            promised=value(f"tracks.{i}.promisedTimeUs", positive) * US,
             benefit=value(f"tracks.{i}.benefit", float, "1"),
         )
         for i in range(value("tracks.count", int))
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -105,6 +105,7 @@
         ("settings.tracks", [{"effect": "once", "promisedTimeUs": 1}]),
         ("settings.tracks.0.effect", "sometimes"),
         ("settings.tracks.0.promisedTimeUs", None),
+        ("settings.tracks.0.promisedTimeUs", 0),
         ("settings.limits.mostLegs", "many"),
         ("settings.limits.idleCloseUs", "long"),
         ("settings.rules.fallUs", None),
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -107,6 +107,30 @@
     assert sum(home_of(bench, key) == 3 for key in keys) / len(keys) > 0.9
 
 
+def test_what_a_host_told_long_ago_draws_no_reads():
+    bench = Bench(2)
+    host = bench.balancer.hosts[1]
+    crowded(bench, 1, waiting=0.0)
+    bench.now += 60 * SECOND
+    bench.wait(0)
+    bench.balancer.now = bench.now
+    assert 0.55 < bench.balancer._crowd(host.told) < 0.65  # nearly nought drew all hot reads there
+    crowded(bench, 1, waiting=1e8, count=1)  # a slip
+    bench.now += 20 * SECOND
+    bench.balancer.now = bench.now
+    assert bench.balancer._part(host) > 0.9
+
+
+def test_a_few_swamped_hosts_that_report_shut_nobody_out():
+    bench = Bench(40, balancers=300)
+    for key in range(1, 200):
+        for leg in sent(bench.ask(key, lasts=3 * SECOND)[1]):
+            swamped = leg.host.name <= 4
+            report = Report(waiting=40.0 if swamped else 0.0, active=44.0 if swamped else 4.0)
+            bench.end(leg, Outcome.FULL if swamped else HANDLED, after=100 * MS, report=report)
+    assert bench.balancer.admission > 1.5
+
+
 def test_hot_reads_favour_the_hosts_that_report_room():
     seen = []
     for waiting in (0.0, 40.0):
