The program reads reports, hints, zones and live weights; a mix of shapes ends its start

Reports travel as the header endpoint-load-metrics (net/report.py), hints as X-Expected-Work; what cannot be read is ignored and counted, the answer goes on. A slip in a listed weight no longer loses the whole entry. Shown by tests on loopback with stand-ins; the module is as it was but for where one constant stands.

--- a/hopsail/config.py
+++ b/hopsail/config.py
@@ -8,7 +8,7 @@
 
 from .model import MS, SECOND, Settings
 from .net.discovery import ListFault, Names, address
-from .settings import Pairs, SettingsFault, decode, flatten
+from .settings import Pairs, SettingsFault, check, decode, flatten
 
 DEFAULT_SOCKETS = 1024  # descriptors, where no limit is stated
 DEFAULT_MEMORY = 192  # MB, likewise
@@ -65,6 +65,7 @@
     settings = part(tree, "settings", dict)
     try:
         pairs = flatten(settings)
+        check(pairs)
         decoded, values = decode(pairs), Pairs(pairs)
         most_open = values.value("limits.maxOpen", int, "30000")
         idle_time = values.time("limits.idleCloseUs", "10000000")
--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -14,12 +14,24 @@
 from random import Random
 from struct import unpack
 
-from .model import BROKEN, HEARD, MS, NEVER_RAN, NEVER_REACHED, RATED, SECOND, Bounce, Close, Fetch, Hold
+from .model import (
+    BROKEN,
+    DEAR,
+    HEARD,
+    MS,
+    NEVER_RAN,
+    NEVER_REACHED,
+    RATED,
+    SECOND,
+    Bounce,
+    Close,
+    Fetch,
+    Hold,
+)
 from .model import Leg, Mean, Outcome, Repeat, Scope, Scrap, Send, State, Subscribe, Sum, Tokens, WakeAt
 from .tables import Counts, Ring
 
 POINTS = 96  # ring points of a cache of common size: keeps shares within about a tenth of each other
-DEAR = 0.05  # price of crossing zones from which each zone has homes of its own: a key then misses in each
 PART_LEAST, PART_MOST = 0.05, 8.0  # of the common size: no host has fewer or more points than that
 SIZE_LEAST, SIZE_MOST = 1e-3, 1e4  # a listed size beyond them is a slip and counts as the common one
 HALVING = 60 * SECOND  # half-life of read counts: a balancer of hundreds sees a few reads a second
--- a/hopsail/model.py
+++ b/hopsail/model.py
@@ -91,6 +91,7 @@
         return cls(**{name: unit * value for name, unit, value in known}) if known else None
 
 
+DEAR = 0.05  # price of crossing zones from which each zone has homes of its own: a key then misses in each
 REPORT_MOST = 1e9  # of anything reported: beyond it a value is a slip
 FIELDS = {
     "waiting": ("waiting", 1),
--- a/hopsail/net/discovery.py
+++ b/hopsail/net/discovery.py
@@ -22,6 +22,15 @@
     """What came is not a list of cache hosts."""
 
 
+def size(weight) -> float:
+    """A listed weight; 0, which is no size, for a slip: the host can be used all the same."""
+    try:
+        value = float(weight or 0)
+    except (TypeError, ValueError, OverflowError):
+        return 0.0
+    return value if 0 <= value < MOST_WEIGHT else 0.0
+
+
 def number(name: bytes) -> int:
     """The same number for a host's name or a key at every balancer: the ring is made of them."""
     return int.from_bytes(blake2b(name, digest_size=8).digest(), "little")
@@ -44,16 +53,14 @@
     def listing(self, entry):
         """An entry of discovery's list and the address of its host."""
         try:
-            state, weight = STATES[entry["lifecycle"]], float(entry.get("weight") or 0)
-            if not 0 <= weight < MOST_WEIGHT:  # also what is not a number
-                raise ValueError(f"weight {weight}")
+            state = STATES[entry["lifecycle"]]
             listing = Listing(
                 number(entry["instanceId"].encode()),
                 self.zones.setdefault(entry.get("zone"), len(self.zones)),
                 self.kinds.setdefault(entry.get("machineType"), len(self.kinds) + 1),
                 entry.get("cell") or 0,
                 state,
-                weight,
+                size(entry.get("weight")),
                 int(entry.get("startedAtMs") or 0) * MS,
             )
             return listing, address(entry["hostPort"]) if state is not State.GONE else None
--- a/hopsail/net/door.py
+++ b/hopsail/net/door.py
@@ -11,6 +11,7 @@
 from .hosts import Pool
 from .log import fault
 from .messages import Answer
+from .report import read as read_report
 
 HEALTH = b"/healthz"
 LONGEST = 600.0  # seconds: a client's limit beyond it is cut
@@ -120,7 +121,8 @@
         if self.ends is not None:
             ends = min(ends, self.ends)
         track, key = self.config.settings.tracks[index], number(key) if key else 0
-        return Retrieval(Exchange(client, request), track, key, ends, write, 0, customer)
+        work = self._work(request)
+        return Retrieval(Exchange(client, request), track, key, ends, write, work, customer)
 
     def stop(self, clients, ends):
         """The process ends: what is in hand, or comes now, is answered by then."""
@@ -146,11 +148,29 @@
     def leg_ended(self, leg, outcome, answer):
         retrieval, handled = leg.retrieval, outcome is Outcome.HANDLED
         self.counters.add("legs." + outcome.name.lower())
-        self._step(retrieval, self.balancer.leg_ended, self.loop.now(), leg, outcome, handled)
+        report = self._report(answer)
+        self._step(retrieval, self.balancer.leg_ended, self.loop.now(), leg, outcome, handled, report)
         if handled:
             self._answer(retrieval, Answer(200, answer.body, answer.kind), "handled")
         self._settle(retrieval)
 
+    def _report(self, answer):
+        columns = self.config.settings.columns
+        if not columns or answer is None or answer.report is None:
+            return None
+        report = read_report(answer.report, columns)
+        self.counters.add("reports.malformed" if report is None else "reports.taken")
+        return report
+
+    def _work(self, request):
+        """The expected work, ns; a hint that cannot be read is none, and the retrieval goes on without it."""
+        if request.work is None:
+            return 0
+        if not LIMIT.fullmatch(request.work):
+            self.counters.add("hints.malformed")
+            return 0
+        return int(min(float(request.work), LONGEST) * 1e9)
+
     def listed(self, scope, entries):
         hosts = self.balancer.hosts
         for listing, address in entries:
--- a/hopsail/net/messages.py
+++ b/hopsail/net/messages.py
@@ -7,6 +7,7 @@
 
 MOST_BODY = 64 * 1024  # bytes, the protocol's bound
 MOST_HEAD = 16 * 1024  # bytes of request line and headers: names, ids and a few figures
+REPORT = b"endpoint-load-metrics"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -20,6 +21,7 @@
     receipt: bytes | None
     body: bytes
     keep: bool  # the connection goes on after the answer
+    work: bytes | None = None  # seconds that it is expected to take
 
 
 class Answer(NamedTuple):
@@ -29,6 +31,7 @@
     never_ran: bool = False
     keep: bool = True
     wait: int = 0  # ns to stay away, 0 = no advice
+    report: bytes | None = None  # the host's load, as its header has it
 
 
 class MessageFault(Exception):
@@ -44,6 +47,7 @@
 
     parser_class = httptools.HttpRequestParser
     single = frozenset()  # headers of which a message has one at most
+    joined = frozenset()  # headers whose values are one list, however many there are
 
     def __init__(self):
         self.parser = self.parser_class(self)
@@ -96,6 +100,8 @@
             name = name.lower()
             if name in self.single and name in self.headers:
                 self.fault = self.fault or 400  # which of the two holds is anyone's guess
+            if name in self.joined and name in self.headers:
+                value = self.headers[name] + b"," + value
             self.headers[name] = value
             self._weigh(len(name) + len(value) + 4)
 
@@ -124,7 +130,9 @@
 
 
 class RequestReader(Reader):
-    single = frozenset({b"x-trace-id", b"x-customer", b"x-expires-in", b"idempotency-key"})
+    single = frozenset(
+        {b"x-trace-id", b"x-customer", b"x-expires-in", b"idempotency-key", b"x-expected-work"}
+    )
 
     def awaited(self):
         """True once when the client waits for a word before it sends the body."""
@@ -142,11 +150,13 @@
             get(b"idempotency-key"),
             bytes(self.body),
             self.parser.should_keep_alive(),
+            get(b"x-expected-work"),
         )
 
 
 class AnswerReader(Reader):
     parser_class = httptools.HttpResponseParser
+    joined = frozenset({REPORT})
 
     def _message(self):
         status = self.parser.get_status_code()
@@ -155,7 +165,8 @@
             return None
         never = status in (503, 504) and self.headers.get(b"x-never-ran") == b"1"
         keep = self.parser.should_keep_alive()
-        return Answer(status, bytes(self.body), self.headers.get(b"content-type"), never, keep)
+        kind, report = self.headers.get(b"content-type"), self.headers.get(REPORT)
+        return Answer(status, bytes(self.body), kind, never, keep, report=report)
 
     def at_end(self):
         """The message if the connection's end is what completes it."""
--- a/hopsail/settings.py
+++ b/hopsail/settings.py
@@ -1,7 +1,7 @@
 """The settings that an instance is given at its start, decoded once for the module: the same object comes as
 `path=value` lines on the bench's wire and as nested JSON in a balancer's configuration."""
 
-from .model import Repeat, Settings, Track
+from .model import DEAR, FIELDS, Repeat, Settings, Track
 
 US = 1000  # ns in a microsecond
 REPEATS = {"repeatable": Repeat.PURE, "by_key": Repeat.RECEIPTED, "once": Repeat.EFFECTFUL}
@@ -51,10 +51,41 @@
         except (KeyError, ValueError):
             raise SettingsFault(f"the setting {key} holds {found!r}") from None
 
+    def listed(self, key):
+        return tuple(item for item in self.value(key, str, "").split(",") if item)
+
     def time(self, key, default=None):
         return self.value(key, int, default) * US
 
 
+WEIGHTS = ("none", "nominal", "rough", "live")
+VIA = ("none", "answers")  # reports in probes only are of no use: no probes are sent
+
+
+def check(pairs) -> None:
+    """One build serves two shapes of deployment: a mix of them is a fault, of the key that does not fit."""
+    value, columns = Pairs(pairs).value, Pairs(pairs).listed("feedback.columns")
+    weights = value("weights", lambda text: WEIGHTS[WEIGHTS.index(text)], "none")
+    via = value("feedback.via", lambda text: VIA[VIA.index(text)], "none")
+    if weights == "live" and value("discovery", str) != "automatic":
+        raise SettingsFault(
+            "weights holds 'live', which needs a list that comes unasked (discovery automatic)"
+        )
+    if weights == "live" and via != "answers":
+        raise SettingsFault("weights holds 'live', which needs reports (feedback.via answers)")
+    if via == "answers" and not FIELDS.keys() & set(columns):
+        raise SettingsFault(
+            f"feedback.columns holds no load ({','.join(columns)!r}), with feedback.via answers"
+        )
+    if via == "none" and columns:
+        raise SettingsFault(f"feedback.columns holds {','.join(columns)!r}, but feedback.via none")
+    zones, own = Pairs(pairs).listed("failureDomains"), value("myZone", int, "0")
+    if not 0 <= own < max(1, len(zones)):
+        raise SettingsFault(f"myZone holds {own}: failureDomains has {len(zones)}")
+    if value("penalties.crossZone", float, "0") >= DEAR and not ("myZone" in pairs and len(zones) > 1):
+        raise SettingsFault("myZone or failureDomains is missing, which a dear penalties.crossZone needs")
+
+
 def decode(pairs) -> Settings:
     """The settings that the module reads; unknown keys are skipped."""
     pairs = Pairs(pairs)
@@ -72,7 +103,7 @@
     quotas = tuple(
         value(f"tenants.{i}.quotaPerS", float, "0") for i in range(value("tenants.count", int, "0"))
     )
-    via = value("feedback.via", str, "none")
+    listed = pairs.listed
     advised = value("limits.retryAfter", bool, "false")
     return Settings(
         tracks=tracks,
@@ -83,7 +114,7 @@
         live=value("weights", str, "none") == "live",
         zone=value("myZone", int, "0"),
         cross_price=value("penalties.crossZone", float, "0"),
-        columns=tuple(value("feedback.columns", str, "").split(",")) if via == "answers" else (),
+        columns=listed("feedback.columns") if value("feedback.via", str, "none") == "answers" else (),
         subscribe=value("discovery", str) == "subscribe",
         ask_within=time("rules.askWithinUs", "10000000"),
         most_legs=value("limits.mostLegs", int),
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -8,6 +8,7 @@
 import pytest
 
 from hopsail.benchlink.codec import Link, WireError, read_batch, read_settings
+from hopsail.model import Report
 
 SAMPLE = bytes.fromhex(
     "90000000 5a5c800000000000 03000000"
@@ -67,6 +68,28 @@
     assert replies[4:] == [bytes(8)] * 3
 
 
+@pytest.mark.parametrize(
+    "count, values, taken",
+    [
+        (2, (3.0, 0.5, 0.0, 0.0), True), (0, (3.0, 0.5, 0.0, 0.0), False), (1, (3.0, 0.5, 0.0, 0.0), False),
+        (4, (3.0, 0.5, 0.0, 0.0), False), (255, (3.0, 0.5, 0.0, 0.0), False),
+        (2, (float("nan"), 0.5, 0.0, 0.0), False), (2, (-3.0, 0.5, 0.0, 0.0), False),
+    ],
+)  # fmt: skip
+def test_reports_and_hints_come_as_typed_values_and_odd_reports_are_ignored(count, values, taken):
+    settings = SETTINGS + "\nfeedback.via=answers\nfeedback.columns=waiting,cpu"
+    link = Link()
+    link.answer(read_batch(BytesIO(start(settings))))
+    link.answer(read_batch(BytesIO(SAMPLE)))
+    door = link.doors[3]
+    retrieval = door.held[0x5D3A91C4]
+    (leg,) = retrieval.legs
+    assert retrieval.work == 12_000_000  # ns
+    outcome = pack("<BIIIIIHHBB4f", 80, 3, 0x5D3A91C4, 0, 9000, leg.host.name, 0, 100, 1, count, *values)
+    link.answer(read_batch(BytesIO(batch(outcome))))
+    assert leg.host.report == (Report(waiting=3.0, busy=0.5) if taken else None)
+
+
 @pytest.mark.parametrize("line", ["limits.mostLegs=4", "tracks.count=1", "tracks.0.promisedTimeUs=1500000"])
 def test_missing_setting_is_named(line):
     with pytest.raises(WireError, match=line.split("=")[0]):
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -14,6 +14,7 @@
 from hopsail.model import MS, SECOND, Repeat, Report, State
 from hopsail.settings import decode, flatten
 
+COLUMNS = ("rps", "avg_ms", "waiting")
 TREE = {
     "name": "n3",
     "listen": "127.0.0.1:0",
@@ -64,9 +65,6 @@
     assert (found.most_clients, found.most_open) == (clients, open_)
 
 
-COLUMNS = ("rps", "avg_ms", "waiting")
-
-
 @pytest.mark.parametrize(
     "columns, values, report",
     [
@@ -110,6 +108,12 @@
         ("settings.limits.idleCloseUs", "long"),
         ("settings.rules.fallUs", None),
         ("settings.kinds", 5),
+        ("settings.weights", "lively"),
+        ("settings.feedback", {"via": "pigeon"}),
+        ("settings.feedback", {"via": "probe", "columns": ["waiting"]}),  # none are sent
+        ("settings.myZone", 1),
+        ("settings.myZone", -1),
+        ("settings.penalties", {"crossZone": "far"}),
         ("settings.failureDomains", ["east", {}]),
         ("limits.sockets", 8),
         ("limits.sockets", float("nan")),
@@ -125,6 +129,44 @@
     assert key.split(".")[-1] in str(fault.value)
 
 
+ANSWERS = {"via": "answers", "columns": list(COLUMNS)}
+PUSHED = {"weights": "live", "discovery": "automatic", "feedback": ANSWERS}
+ZONES = {"failureDomains": ["east", "west"], "myZone": 1, "penalties": {"crossZone": 0.1}}
+
+
+@pytest.mark.parametrize(
+    "more, key",
+    [
+        ({"weights": "rough"}, None),  # the old shape
+        (PUSHED, None),
+        (ZONES | {"feedback": {"via": "answers", "columns": ["waiting", "active", "cpu", "x0"]}}, None),
+        (PUSHED | {"discovery": "subscribe"}, "weights"),
+        (PUSHED | {"feedback": {"via": "none"}}, "weights"),
+        ({"feedback": {"via": "none", "columns": ["waiting"]}}, "feedback.columns"),
+        ({"feedback": {"columns": ["waiting"]}}, "feedback.columns"),
+        ({"feedback": {"via": "answers"}}, "feedback.columns"),
+        ({"feedback": {"via": "answers", "columns": ["x0"]}}, "feedback.columns"),
+        ({"penalties": {"crossZone": 0.1}}, "myZone"),
+        (ZONES | {"failureDomains": ["east"]}, "myZone"),
+    ],
+)
+def test_one_shape_or_the_other_but_no_mix(tmp_path, more, key):
+    tree = TREE | {"settings": SETTINGS | more}
+    if key is None:
+        assert read(tmp_path, tree).settings != decode(flatten(SETTINGS)) or "rough" in more.values()
+        return
+    with pytest.raises(config.ConfigFault, match=key):
+        read(tmp_path, tree)
+
+
+def test_what_the_new_settings_give_and_what_is_left_out(tmp_path):
+    found = read(tmp_path, TREE | {"settings": SETTINGS | PUSHED | ZONES}).settings
+    assert (found.live, found.sized, found.columns) == (True, False, COLUMNS)
+    assert (found.zone, found.cross_price, found.subscribe) == (1, 0.1, False)
+    plain = read(tmp_path, TREE).settings
+    assert (plain.live, plain.columns, plain.zone, plain.cross_price) == (False, (), 0, 0.0)
+
+
 @pytest.mark.parametrize("text, says", [("{", "cannot read"), ("[]", "no JSON object"), (None, "not set")])
 def test_the_process_ends_with_a_message_when_it_cannot_start(tmp_path, text, says):
     path = tmp_path / "config.json"
