--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -14,21 +14,9 @@
 from random import Random
 from struct import unpack
 
-from .model import (
-    BROKEN,
-    DEAR,
-    HEARD,
-    MS,
-    NEVER_RAN,
-    NEVER_REACHED,
-    RATED,
-    SECOND,
-    Bounce,
-    Close,
-    Fetch,
-    Hold,
-)
-from .model import Leg, Mean, Outcome, Repeat, Scope, Scrap, Send, State, Subscribe, Sum, Tokens, WakeAt
+from .model import BROKEN, DEAR, HEARD, MS, NEVER_RAN, NEVER_REACHED, RATED, SECOND
+from .model import Bounce, Close, Fetch, Hold, Leg, Mean, Outcome, Repeat, Scope, Scrap, Send
+from .model import State, Subscribe, Sum, Tokens, WakeAt
 from .tables import Counts, Ring
 
 POINTS = 96  # ring points of a cache of common size: keeps shares within about a tenth of each other
@@ -374,9 +362,8 @@
     def _limit(self, r, host):
         """A connection may fall silent while its host serves others: what may be repeated is, in time."""
         left, track, mean = r.ends - self.now, r.track, host.time.read(self.now)
-        limit = int(
-            max(SILENT_PART * track.promised, SILENT_TIMES * max(mean, self.time), SILENT_WORK * r.work)
-        )
+        usual = max(SILENT_TIMES * max(mean, self.time), SILENT_WORK * r.work)
+        limit = int(max(SILENT_PART * track.promised, usual))
         may = track.repeat is Repeat.PURE or track.repeat is Repeat.RECEIPTED and limit < track.remembered
         more = may and len(r.legs) + 1 < self.settings.most_legs and self._budget() >= RETRY_SLACK / 2
         return limit if more and 2 * limit <= left else left
