--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -33,6 +33,7 @@
 LIMIT_CUT = 0.75  # factor upon a late answer, once per leg time: halves within about three
 TOLD_SPAN = 1 * SECOND  # half-life of what reports tell: they are a second or more old when they come
 CALM, TOLD_PRIOR = 0.6, 0.02  # a calm host's crowd, and how many reports it is worth: old ones near it
+TOLD_MOST = 8 * SECOND
 CROWD_MOST = 20.0  # of one report: a slip must not weigh for minutes
 NEAR_LEAST = 0.05  # of the own zone's keys stay there: else nothing shows that it has room again
 FULL_LOAD = 0.85  # of the own zone's cores: beyond it, or beyond the other zones' load, keys are passed on
@@ -85,6 +86,7 @@
         self.good, self.bad = Sum(SPAN, now), Sum(SPAN, now)
         self.last = 0  # when it was sent its last leg
         self.tokens = Tokens(0.0, 1.0, 0.0, now)  # legs that it may be sent while cold
+        self.told_at = now
         self.report = None  # the last one that it gave
         self.told = Mean(TOLD_SPAN, now)  # how crowded it is by its reports, 1 = as much as may be
         self.back_at = 0  # when a host that was set aside may be tried, 0 = trusted
@@ -520,6 +522,9 @@
         crowd *= service / (ON_TIME * due) if service else 1 / CROWDED
         if crowd <= 1 and (host.limit < 1 or len(host.legs) + 1 >= host.limit / 2):
             host.limit += min(LIMIT_GROWTH * host.limit, 1 / host.limit)
+        # A sparse balancer's legs to a host are seconds apart: it must not forget in between.
+        half = min(TOLD_MOST, max(TOLD_SPAN, now - host.told_at))
+        host.told.total.half, host.told.count.half, host.told_at = half, half, now
         host.told.add(now, min(CROWD_MOST, crowd))
         if report.busy is None or not self.ready[1]:
             return
