--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -92,6 +92,7 @@
     """The host tells as often that so many wait behind four at work."""
     for i in range(count):
         bench.now += 200 * MS
+        bench.balancer.now = bench.now
         report = Report(waiting=waiting, active=waiting + 4.0 + i / 100, busy=busy)
         bench.balancer._told(bench.balancer.hosts[host], report, SECOND)
 
@@ -107,6 +108,17 @@
     assert sum(home_of(bench, key) == 3 for key in keys) / len(keys) > 0.9
 
 
+@pytest.mark.parametrize("gap, after, forgotten", [(10, 10, False), (10, 120, True), (1, 20, True)])
+def test_what_is_told_is_remembered_for_as_long_as_reports_are_apart(gap, after, forgotten):
+    bench = Bench(2, balancers=60)
+    for _ in range(3):
+        crowded(bench, 1, waiting=16.0, count=1)
+        bench.now += gap * SECOND
+    bench.balancer.now = bench.now = bench.now + (after - gap) * SECOND
+    bench.balancer.hosts[1].report = Report(waiting=16.0)
+    assert (bench.balancer._part(bench.balancer.hosts[1]) > 0.9) is forgotten
+
+
 def test_what_a_host_told_long_ago_draws_no_reads():
     bench = Bench(2)
     host = bench.balancer.hosts[1]
