--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -167,6 +167,25 @@
     assert (plain.live, plain.columns, plain.zone, plain.cross_price) == (False, (), 0, 0.0)
 
 
+@pytest.mark.parametrize(
+    "more, key",
+    [
+        ({"weights": "lively"}, "weights"),
+        ({"feedback": {"via": "pigeon"}}, "feedback.via"),
+        ({"weights": "live"}, "weights"),  # a mix: the list must be asked for
+        ({"feedback": {"columns": ["waiting"]}}, "feedback.columns"),
+    ],
+)
+@pytest.mark.parametrize("options", [[], ["--check"]])
+def test_the_process_ends_with_the_key_of_a_mix(tmp_path, more, key, options):
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(TREE | {"settings": SETTINGS | more}))
+    command = [sys.executable, "-m", "hopsail", *options]
+    environment = os.environ | {"NODE_CONFIG": str(path)}
+    run = subprocess.run(command, capture_output=True, env=environment, timeout=60)
+    assert run.returncode == 2 and key in run.stderr.decode() and b"Traceback" not in run.stderr
+
+
 @pytest.mark.parametrize("text, says", [("{", "cannot read"), ("[]", "no JSON object"), (None, "not set")])
 def test_the_process_ends_with_a_message_when_it_cannot_start(tmp_path, text, says):
     path = tmp_path / "config.json"
