--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -31,14 +31,14 @@
 REACH = 6  # more caches in ring order are asked for their part, before home takes the read after all
 LIMIT_GROWTH = 0.2  # of the limit for each answer in time, and at most one leg a round
 LIMIT_CUT = 0.75  # factor upon a late answer, once per leg time: halves within about three
-TOLD_SPAN = 1 * SECOND  # half-life of what reports tell: they are a second or more old when they come
+PART_CUT = 0.5  # the same below one leg: one late answer is often all that a balancer of hundreds sees
+# Half-life of what reports tell is the time between the last two, within these: they are a second old when
+TOLD_SPAN, TOLD_MOST = 1 * SECOND, 8 * SECOND  # they come, and tell nothing of now after some ten
 CALM, TOLD_PRIOR = 0.6, 0.02  # a calm host's crowd, and how many reports it is worth: old ones near it
-TOLD_MOST = 8 * SECOND
 CROWD_MOST = 20.0  # of one report: a slip must not weigh for minutes
 NEAR_LEAST = 0.05  # of the own zone's keys stay there: else nothing shows that it has room again
 FULL_LOAD = 0.85  # of the own zone's cores: beyond it, or beyond the other zones' load, keys are passed on
 LOAD_LEAST, LOAD_MOST = 0.1, 3.0  # bounds of a zone's load
-PART_CUT = 0.5  # the same below one leg: one late answer is often all that a balancer of hundreds sees
 ON_TIME = 0.17  # of the promised time: an answer inside it shows that the host has room
 ON_TIME_MOST = 0.4  # of the promised time, where the work itself takes long
 ORIGIN_ON_TIME = 0.6  # the same at the origin, which is slow by nature
@@ -508,7 +508,8 @@
                 self.base = min(self.base * BASE_RISE or self.time, self.time)
             target = min(ON_TIME_MOST * due, max(ON_TIME * due, CROWDED * base))
         if outcome is Outcome.HANDLED and (took <= target or host.report):
-            if len(host.legs) + 1 >= host.limit / 2 and not host.report:  # what is not used shows nothing
+            # What is not used shows nothing; and a host that reports has told of its room itself.
+            if len(host.legs) + 1 >= host.limit / 2 and not host.report:
                 host.limit += min(LIMIT_GROWTH * host.limit, 1 / host.limit)
         elif leg.sent > host.cut_at:  # one cut for all that was sent before it
             cut = LIMIT_CUT if host.limit > 1 else PART_CUT
