Pieces written twice are taken together; no change of behaviour

A limit's growth stands once (_grow); Mean has the prior and the change of its half-life that _crowd and _told reached into it for; a host is made with its size and _sized gives it again when a kind grows; _read leaves the case without an origin to _write, which had it; DEAR is back among the decisions; the door reads seconds in one place (span); settings.check reads words as the rest of the file does.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -14,12 +14,13 @@
 from random import Random
 from struct import unpack
 
-from .model import BROKEN, DEAR, HEARD, MS, NEVER_RAN, NEVER_REACHED, RATED, SECOND
+from .model import BROKEN, HEARD, MS, NEVER_RAN, NEVER_REACHED, RATED, SECOND
 from .model import Bounce, Close, Fetch, Hold, Leg, Mean, Outcome, Repeat, Scope, Scrap, Send
 from .model import State, Subscribe, Sum, Tokens, WakeAt
 from .tables import Counts, Ring
 
 POINTS = 96  # ring points of a cache of common size: keeps shares within about a tenth of each other
+DEAR = 0.05  # price of crossing zones from which each zone has homes of its own: a key then misses in each
 PART_LEAST, PART_MOST = 0.05, 8.0  # of the common size: no host has fewer or more points than that
 SIZE_LEAST, SIZE_MOST = 1e-3, 1e4  # a listed size beyond them is a slip and counts as the common one
 HALVING = 60 * SECOND  # half-life of read counts: a balancer of hundreds sees a few reads a second
@@ -72,9 +73,9 @@
 
 
 class Host:
-    def __init__(self, entry, settings, now):
+    def __init__(self, entry, size, settings, now):
         self.name, self.zone, self.cell = entry.name, entry.zone, entry.cell
-        self.kind, self.size = entry.kind, 1.0
+        self.kind, self.size = entry.kind, size
         self.far = settings.cross_price >= DEAR and entry.zone != settings.zone
         self.salt = digests(entry.name ^ 0x9E3779B97F4A7C15)[0]
         self.is_cache = entry.kind != settings.origin_kind
@@ -86,8 +87,7 @@
         self.good, self.bad = Sum(SPAN, now), Sum(SPAN, now)
         self.last = 0  # when it was sent its last leg
         self.tokens = Tokens(0.0, 1.0, 0.0, now)  # legs that it may be sent while cold
-        self.told_at = now
-        self.report = None  # the last one that it gave
+        self.report, self.told_at = None, now  # the last one that it gave, and when
         self.told = Mean(TOLD_SPAN, now)  # how crowded it is by its reports, 1 = as much as may be
         self.back_at = 0  # when a host that was set aside may be tried, 0 = trusted
 
@@ -148,8 +148,7 @@
                 continue
             if host is None or entry.started != host.started:
                 # A restart, too, makes a new host: its memory is empty and its old troubles are gone.
-                host = Host(entry, settings, now)
-                host.size = self._sized(entry)
+                host = Host(entry, self._sized(entry), settings, now)
                 host.tokens.level = self.random.random()  # all balancers at once would push it over
             host.state = entry.state
             self.hosts[host.name] = host
@@ -162,8 +161,9 @@
                 self.aside += bool(host.back_at)
                 joined.append(host)
         for host in self.caches.values() if grown else ():
-            self.size += self.largest.get(host.kind, 1.0) - host.size
-            host.size = self.largest.get(host.kind, 1.0)
+            size = self._sized(host)
+            self.size += size - host.size
+            host.size = size
         self._join(joined, grown)
 
     def _grown(self, entries):
@@ -275,7 +275,7 @@
                 host, filled = filled if straight else self._pick(r, spread), None
                 if host is None:
                     # No cache has room: the origin may have.
-                    return (yield from self._write(r)) if self.origin else self._turn_away(r)
+                    return (yield from self._write(r))
                 leg = yield self._send(r, host)
                 if leg.outcome is Outcome.HANDLED:
                     return None
@@ -430,10 +430,10 @@
         """The first `most` distinct caches after the key that may be sent this retrieval."""
         place = digests(r.key or self.random.getrandbits(64))[0]
         far_first, found = (place & 0xFFFFFFFF) >= self.near * 2**32, []
+        order = (far_first, not far_first)
         # A hot key is no part of what a host is left: it would come and go as a whole.
         for part in ((None,) if hot else (place, None)) if self.caches else ():
             # No search for more than there are.
-            order = (far_first, not far_first)
             walks = (self.rings[far].walk(place, min(most + REACH, self.ready[far])) for far in order)
             near = (h for h in chain.from_iterable(walks) if self._passable(h, r, part))
             found = found or list(islice(near, most))
@@ -510,11 +510,14 @@
         if outcome is Outcome.HANDLED and (took <= target or host.report):
             # What is not used shows nothing; and a host that reports has told of its room itself.
             if len(host.legs) + 1 >= host.limit / 2 and not host.report:
-                host.limit += min(LIMIT_GROWTH * host.limit, 1 / host.limit)
+                self._grow(host)
         elif leg.sent > host.cut_at:  # one cut for all that was sent before it
             cut = LIMIT_CUT if host.limit > 1 else PART_CUT
             host.limit, host.cut_at = max(self.least, host.limit * cut), now
 
+    def _grow(self, host):
+        host.limit += min(LIMIT_GROWTH * host.limit, 1 / host.limit)
+
     def _told(self, host, report, due):
         """A new report: it tells of all balancers' legs, where own ones are too few to show a crowd."""
         now, waiting, service = self.now, report.waiting or 0.0, report.service
@@ -522,10 +525,10 @@
         crowd = 1 + waiting / max(1.0, held)  # times as long as without waiting
         crowd *= service / (ON_TIME * due) if service else 1 / CROWDED
         if crowd <= 1 and (host.limit < 1 or len(host.legs) + 1 >= host.limit / 2):
-            host.limit += min(LIMIT_GROWTH * host.limit, 1 / host.limit)
+            self._grow(host)
         # A sparse balancer's legs to a host are seconds apart: it must not forget in between.
-        half = min(TOLD_MOST, max(TOLD_SPAN, now - host.told_at))
-        host.told.total.half, host.told.count.half, host.told_at = half, half, now
+        host.told.remember(min(TOLD_MOST, max(TOLD_SPAN, now - host.told_at)))
+        host.told_at = now
         host.told.add(now, min(CROWD_MOST, crowd))
         if report.busy is None or not self.ready[1]:
             return
@@ -544,8 +547,7 @@
 
     def _crowd(self, told):
         """The mean of what was told; as it grows old, it nears a calm host's, and does not fall below."""
-        count = told.count.read(self.now) + TOLD_PRIOR
-        return (told.total.read(self.now) + TOLD_PRIOR * CALM) / count
+        return told.read(self.now, CALM, TOLD_PRIOR)
 
     def _judge(self, host):
         """Sets a host aside when it fails and the rest does not."""
--- a/hopsail/model.py
+++ b/hopsail/model.py
@@ -91,7 +91,6 @@
         return cls(**{name: unit * value for name, unit, value in known}) if known else None
 
 
-DEAR = 0.05  # price of crossing zones from which each zone has homes of its own: a key then misses in each
 REPORT_MOST = 1e9  # of anything reported: beyond it a value is a slip
 FIELDS = {
     "waiting": ("waiting", 1),
@@ -220,9 +219,14 @@
         self.total.add(now, amount)
         self.count.add(now)
 
-    def read(self, now):
-        count = self.count.read(now)
-        return self.total.read(now) / count if count else 0.0
+    def read(self, now, prior=0.0, weight=0.0):
+        """The mean, with a prior that counts for so many amounts: what has grown old nears it."""
+        count = self.count.read(now) + weight
+        return (self.total.read(now) + weight * prior) / count if count else 0.0
+
+    def remember(self, half):
+        """Another half-life from the last reading on."""
+        self.total.half = self.count.half = half
 
 
 class Hold:
--- a/hopsail/net/door.py
+++ b/hopsail/net/door.py
@@ -21,6 +21,11 @@
 METHODS = {b"GET": False, b"PUT": True}
 
 
+def span(text):
+    """The ns that a header's seconds stand for, None when they cannot be read."""
+    return int(min(float(text), LONGEST) * 1e9) if LIMIT.fullmatch(text) else None
+
+
 class Refusal(Exception):
     """A request that cannot become a retrieval; `answer` says why."""
 
@@ -112,12 +117,12 @@
         customer = self.config.customers.get(request.customer or b"", None if self.config.customers else 0)
         if customer is None:
             raise Refusal(400, b"no such customer")
-        expires = float(request.expires) if LIMIT.fullmatch(request.expires) else 0.0
+        expires = span(request.expires)
         if not expires:
             raise Refusal(400, b"X-Expires-In must be a time that is left")
         if not self.ids.new(request.trace, self.loop.now()):
             raise Refusal(409, b"X-Trace-Id has come before")
-        ends = self.loop.now() + int(min(expires, LONGEST) * 1e9)
+        ends = self.loop.now() + expires
         if self.ends is not None:
             ends = min(ends, self.ends)
         track, key = self.config.settings.tracks[index], number(key) if key else 0
@@ -166,10 +171,10 @@
         """The expected work, ns; a hint that cannot be read is none, and the retrieval goes on without it."""
         if request.work is None:
             return 0
-        if not LIMIT.fullmatch(request.work):
+        work = span(request.work)
+        if work is None:
             self.counters.add("hints.malformed")
-            return 0
-        return int(min(float(request.work), LONGEST) * 1e9)
+        return work or 0
 
     def listed(self, scope, entries):
         hosts = self.balancer.hosts
--- a/hopsail/settings.py
+++ b/hopsail/settings.py
@@ -1,11 +1,14 @@
 """The settings that an instance is given at its start, decoded once for the module: the same object comes as
 `path=value` lines on the bench's wire and as nested JSON in a balancer's configuration."""
 
-from .model import DEAR, FIELDS, Repeat, Settings, Track
+from .decide import DEAR
+from .model import FIELDS, Repeat, Settings, Track
 
 US = 1000  # ns in a microsecond
 REPEATS = {"repeatable": Repeat.PURE, "by_key": Repeat.RECEIPTED, "once": Repeat.EFFECTFUL}
 TRUTH = {"true": True, "false": False}
+WEIGHTS = {word: word for word in ("none", "nominal", "rough", "live")}
+VIA = {word: word for word in ("none", "answers")}  # reports in probes are of no use: none are sent
 
 
 def positive(text):
@@ -58,15 +61,12 @@
         return self.value(key, int, default) * US
 
 
-WEIGHTS = ("none", "nominal", "rough", "live")
-VIA = ("none", "answers")  # reports in probes only are of no use: no probes are sent
-
-
 def check(pairs) -> None:
     """One build serves two shapes of deployment: a mix of them is a fault, of the key that does not fit."""
-    value, columns = Pairs(pairs).value, Pairs(pairs).listed("feedback.columns")
-    weights = value("weights", lambda text: WEIGHTS[WEIGHTS.index(text)], "none")
-    via = value("feedback.via", lambda text: VIA[VIA.index(text)], "none")
+    pairs = Pairs(pairs)
+    value, columns = pairs.value, pairs.listed("feedback.columns")
+    weights = value("weights", WEIGHTS.__getitem__, "none")
+    via = value("feedback.via", VIA.__getitem__, "none")
     if weights == "live" and value("discovery", str) != "automatic":
         raise SettingsFault(
             "weights holds 'live', which needs a list that comes unasked (discovery automatic)"
@@ -79,10 +79,10 @@
         )
     if via == "none" and columns:
         raise SettingsFault(f"feedback.columns holds {','.join(columns)!r}, but feedback.via none")
-    zones, own = Pairs(pairs).listed("failureDomains"), value("myZone", int, "0")
+    zones, own = pairs.listed("failureDomains"), value("myZone", int, "0")
     if not 0 <= own < max(1, len(zones)):
         raise SettingsFault(f"myZone holds {own}: failureDomains has {len(zones)}")
-    if value("penalties.crossZone", float, "0") >= DEAR and not ("myZone" in pairs and len(zones) > 1):
+    if value("penalties.crossZone", float, "0") >= DEAR and not ("myZone" in pairs.pairs and len(zones) > 1):
         raise SettingsFault("myZone or failureDomains is missing, which a dear penalties.crossZone needs")
 
 
@@ -103,7 +103,6 @@
     quotas = tuple(
         value(f"tenants.{i}.quotaPerS", float, "0") for i in range(value("tenants.count", int, "0"))
     )
-    listed = pairs.listed
     advised = value("limits.retryAfter", bool, "false")
     return Settings(
         tracks=tracks,
@@ -114,7 +113,7 @@
         live=value("weights", str, "none") == "live",
         zone=value("myZone", int, "0"),
         cross_price=value("penalties.crossZone", float, "0"),
-        columns=listed("feedback.columns") if value("feedback.via", str, "none") == "answers" else (),
+        columns=pairs.listed("feedback.columns") if value("feedback.via", str, "none") == "answers" else (),
         subscribe=value("discovery", str) == "subscribe",
         ask_within=time("rules.askWithinUs", "10000000"),
         most_legs=value("limits.mostLegs", int),
