--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -102,13 +102,15 @@
 
 
 class Balancer:
+    ring = Ring  # what keeps owners by place
+
     def __init__(self, settings, seed, now):
         self.settings, self.random = settings, Random(seed)
         self.hosts, self.caches, self.origin = {}, {}, None  # caches: those that are ready, on the ring
         self.paces = {}  # of each kind of host: the time that answers took, in times their hinted work
         self.largest = {}  # the largest size listed of each kind of host
         # Two rings where crossing zones is dear, this balancer's own zone first; else all are on the first.
-        self.rings, self.ready, self.unit, self.size = (Ring(), Ring()), [0, 0], 1.0, 0.0
+        self.rings, self.ready, self.unit, self.size = (self.ring(), self.ring()), [0, 0], 1.0, 0.0
         self.counts = Counts(HALVING, now)
         self.near = 1.0  # part of the keys that is at home in the own zone
         self.good, self.bad, self.sent = Sum(SPAN, now), Sum(SPAN, now), Sum(settings.fall_time, now)
@@ -188,16 +190,15 @@
         self.size -= host.size
         self.ready[host.far] -= 1
         self.aside -= bool(host.back_at)
-        for place in host.places(self.unit):
-            self.rings[host.far].take(place)
+        self.rings[host.far].leave(host, self.unit)
 
     def _join(self, joined, anew=False):
         # A power of two as the unit, so that single changes of the list do not move the others' points.
         unit = 2.0 ** round(log2(self.size / len(self.caches))) if self.caches else self.unit
         if unit != self.unit or anew:
-            self.unit, self.rings, joined = unit, (Ring(), Ring()), self.caches.values()
-        for place, _, host in sorted((place, h.name, h) for h in joined for place in h.places(unit)):
-            self.rings[host.far].put(place, host)
+            self.unit, self.rings, joined = unit, (self.ring(), self.ring()), self.caches.values()
+        for far, ring in enumerate(self.rings):
+            ring.join([h for h in joined if h.far == far], unit)
 
     def arrived(self, now, r):
         self.now = now
--- a/hopsail/emulator/report.py
+++ b/hopsail/emulator/report.py
@@ -40,7 +40,7 @@
     legs = misses = hits = 0
     fetches = set()  # legs to the origin, which are no reads of a cache
     for what, at, *rest in world.trace:
-        if at < since:
+        if at < since or what == "told":
             continue
         if what == "sent":
             legs += 1
--- a/hopsail/emulator/rules.py
+++ b/hopsail/emulator/rules.py
@@ -117,9 +117,10 @@
 def check(trace, scenario):
     """What each rule finds: a list of (when, what) by the rule's name."""
     rules = scenario.rules
+    steps = [event for event in trace if event[0] != "told"]  # of a large fleet's trace, most are lists
     return {
-        "lost": lost(trace, rules),
-        "twice": twice(trace, rules),
+        "lost": lost(steps, rules),
+        "twice": twice(steps, rules),
         "drained": drained(trace, rules),
         "flooded": flooded(trace, rules, scenario.cache),
     }
--- a/hopsail/tables.py
+++ b/hopsail/tables.py
@@ -13,6 +13,16 @@
     def __init__(self):
         self.places, self.owners = array("Q"), []
 
+    def join(self, hosts, unit):
+        """Puts all places of these hosts in."""
+        for place, _, host in sorted((place, h.name, h) for h in hosts for place in h.places(unit)):
+            self.put(place, host)
+
+    def leave(self, host, unit):
+        """Takes all places of a host out that joined with the same unit."""
+        for place in host.places(unit):
+            self.take(place)
+
     def put(self, place, owner):
         at = bisect_left(self.places, place)
         self.places.insert(at, place)
