--- a/hopsail/cli.py
+++ b/hopsail/cli.py
@@ -3,12 +3,14 @@
 import json
 import os
 import sys
+from pathlib import Path
 
 import click
 
 from . import config, experiments
+from . import series as figures
 from .emulator import report, scenario
-from .emulator.policies import POLICIES
+from .emulator.policies import NAMES
 
 
 def pairs(_context, _parameter, texts):
@@ -25,8 +27,8 @@
 def policies(_context, _parameter, text):
     names = text.split(",")
     for name in names:
-        if name not in POLICIES:
-            raise click.BadParameter(f"{name!r} is none of {', '.join(POLICIES)}")
+        if name not in NAMES:
+            raise click.BadParameter(f"{name!r} is none of {', '.join(NAMES)}")
     return names
 
 
@@ -65,7 +67,8 @@
 @click.option("--seed", default=1, show_default=True, type=click.IntRange(0))
 @click.option("--set", "changes", multiple=True, callback=pairs, help="KEY=VALUE of the scenario")
 @click.option("--trace", type=click.File("w"), help="every event of the run, a line each")
-def emulate(path, names, seed, changes, trace):
+@click.option("--series", type=click.Path(dir_okay=False), help="figures a second, to this file")
+def emulate(path, names, seed, changes, trace, series):
     """Plays a scenario; prints a line of JSON a policy. Status 1 when hopsail breaks a rule."""
     try:
         played = scenario.load(path, {key: values[0] for key, values in changes})
@@ -73,7 +76,10 @@
         raise click.UsageError(str(fault)) from None
     broken = False
     for name in names:
-        found = report.play(played, name, seed, trace)
+        rows = series
+        if series and len(names) > 1:
+            rows = Path(series).with_stem(f"{Path(series).stem}-{name}")
+        found = report.play(played, name, seed, trace, rows, path)
         broken |= name == "hopsail" and any(found[key] for key in found if key.startswith("broken_"))
         click.echo(json.dumps(found))
     sys.exit(int(broken))
@@ -128,14 +134,20 @@
 
 @main.command()
 @click.argument("path", type=click.Path(exists=True, dir_okay=False))
-@click.option("--x", required=True, help="a key that --vary has changed")
-@click.option("--y", default="earned", show_default=True, type=click.Choice(list(experiments.UNITS)))
+@click.option("--x", default="second", help="a key that --vary has changed; else PATH is a series")
+@click.option("--y", default="earned", show_default=True, help="the figure")
 @click.option("--out", required=True, type=click.Path(dir_okay=False), help="PNG, SVG or PDF by its ending")
 @click.option("--title", default="")
 def plot(path, x, y, out, title):
-    """Draws a figure of an experiment over one of its keys."""
+    """Draws a figure of an experiment over one of its keys, or of a series over its seconds."""
+    kinds = figures.KINDS if x == "second" else experiments.UNITS
+    if y not in kinds:
+        raise click.BadParameter(f"{y!r} is none of {', '.join(kinds)}", param_hint="--y")
     try:
-        experiments.plot(path, out, x, y, title)
+        if x == "second":
+            figures.plot(path, out, y, title)
+        else:
+            experiments.plot(path, out, x, y, title)
     except ValueError as fault:
         raise click.BadParameter(str(fault)) from None
 
--- a/hopsail/emulator/clock.py
+++ b/hopsail/emulator/clock.py
@@ -6,6 +6,7 @@
 # At one instant: troubles first, then what lists tell, answers, timers, and new requests last. An answer that
 # comes at its limit is in time, and a request meets a fleet that knows all that could be known.
 TROUBLE, LIST, ANSWER, TIMER, ARRIVAL = range(5)
+SAMPLE = -1  # a look at the world changes nothing in it
 
 
 class Clock:
--- a/hopsail/emulator/hosts.py
+++ b/hopsail/emulator/hosts.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict, deque
 
-from ..model import SECOND, Outcome
+from ..model import SECOND, Outcome, Report
 from .clock import ANSWER
 
 MISS_PART = 0.2  # of a read's work that a miss costs
@@ -14,11 +14,13 @@
     def __init__(self, world, name, zone, machine, origin, started=0):
         self.world, self.name, self.zone, self.machine = world, name, zone, machine
         self.origin, self.started = origin, started
-        self.random = world.stream(f"host {name} {started}")
+        self.random, self.next = world.stream(f"host {name} {started}"), None
         self.queue, self.busy, self.connections = deque(), 0, 0
         self.memory = OrderedDict()
         self.up, self.silent_until, self.times = True, 0, 1.0  # times: slower than usual
         self.lately, self.reads = deque(), 0
+        self.resets = False  # under each request
+        self.served, self.worked, self.told_at, self.told = 0, 0, 0, None  # for its load reports
 
     def warmth(self, now):
         """The part of its capacity that it has: cold after its start, evenly more until warm."""
@@ -46,18 +48,49 @@
         if self.busy >= self.machine.cores and len(self.queue) >= self.machine.queue:
             self.world.answer(job, Outcome.FULL)
             return
+        if self.resets:
+            self.world.answer(job, Outcome.RESET)
+            return
         self.queue.append(job)
         self._begin()
 
+    def report(self):
+        """Its load as it last told it: what a deployment's hosts renew at intervals, not at each answer."""
+        now, every = self.world.clock.now, self.world.scenario.feedback.every
+        if self.told is None or now >= self.told_at + every:
+            span, waiting = max(1, now - self.told_at), len(self.queue)
+            busy = min(1.0, self.worked / (span * self.machine.cores)) if self.told else 0.0
+            rate = self.served * SECOND / span if self.told else 0.0
+            service = self.worked / self.served if self.served else self.machine.service
+            self.told = Report(waiting, self.busy + waiting, busy, rate, service)
+            self.served, self.worked, self.told_at = 0, 0, now
+        return self.told
+
     def _begin(self):
         while self.queue and self.busy < self.machine.cores:
             job, now = self.queue.popleft(), self.world.clock.now
             self.busy += 1
             job.held = job.write or self.origin or job.key in self.memory
             fixed = self.machine.law == "fixed"
-            work = self.machine.service * (1.0 if fixed else self.random.expovariate(1.0))
+            if job.size is None:
+                work = self.machine.service * (1.0 if fixed else self.draw())
+            else:
+                work = self.machine.service * job.size
             work *= self.times / self.warmth(now) * (1.0 if job.held else MISS_PART)
-            self.world.clock.at(now + int(work), ANSWER, self._finish, job, self.started)
+            self.served, self.worked = self.served + 1, self.worked + int(work)
+            job.ends = now + int(work)
+            self.world.clock.at(job.ends, ANSWER, self._finish, job, self.started)
+
+    def draw(self):
+        """The next request's work, in mean ones."""
+        drawn, self.next = self.next, None
+        return self.random.expovariate(1.0) if drawn is None else drawn
+
+    def foreseen(self):
+        """What the next `draw` will be: for the bound, which sees also chance."""
+        if self.next is None:
+            self.next = self.random.expovariate(1.0)
+        return self.next
 
     def _finish(self, job, started):
         if started != self.started or not self.up:
--- a/hopsail/emulator/policies.py
+++ b/hopsail/emulator/policies.py
@@ -84,6 +84,9 @@
 
     def woken(self, now, token): ...
 
+    def withdrawn(self, now, r):
+        r.done = True
+
 
 @lru_cache(maxsize=8)
 def ring_of(names):
@@ -126,25 +129,6 @@
         return min(self.random.choices(left, k=2), key=lambda e: self.legs.get(e.name, 0))
 
 
-class Oracle(Plain):
-    """Sees every host: of those that have the key, or else of all that work, the one with the least to do.
-
-    No balancer can know this; it bounds from above what choosing a cache can bring."""
-
-    world = None  # set by the emulator
-
-    def choose(self, r, tried):
-        hosts = {e.name: self.world.named[e.name] for e in self.caches if e.name not in tried}
-        now = self.world.clock.now
-        up = {name: h for name, h in hosts.items() if h.up and now >= h.silent_until}
-        have = {name: h for name, h in up.items() if r.key in h.memory} or up or hosts
-        if not have:
-            return None
-        best = min(
-            have, key=lambda n: ((have[n].busy + len(have[n].queue)) * have[n].times / have[n].warmth(now), n)
-        )
-        return self.hosts[best]
-
-
-POLICIES = {"hopsail": Balancer, "random": Plain, "hash": Hashed, "bounded": Bounded, "two": TwoChoices,
-            "oracle": Oracle}  # fmt: skip
+POLICIES = {"hopsail": Balancer, "random": Plain, "hash": Hashed, "bounded": Bounded, "two": TwoChoices}
+# "oracle", the bound (`oracle.py`), is made by the world that it sees.
+NAMES = (*POLICIES, "oracle")
--- a/hopsail/emulator/report.py
+++ b/hopsail/emulator/report.py
@@ -4,30 +4,45 @@
 
 from hdrh.histogram import HdrHistogram
 
+from .. import series as figures
 from ..model import MS, SECOND
+from .oracle import ceiling
 from .rules import check
 from .world import ORIGIN, START, World
 
 LEAST_TIME, MOST_TIME, DIGITS = 1, 60_000_000, 3  # microseconds that a histogram tells apart
 
 
-def play(scenario, policy="hopsail", seed=1, trace=None):
-    """Runs the scenario and sums it up; `trace`, a text file, gets every event as a line."""
+def play(scenario, policy="hopsail", seed=1, trace=None, series=None, name=""):
+    """Runs the scenario and sums it up; `trace`, a text file, gets every event as a line, and the file named
+    `series` the figures a second."""
     began = perf_counter()
     world = World(scenario, policy, seed).run()
     took = perf_counter() - began
     if trace is not None:
         for event in world.trace:
             print(*(sorted(part) if isinstance(part, set) else part for part in event), file=trace)
-    return summary(world) | {"policy": policy, "seed": seed, "run_s": round(took, 3),
+    rows, troubles = figures.emulated(world)
+    settled = scenario.load.settles // SECOND
+    recovered = figures.told(figures.recoveries(rows.rows, troubles, settled))
+    if series is not None:
+        figures.write(series, rows, troubles, {"scenario": name, "policy": policy, "seed": seed})
+    return summary(world) | {"recovery": recovered, "recover_s": slowest(recovered), "policy": policy,
+                             "seed": seed, "run_s": round(took, 3),
                              "events_per_s": round(world.clock.done / took)}  # fmt: skip
 
 
+def slowest(recovered):
+    """The longest time to recover of a day's troubles; None when one was not seen to be over."""
+    times = [one["recovered_s"] for one in recovered if one["why"] != "another trouble outlasted it"]
+    return None if None in times else max(times, default=None)
+
+
 def summary(world):
     scenario, since = world.scenario, START + world.scenario.load.settles
     times = HdrHistogram(LEAST_TIME, MOST_TIME, DIGITS)
     worth = earned = 0.0
-    words = {"handled": 0, "bounced": 0, "scrapped": 0}
+    words = {"handled": 0, "bounced": 0, "scrapped": 0, "left": 0}
     results = [result for result in world.results if result[0] >= since]
     for _, kind, word, took, _ in results:
         track = scenario.track[kind]
@@ -61,6 +76,7 @@
         "fetches_per_s": round(len(fetches) / seconds, 2),
         "legs_per_request": round(legs / count, 3),
         "most_to_mean": round(max(reads) * len(reads) / max(1, sum(reads)), 3),
+        "ceiling": round(ceiling(scenario), 4),
         "origin_falls": sum(event[0] == "fell" for event in world.trace),
         **{f"broken_{rule}": len(found) for rule, found in broken.items()},
     }
--- a/hopsail/emulator/rules.py
+++ b/hopsail/emulator/rules.py
@@ -21,6 +21,9 @@
             holder[node].add(request)
         elif what == "died":
             dead |= holder.pop(rest[0], set())
+        elif what == "left":
+            done.add(rest[1])  # nobody waits for an answer, and nothing more may be sent
+            holder[rest[0]].discard(rest[1])
         elif what == "sent" and rest[1] in done:
             found.append((at, f"request {rest[1]} was sent on after its answer"))
         elif what == "answered":
--- a/hopsail/emulator/scenario.py
+++ b/hopsail/emulator/scenario.py
@@ -12,7 +12,9 @@
 
 UNITS = {"us": 1_000, "ms": 1_000_000, "s": 1_000_000_000, "min": 60_000_000_000}
 NUMBER = r"(\d+(?:\.\d+)?)"
-TROUBLES = ("crash", "silence", "slow", "zone", "partition", "restart", "storm", "hot", "scan", "brownout")
+TROUBLES = ("crash", "silence", "slow", "zone", "partition", "restart", "storm", "hot", "scan", "brownout",
+            "resets", "drain")  # fmt: skip
+PARTED = ("crash", "silence", "slow", "partition", "restart", "resets", "drain")  # need the part they meet
 EFFECTS = {"repeatable": Repeat.PURE, "by_key": Repeat.RECEIPTED, "once": Repeat.EFFECTFUL}
 
 
@@ -110,6 +112,27 @@
     tries: int = known(whole(1, 10), 3)
     patience: int = known(span, 1_500_000_000)  # for one try
     backoff: int = known(span, 50_000_000)
+    leave: float = known(share, 0.0)  # of the clients give a try up while it is being served,
+    after: int = known(span, 300_000_000)  # when it has taken so long, and come no more
+
+
+@dataclass(frozen=True)
+class Front:
+    """What deals requests out: it asks balancers for their health, and leaves out those it holds dead."""
+
+    every: int = known(span, 0)  # between two health calls at a balancer; 0 = it asks none
+    fails: int = known(whole(1, 100), 2)  # calls in a row without an answer: dead; one answer: alive
+    late: float = known(share, 0.0)  # of the balancers whose death is seen late,
+    later: int = known(span, 2_000_000_000)  # by so much
+
+
+@dataclass(frozen=True)
+class Feedback:
+    """What hosts and clients tell balancers, as the settings of a deployment allow."""
+
+    reports: bool = known(bool, False)  # load reports on caches' answers, renewed every
+    every: int = known(span, 500_000_000)
+    hints: bool = known(bool, False)  # clients say how long a request takes on a common core
 
 
 @dataclass(frozen=True)
@@ -150,7 +173,8 @@
 
 
 TABLES = {"fleet": Fleet, "cache": Machine, "origin": Machine, "network": Network, "load": Load,
-          "clients": Clients, "lists": Lists, "rules": Rules}  # fmt: skip
+          "clients": Clients, "front": Front, "feedback": Feedback,
+          "lists": Lists, "rules": Rules}  # fmt: skip
 LISTS = {"track": Kind, "trouble": Trouble}
 
 
@@ -162,6 +186,8 @@
     network: Network
     load: Load
     clients: Clients
+    front: Front
+    feedback: Feedback
     lists: Lists
     rules: Rules
     track: tuple[Kind, ...]
@@ -228,7 +254,7 @@
     for i, one in enumerate(made["trouble"]):
         if one.at + one.lasts > made["load"].lasts:
             fail(f"trouble[{i}].lasts", "lasts", "the trouble ends after the day")
-        if one.what in ("crash", "silence", "slow", "partition", "restart") and not one.part:
+        if one.what in PARTED and not one.part:
             fail(f"trouble[{i}].part", "[[trouble", f"{one.what} needs the part that it meets")
         if one.what == "scan" and not one.rate:
             fail(f"trouble[{i}].rate", "[[trouble", "scan needs a rate")
