hopsail try; troubles played on sockets by processes of its own; today beside a revision

Change: load/rig.py starts hosts, a relay with the scenario's delays and loss, and balancers as children that end with their parent however it goes; kills them by id; parts discovery; keeps what hosts, discovery and clients saw as a trace that the emulator's checkers judge. The generator's clients try again as the emulator's do, and leave. `hopsail try` (make try) shows such a fleet; `hopsail load` plays troubles and writes a series; `hopsail compare REV` takes an earlier decision module from git into a copy of today's package and prints paired differences.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Each target works on a fresh checkout; both environments are made anew when their requirements change.
 
-.PHONY: build test lint run clean
+.PHONY: build try test lint run clean
 
 build: .venv/ready
 
@@ -10,11 +10,20 @@
 	.venv/bin/pip -q install -r requirements.txt
 	cp requirements.txt $@
 
-.venv-dev/ready: requirements.txt requirements-dev.txt
+.venv-dev/ready: requirements.txt requirements-try.txt requirements-tools.txt requirements-dev.txt
 	python3 -m venv --clear .venv-dev
 	.venv-dev/bin/pip -q install -r requirements-dev.txt
 	cp requirements-dev.txt $@
 
+# A fleet to look at, on loopback: SECONDS_TO_RUN=10 make try, or as long as the scenario says.
+.venv-try/ready: requirements.txt requirements-try.txt
+	python3 -m venv --clear .venv-try
+	.venv-try/bin/pip -q install -r requirements-try.txt
+	cp requirements-try.txt $@
+
+try: .venv-try/ready
+	.venv-try/bin/python -B -m hopsail.cli try $(if $(SECONDS_TO_RUN),--seconds $(SECONDS_TO_RUN))
+
 test: .venv-dev/ready
 	.venv-dev/bin/pytest -q
 
@@ -27,4 +36,4 @@
 	.venv/bin/python -m hopsail
 
 clean:
-	rm -rf .venv .venv-dev .pytest_cache .ruff_cache
+	rm -rf .venv .venv-try .venv-dev .pytest_cache .ruff_cache
--- a/hopsail/cli.py
+++ b/hopsail/cli.py
@@ -3,6 +3,7 @@
 import json
 import os
 import sys
+from math import isfinite
 from pathlib import Path
 
 import click
@@ -12,6 +13,9 @@
 from .emulator import report, scenario
 from .emulator.policies import NAMES
 
+TRIAL = Path(__file__).resolve().parent / "scenarios" / "try.toml"  # shipped with the package
+FRONTS = ("http", "operator", "discovery")  # what `try` starts, by name
+
 
 def pairs(_context, _parameter, texts):
     """KEY=VALUE,VALUE as a key and its values."""
@@ -24,6 +28,19 @@
     return found
 
 
+def finite(_context, _parameter, number):
+    if number is not None and not isfinite(number):
+        raise click.BadParameter(f"{number} is no time")
+    return number
+
+
+def writable(_context, _parameter, path):
+    """A file's name, when it can be made; before a run, not after it."""
+    if path is not None and not os.access(Path(path).resolve().parent, os.W_OK):
+        raise click.BadParameter(f"{path}: no file can be made there")
+    return path
+
+
 def policies(_context, _parameter, text):
     names = text.split(",")
     for name in names:
@@ -67,7 +84,9 @@
 @click.option("--seed", default=1, show_default=True, type=click.IntRange(0))
 @click.option("--set", "changes", multiple=True, callback=pairs, help="KEY=VALUE of the scenario")
 @click.option("--trace", type=click.File("w"), help="every event of the run, a line each")
-@click.option("--series", type=click.Path(dir_okay=False), help="figures a second, to this file")
+@click.option(
+    "--series", callback=writable, type=click.Path(dir_okay=False), help="figures a second, to this file"
+)
 def emulate(path, names, seed, changes, trace, series):
     """Plays a scenario; prints a line of JSON a policy. Status 1 when hopsail breaks a rule."""
     try:
@@ -118,18 +137,94 @@
 )
 @click.option("--seed", default=1, show_default=True, type=click.IntRange(0))
 @click.option("--set", "changes", multiple=True, callback=pairs, help="KEY=VALUE of the scenario")
-def load(path, balancers, seed, changes):
-    """Plays a scenario's load on sockets, at balancers and stand-ins of its own or at those named."""
-    from .load import generator
+@click.option(
+    "--series", callback=writable, type=click.Path(dir_okay=False), help="figures a second, to this file"
+)
+def load(path, balancers, seed, changes, series):
+    """Plays a scenario on sockets, with its troubles, on processes of its own; or its load at those named.
+
+    Status 1 when a rule was broken."""
+    from .load import generator, rig
 
     try:
         played = scenario.load(path, {key: values[0] for key, values in changes})
-        found = generator.run(played, balancers, seed)
+        if balancers:
+            found = generator.run(played, balancers, seed)
+        else:
+            found = rig.run(played, seed, rows=series, name=path)
     except scenario.ScenarioFault as fault:
         raise click.UsageError(str(fault)) from None
-    except generator.LoadFault as fault:
+    except (generator.LoadFault, rig.RigFault) as fault:
         raise click.BadParameter(str(fault), param_hint="--at" if balancers else "PATH") from None
     click.echo(json.dumps(found))
+    sys.exit(int(any(found[key] for key in found if key.startswith("broken_"))))
+
+
+@main.command("try")
+@click.option("--scenario", "path", type=click.Path(exists=True, dir_okay=False), default=None,
+              help="a scenario file, if not the one that ships")  # fmt: skip
+@click.option(
+    "--seconds", callback=finite, type=click.FloatRange(1, 600), help="how long, if not as the scenario says"
+)
+@click.option("--seed", default=1, show_default=True, type=click.IntRange(0))
+@click.option(
+    "--front", "fronts", multiple=True, type=click.Choice(FRONTS), help="what to show; all, if left out"
+)
+@click.option("--json", "as_json", is_flag=True, help="the first line is an object of addresses by front")
+@click.option(
+    "--series", callback=writable, type=click.Path(dir_okay=False), help="figures a second, to this file"
+)
+def try_it(path, seconds, seed, fronts, as_json, series):
+    """Starts a small fleet on loopback, with stand-ins for all around it and a steady load, and shows it.
+
+    It says how to ask it, then figures a second, and as its last line a summary in JSON. An interrupt
+    ends it and all its processes."""
+    from .load import rig, trial
+
+    try:
+        played = scenario.lasting(scenario.load(path or TRIAL), seconds)
+        status = trial.play(played, seed, as_json, series, str(path or TRIAL), fronts)
+    except scenario.ScenarioFault as fault:
+        raise click.UsageError(str(fault)) from None
+    except rig.RigFault as fault:
+        raise click.ClickException(str(fault)) from None
+    sys.exit(status)
+
+
+@main.command()
+@click.argument("rev")
+@click.argument("scenarios", nargs=-1, required=True, type=click.Path(exists=True, dir_okay=False))
+@click.option("--seeds", default=5, show_default=True, type=click.IntRange(1))
+@click.option("--vary", multiple=True, callback=pairs, help="KEY=VALUE,VALUE; all against all")
+@click.option("--processes", default=os.cpu_count(), show_default=True, type=click.IntRange(1))
+@click.option("--json", "as_json", is_flag=True, help="a line of JSON a figure, and nothing else")
+def compare(rev, scenarios, seeds, vary, processes, as_json):
+    """Plays scenarios with the decision module of an earlier revision, and with today's, on the same days.
+
+    Prints paired differences, now less then: their mean, deviation, least and most over the seeds."""
+    from . import compare as versions
+
+    try:
+        grid = list(experiments.grid(vary, ()))
+        for path in scenarios:
+            for changes in grid:
+                scenario.load(path, changes)
+        jobs = [{"scenario": path, "changes": changes, "policy": "hopsail", "seed": seed}
+                for path in scenarios for changes in grid for seed in range(1, seeds + 1)]  # fmt: skip
+        say = (lambda text: click.echo(text, err=True)) if as_json else click.echo
+        rows = versions.differences(versions.run(rev, jobs, processes, say))
+    except scenario.ScenarioFault as fault:
+        raise click.UsageError(str(fault)) from None
+    except versions.CompareFault as fault:
+        raise click.BadParameter(str(fault), param_hint="REV") from None
+    for row in rows:
+        if as_json:
+            click.echo(json.dumps(row))
+            continue
+        spread = "" if row["deviation"] is None else f" +- {row['deviation']:.4f}"
+        click.echo(f"{row['scenario']:16} {row['figure']:17} {row['then']:11.4f} -> {row['now']:11.4f}  "
+                   f"{row['difference']:+.4f}{spread}  [{row['least']:+.4f}, {row['most']:+.4f}]"
+                   f"  {json.dumps(row['changes']) if row['changes'] else ''}".rstrip())  # fmt: skip
 
 
 @main.command()
--- a/hopsail/emulator/scenario.py
+++ b/hopsail/emulator/scenario.py
@@ -4,7 +4,7 @@
 
 import re
 import tomllib
-from dataclasses import MISSING, dataclass, field, fields
+from dataclasses import MISSING, dataclass, field, fields, replace
 from pathlib import Path
 from typing import Any
 
@@ -96,6 +96,7 @@
 class Network:
     same: int = known(span, 200_000)  # one way within a zone, and between two
     cross: int = known(span, 1_000_000)
+    loss: float = known(share, 0.0)  # of segments, on sockets only: what is lost comes 200 ms later
 
 
 @dataclass(frozen=True)
@@ -210,6 +211,16 @@
     return read(tree, str(path), text)
 
 
+def lasting(scenario: Scenario, seconds: float | None) -> Scenario:
+    """The same for another time, with the troubles that fit into it."""
+    if seconds is None:
+        return scenario
+    lasts = round(seconds * UNITS["s"])
+    load = replace(scenario.load, lasts=lasts, settles=min(scenario.load.settles, lasts // 2))
+    fitting = tuple(one for one in scenario.trouble if one.at + one.lasts <= lasts)
+    return replace(scenario, load=load, trouble=fitting)
+
+
 def read(tree: dict, path: str = "scenario", text: str = "") -> Scenario:
     def fail(where, name, why):
         line = next((i for i, row in enumerate(text.splitlines(), 1) if row.strip().startswith(name)), None)
--- a/hopsail/load/generator.py
+++ b/hopsail/load/generator.py
@@ -16,11 +16,12 @@
 
 from hdrh.histogram import HdrHistogram
 
-from ..model import SECOND
+from ..model import MS, SECOND
 from ..net.discovery import address
 from ..net.loop import Loop
 from ..net.messages import AnswerReader, MessageFault
 from ..net.stream import Stream, dial
+from ..series import Series
 from .standins import Fleet
 
 MOST_REQUESTS = 1_000_000  # of one run: a slip in a rate must end
@@ -29,6 +30,8 @@
 AFTER = 3 * SECOND  # that answers are waited for at the end
 READY_WITHIN = 10.0  # seconds for a balancer to be there
 LEAST_TIME, MOST_TIME, DIGITS = 1, 60_000_000, 3  # microseconds that a histogram tells apart
+HOT_MOVES = SECOND  # a hot key's time
+DIES_BEFORE = 100 * MS  # a request may go out to a balancer that was killed so long before
 STATUS = {200: "handled", 429: "bounced", 503: "bounced"}
 
 
@@ -53,16 +56,20 @@
     """A client's connection with one request on it."""
 
     def __init__(self, loop, place, load):
-        self.load, self.place, self.reader, self.due = load, place, AnswerReader(), None
+        self.load, self.place, self.reader, self.asked = load, place, AnswerReader(), None
         self.head = b""
         super().__init__(loop, dial(place), dialing=True)
 
-    def ask(self, due, kind, data):
-        self.due, self.kind, self.head = due, kind, data
+    def ask(self, asked, data):
+        self.asked, self.head = asked, data
         if not self.dialing:
-            self.write(data)
+            self._begin()
 
     def connected(self):
+        self._begin()
+
+    def _begin(self):
+        self.load.begun(self)
         self.write(self.head)
 
     def received(self, data):
@@ -73,14 +80,15 @@
             return
         if answer is not None:
             self.reader.taken()
-            self.load.answered(self, STATUS.get(answer.status, "scrapped"))
-            if answer.keep:
+            keep = answer.keep
+            self.load.answered(self, STATUS.get(answer.status, "scrapped"), answer.wait)
+            if keep and self.open:
                 self.load.idle[self.place].append(self)
             else:
                 self.close()
 
     def ended(self):
-        if self.due is not None:
+        if self.asked is not None:
             self.load.answered(self, "lost")
 
     def released(self):
@@ -88,45 +96,110 @@
         self.load.gone(self)
 
 
+class Asked:
+    """One client: its request, and the try of it that is out."""
+
+    __slots__ = ("due", "kind", "key", "tries", "number", "sent", "receipt")
+
+    def __init__(self, due, kind, key, tries):
+        self.due, self.kind, self.key, self.tries = due, kind, key, tries
+        self.number, self.sent, self.receipt = 0, 0, 0  # of the try that is out: its id, and when it went out
+
+
 class Load:
-    """The requests of a scenario, sent to balancers in turn at random."""
+    """The requests of a scenario, sent to balancers in turn at random; clients try again as in the emulator.
+
+    `trace` keeps what clients saw in the emulator's form, its times those of the monotonic clock."""
 
     def __init__(self, loop, played, places, seed=1):
-        self.loop, self.played, self.places, self.random = loop, played, places, Random(f"{seed}/load")
+        self.loop, self.played, self.places = loop, played, list(places)
+        self.random, self.luck = Random(f"{seed}/load"), Random(f"{seed}/luck")
         load = played.load
         if load.rate * load.lasts / SECOND > MOST_REQUESTS or load.lasts > LONGEST:
             raise LoadFault(f"more than {MOST_REQUESTS} requests or {LONGEST // SECOND} s")
         self.idle, self.open, self.number = {place: [] for place in places}, {}, 0
-        self.times = HdrHistogram(LEAST_TIME, MOST_TIME, DIGITS)
-        self.words = dict.fromkeys(("handled", "bounced", "scrapped", "lost", "not sent"), 0)
-        self.late, self.in_time = 0, 0
+        self.times, self.lately = (HdrHistogram(LEAST_TIME, MOST_TIME, DIGITS) for _ in range(2))
+        self.words = dict.fromkeys(("handled", "bounced", "scrapped", "lost", "not sent", "left"), 0)
+        self.late, self.worth, self.gained, self.waiting = 0, 0.0, 0.0, 0
+        self.series = Series(-(-load.lasts // SECOND))
+        self.trace, self.kinds, self.legs, self.deaths = [], [], {}, {}
+        self.factor, self.storms, self.hot, self.scanned = 1.0, 0, 0.0, 0
+        self.halted = lambda: False  # whether somebody wants it to end
+        self.watchers, self.stopped = [], False  # watchers: called with each second that is over
         self.keys = list(accumulate(1 / i**load.zipf for i in range(1, load.keys + 1)))
         self.parts = list(accumulate(kind.part for kind in played.track))
         self.begin = loop.now()
         self.end, self.next = self.begin + load.lasts, self.begin
         loop.at(self.next, self._due)
+        loop.at(self.begin + SECOND, self._tick)
 
     def _due(self):
         now = self.loop.now()
         while self.next <= min(now, self.end):  # also those that are due since: they are not put off
-            self._send(self.next)
-            self.next += int(self.random.expovariate(self.played.load.rate) * SECOND)
+            kind = bisect_left(self.parts, self.random.random() * self.parts[-1])
+            key = bisect_left(self.keys, self.random.random() * self.keys[-1])
+            if self.random.random() < self.hot:
+                key = f"hot{(self.next - self.begin) // HOT_MOVES}"
+            client = Asked(self.next, min(kind, len(self.parts) - 1), key, self.played.clients.tries)
+            self.late = max(self.late, now - self.next)
+            self._send(client)
+            self.next += int(self.random.expovariate(self.played.load.rate * self.factor) * SECOND)
         if self.next <= self.end:
             self.loop.at(self.next, self._due)
 
-    def _send(self, due):
-        self.late = max(self.late, self.loop.now() - due)
-        kind = min(bisect_left(self.parts, self.random.random() * self.parts[-1]), len(self.parts) - 1)
-        track, key = self.played.track[kind], bisect_left(self.keys, self.random.random() * self.keys[-1])
+    def _tick(self):
+        """A second is over."""
+        now = self.loop.now()
+        for caller in [c for c in self.open if c.asked is not None]:
+            if now > caller.asked.sent + self.played.clients.patience + SECOND:
+                caller.close()  # no answer will come: its client gives up, and the rules' checker will say so
+                self.answered(caller, "lost")
+        second = (now - self.begin) // SECOND - 1
+        for watcher in self.watchers:
+            watcher(second)
+        self.lately.reset()
+        if now < self.end and not self.stopped:
+            self.loop.at(self.begin + (second + 2) * SECOND, self._tick)
+
+    # Troubles that clients make.
+
+    def storm(self, times):
+        self.storms, self.factor = self.storms + 1, self.factor * times
+
+    def calm(self, times):
+        self.storms, self.factor = self.storms - 1, self.factor / times
+
+    def scan(self, rate, lasts):
+        """Reads of keys that nobody has asked for, one after the other."""
+        now = self.loop.now()
+        for i in range(int(rate * lasts / SECOND)):
+            client = Asked(now + int(i * SECOND / rate), 0, f"scan{self.scanned}", 1)
+            self.scanned += 1
+            self.loop.at(client.due, lambda client=client: self._send(client))
+
+    def broken(self, place):
+        """The balancer there has been killed: what it had in hand is lost with it, by no fault of its."""
+        self.deaths[place] = self.loop.now()
+
+    # Requests.
+
+    def _send(self, client):
+        if self.stopped:
+            return
         self.number += 1
-        place = self.random.choice(self.places)
+        client.number, client.sent, client.tries = self.number, self.loop.now(), client.tries - 1
+        client.receipt = client.receipt or self.number
+        track = self.played.track[client.kind]
+        self.kinds.append(client.kind)
+        place = self.places[int(self.luck.random() * len(self.places))]
         patience = self.played.clients.patience / SECOND
         lines = [
-            f"{'PUT' if track.write else 'GET'} /{track.name}/k{key} HTTP/1.1", "Host: balancer",
+            f"{'PUT' if track.write else 'GET'} /{track.name}/k{client.key} HTTP/1.1", "Host: balancer",
             f"X-Trace-Id: l{self.number}-{self.begin}", "X-Customer: load", f"X-Expires-In: {patience:.3f}",
         ]  # fmt: skip
         if track.write:
-            lines += ["Content-Length: 1"] + [f"Idempotency-Key: m{self.number}"] * (track.effect == "by_key")
+            lines += ["Content-Length: 1"]
+            lines += [f"Idempotency-Key: m{client.receipt}-{self.begin}"] * (track.effect == "by_key")
         data = "\r\n".join([*lines, "", "v" if track.write else ""]).encode()
         idle = self.idle[place]
         while idle and not idle[-1].open:
@@ -136,43 +209,112 @@
                 raise OSError
             caller = idle.pop() if idle else Caller(self.loop, place, self)
         except OSError:
-            self.words["not sent"] += 1
+            self._final(client, "not sent")
             return
         self.open[caller] = None
-        caller.ask(due, kind, data)
-
-    def answered(self, caller, word):
-        due, caller.due = caller.due, None
-        if due - self.begin < self.played.load.settles:
+        self.waiting += 1
+        caller.ask(client, data)
+        leave = self.played.clients.leave
+        if leave and self.luck.random() < leave:
+            number = client.number
+            after = self.loop.now() + self.played.clients.after
+            self.loop.at(after, lambda: self._leave(caller, number))
+
+    def _leave(self, caller, number):
+        """Its client gives up and closes the connection, if it has no answer yet."""
+        if caller.asked is not None and caller.asked.number == number:
+            caller.close()
+            self._note("left", caller, number)
+            self._over(caller)
+            self._final(caller.last, "left")
+
+    def _note(self, what, caller, *rest):
+        now = self.loop.now() - self.loop.offset
+        self.trace.append((what, now, self.places.index(caller.place), *rest))
+
+    def _over(self, caller):
+        caller.last, caller.asked = caller.asked, None
+        self.waiting -= 1
+        return caller.last
+
+    def begun(self, caller):
+        """The request is on its way to a balancer that has taken its connection."""
+        client, now = caller.asked, self.loop.now() - self.loop.offset
+        ends = now + self.played.clients.patience
+        self._note("taken", caller, client.number, ends, self.played.track[client.kind].effect)
+
+    def answered(self, caller, word, wait=0):
+        if caller.asked is None:
+            return
+        client, now = self._over(caller), self.loop.now()
+        if word == "lost":
+            if self.deaths.get(caller.place, 0) >= client.sent - DIES_BEFORE:
+                self._note("left", caller, client.number)  # nobody is there to answer it
+        else:
+            self._note("answered", caller, client.number, word)
+        if word == "bounced":
+            self.series.count((now - self.begin) // SECOND, "bounces")
+        if word in ("handled", "scrapped") or client.tries <= 0 or now >= self.end:
+            self._final(client, word)
+            return
+        clients = self.played.clients
+        pause = clients.backoff * 2 ** (clients.tries - client.tries - 1)
+        pause = 0 if self.storms else max(wait, int(pause * (0.5 + self.luck.random())))
+        self.loop.at(now + pause + MS, lambda: self._send(client))
+
+    def _final(self, client, word):
+        """The last try has ended."""
+        took, track = self.loop.now() - client.due, self.played.track[client.kind]
+        handled, in_time = word == "handled", word == "handled" and took <= track.promised
+        self.series.result((client.due - self.begin) // SECOND, track.name, track.benefit, handled, in_time)
+        time = max(LEAST_TIME, min(MOST_TIME, took // 1000))
+        if handled:
+            self.lately.record_value(time)
+        if client.due - self.begin < self.played.load.settles:
             return
         self.words[word] += 1
-        if word == "handled":
-            took = self.loop.now() - due
-            self.times.record_value(max(LEAST_TIME, min(MOST_TIME, took // 1000)))
-            self.in_time += took <= self.played.track[caller.kind].promised
+        self.worth += track.benefit
+        if handled:
+            self.times.record_value(time)
+            self.gained += track.benefit * in_time
 
     def gone(self, caller):
         self.open.pop(caller, None)
         if caller in self.idle[caller.place]:
             self.idle[caller.place].remove(caller)
 
+    # What stand-ins tell of the requests.
+
+    def number_of(self, trace):
+        """The try's number, of its id; None when it is none of this load's."""
+        number, _, begin = trace[1:].partition("-")
+        return int(number) if trace[:1] == "l" and begin == str(self.begin) and number.isdigit() else None
+
+    def effect_of(self, number):
+        return self.played.track[self.kinds[number - 1]].effect
+
     def run(self):
         """Until the last request is answered or its time is over."""
         last = self.end + AFTER
-        while (now := self.loop.now()) < last and (now <= self.end or any(c.due for c in self.open)):
+        while self.loop.running and not self.halted() and (now := self.loop.now()) < last:
+            if now > self.end and not self.waiting:
+                break
             self.loop.round(0.05)
-        unanswered = [c for c in self.open if c.due is not None]
-        self.words["lost"] += len(unanswered)
+        return self.finish()
+
+    def finish(self):
+        self.stopped = True
         for caller in list(self.open):
-            caller.due = None
+            if caller.asked is not None:
+                self._final(self._over(caller), "lost")
             caller.close()
         return self.report()
 
     def report(self):
-        count = max(1, sum(self.words.values()))
+        count = sum(self.words.values())
         return {
-            "requests": count, "earned": round(self.in_time / count, 4),
-            **{word: round(number / count, 4) for word, number in self.words.items()},
+            "requests": count, "earned": round(self.gained / self.worth, 4) if self.worth else 0.0,
+            **{word: round(number / max(1, count), 4) for word, number in self.words.items()},
             **{f"p{p:g}_ms": self.times.get_value_at_percentile(p) / 1000 for p in (50, 99)},
             "generator_late_ms": round(self.late / 1e6, 3),
         }  # fmt: skip
--- a/hopsail/load/standins.py
+++ b/hopsail/load/standins.py
@@ -14,6 +14,8 @@
 
 BACKLOG = 256
 MISS_PART = 0.2  # of a read's work that a miss costs, as in the emulator
+COUNTED, STOPPED = 2 * SECOND, 5 * SECOND  # an origin's requests over the one; what stops it lasts the other
+MOST_PREAMBLE = 107  # bytes of a PROXY line, version 1 (haproxy.org, the PROXY protocol, section 2.1)
 KEEP_ALIVE = 2 * SECOND  # an empty line on a watch, while nothing changes
 # A host answers as it should; with 500 at once; by a reset; not at all; or with half of what it promised.
 WELL, ERRS, RESETS, SILENT, SPOILS = "well", "errs", "resets", "silent", "spoils"
@@ -23,11 +25,16 @@
 class Listener:
     """A loopback listener whose connections are `kind(loop, sock, self)`."""
 
+    proxied = False  # whether the first line of a connection says whose it is
+
     def __init__(self, loop, kind):
         self.loop, self.kind, self.connections = loop, kind, {}
-        self.sock = socket.create_server(("127.0.0.1", 0), backlog=BACKLOG)
+        self.listen(("127.0.0.1", 0))
+
+    def listen(self, place):
+        self.sock = socket.create_server(place, backlog=BACKLOG)
         self.sock.setblocking(False)
-        loop.watch(self.sock, READ, self._take_in)
+        self.loop.watch(self.sock, READ, self._take_in)
 
     @property
     def place(self):
@@ -49,11 +56,28 @@
 
 
 class HostSide(Stream):
+    """A balancer's connection. Behind a relay its first line says whose it is (PROXY protocol, version 1)."""
+
+    node = -1  # the balancer's number, where a relay tells it
+
     def __init__(self, loop, sock, host):
         self.host, self.reader = host, RequestReader()
+        self.preamble = bytearray() if host.proxied else None
         super().__init__(loop, sock)
 
     def received(self, data):
+        if self.preamble is not None:
+            self.preamble += data
+            line, gap, data = bytes(self.preamble).partition(b"\r\n")
+            parts = line.split(b" ")
+            if not gap and len(self.preamble) <= MOST_PREAMBLE:
+                return
+            if not gap or len(parts) != 6 or parts[:2] != [b"PROXY", b"TCP4"] or not parts[4].isdigit():
+                self.close()
+                return
+            self.preamble, self.node = None, int(parts[4]) - 1
+            if not data:
+                return
         try:
             request = self.reader.feed(data)
         except MessageFault as fault:
@@ -75,24 +99,55 @@
 
 
 class HostStandin(Listener):
-    """A cache host, or the origin, that serves as `machine` (emulator.scenario.Machine) says."""
+    """A cache host, or the origin, that serves as `machine` (emulator.scenario.Machine) says.
 
-    def __init__(self, loop, name, machine, fleet, origin=False, seed=1):
+    `fleet` hears of misses, fetches, writes and of each request's coming and end; with `warming`, the share
+    that a fresh host has of its capacity and the ns in which it warms up, it starts cold."""
+
+    def __init__(self, loop, name, machine, fleet, origin=False, seed=1, warming=None, proxied=False):
+        self.proxied, self.warming, self.started = proxied, warming, loop.now()
+        self.silent_until, self.lately = 0, deque()
         super().__init__(loop, HostSide)
         self.name, self.machine, self.fleet, self.origin = name, machine, fleet, origin
         self.random, self.memory = Random(f"{seed}/{name}"), OrderedDict()
         self.busy, self.queue, self.manner, self.times = 0, deque(), WELL, 1.0
         self.asked_for, self.runs = 0, []  # requests that came; ids of writes that were carried out
 
+    def warmth(self):
+        """The part of its capacity that it has: cold after its start, evenly more until warm."""
+        if self.warming is None:
+            return 1.0
+        share, warm = self.warming
+        return min(1.0, share + (1 - share) * (self.loop.now() - self.started) / max(1, warm))
+
+    def _falls(self):
+        """An origin that is sent more than `stops` answers nothing for a while."""
+        now = self.loop.now()
+        self.lately.append(now)
+        while self.lately[0] < now - COUNTED:
+            self.lately.popleft()
+        if len(self.lately) <= self.machine.stops * COUNTED / SECOND:
+            return False
+        self.silent_until = now + STOPPED
+        self.queue.clear()
+        self.lately.clear()
+        self.fleet.fell(self)
+        return True
+
     def asked(self, connection, request):
         self.asked_for += 1
-        if self.manner == SILENT:
+        if self.manner == SILENT or self.loop.now() < self.silent_until:
+            return
+        self.fleet.reached(self, connection, request)
+        if self.origin and self.machine.stops and self._falls():
             return
         if self.manner == RESETS:
             connection.reset()
         elif self.manner == ERRS:
+            self.fleet.ended(self, connection, request, "ERROR")
             connection.write(encode_answer(Answer(500), False))
         elif self.busy >= self.machine.cores and len(self.queue) >= self.machine.queue:
+            self.fleet.ended(self, connection, request, "FULL")
             head = b"HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n"
             connection.write(head)
         else:
@@ -104,7 +159,7 @@
             connection, request = self.queue.popleft()
             key, write = request.target.rpartition(b"/")[2], request.method == b"PUT"
             held = write or self.origin or key in self.memory
-            work = self.machine.service * self.times * (1.0 if held else MISS_PART)
+            work = self.machine.service * self.times / self.warmth() * (1.0 if held else MISS_PART)
             work *= 1.0 if self.machine.law == "fixed" else self.random.expovariate(1.0)
             self.busy += 1
             at = self.loop.now() + int(work)
@@ -113,11 +168,16 @@
     def _finish(self, connection, request, key, held):
         self.busy -= 1
         write = request.method == b"PUT"
+        if self.manner == SILENT or self.loop.now() < self.silent_until:
+            self._begin()  # its work is lost, as nobody hears of it
+            return
         if self.origin and write:
             self.runs.append(request.trace)
+            self.fleet.ran(self, request)
             self.fleet.void(key)
         if write and not self.origin or not held:
             self.fleet.missed(request.trace, self)
+            self.fleet.ended(self, connection, request, "MISS")
             connection.write(encode_answer(Answer(404), False))
         elif self.manner == SPOILS:
             connection.write(b"HTTP/1.1 200 OK\r\nContent-Length: 9999\r\n\r\nhalf")
@@ -125,6 +185,7 @@
         else:
             if self.origin and not write:
                 self.fleet.fetched(request.trace, key)
+            self.fleet.ended(self, connection, request, "HANDLED")
             connection.write(encode_answer(Answer(200, b"value of " + key), False))
         self._begin()
 
@@ -187,8 +248,20 @@
             connection.tell(change)
 
 
-class Fleet:
-    """Discovery, cache hosts and origin of a scenario."""
+class Unheard:
+    """What a stand-in host tells of itself, for a fleet that does not listen."""
+
+    def reached(self, host, connection, request): ...
+
+    def ended(self, host, connection, request, outcome): ...
+
+    def ran(self, host, request): ...
+
+    def fell(self, host): ...
+
+
+class Fleet(Unheard):
+    """Discovery, cache hosts and origin of a scenario, in this process."""
 
     def __init__(self, loop, played, seed=1):
         self.loop, self.misses = loop, OrderedDict()
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -273,7 +273,7 @@
 @pytest.mark.parametrize("path", SHIPPED, ids=lambda path: path.stem)
 def test_no_policy_earns_more_than_the_bound_on_a_scenario_that_ships(path):
     """A thousandth is chance: a request that comes late draws long work at the origin with one policy and
-    short work with another. The storm is a quarter of its size here; `docs/studies/recovery.md` has it whole."""
+    short work with another. The storm is a quarter of its size here; `docs/studies/` has it whole."""
     played = scenario.load(path, FEWER if path.stem == "storm" else None)
     bound = report.play(played, "oracle", 1)
     others = [name for name in NAMES if name != "oracle"]
