--- a/hopsail/emulator/scenario.py
+++ b/hopsail/emulator/scenario.py
@@ -205,6 +205,13 @@
         raise ScenarioFault(f"{path}: {fault}") from None
     for key, value in (changes or {}).items():
         table, _, name = key.partition(".")
+        if table in LISTS:
+            number, _, name = name.partition(".")
+            rows = tree.get(table, [])
+            if not number.isdecimal() or not isinstance(rows, list) or int(number) >= len(rows):
+                raise ScenarioFault(f"{path}: {key}: no such {table}; they are counted from 0")
+            rows[int(number)][name] = value
+            continue
         if table not in TABLES or not isinstance(tree.setdefault(table, {}), dict):
             raise ScenarioFault(f"{path}: {key}: no such key can be changed")
         tree[table][name] = value
--- a/hopsail/load/rig.py
+++ b/hopsail/load/rig.py
@@ -7,6 +7,7 @@
 
 import json
 import os
+import re
 import tempfile
 from collections import defaultdict
 from dataclasses import asdict, replace
@@ -19,6 +20,7 @@
 from ..emulator import rules
 from ..model import MS, SECOND
 from ..net.loop import READ, Loop
+from ..net.stream import Stream, dial
 from .generator import Load, loopback, settings
 from .processes import Child, RigFault, descriptors, end, free_port
 from .scripted import instance
@@ -71,7 +73,7 @@
         self.name, self.zone = f"n{index}", index % rig.played.fleet.zones
         self.discovery = Discovery(rig, self)
         self.place = self.operator = None
-        self.lines, self.up = [], False
+        self.lines, self.up, self.aside = [], False, 0  # aside: hosts that it sends nothing, as it last told
 
     def start(self):
         rig = self.rig
@@ -83,9 +85,7 @@
             "limits": {"sockets": 1024, "memory_mb": 192},
             "settings": settings(rig.played) | {"myZone": self.zone},
         }  # fmt: skip
-        if rig.operators:
-            self.operator = self.operator or f"127.0.0.1:{free_port()}"
-            tree["operator"] = self.operator
+        self.operator = tree["operator"] = self.operator or f"127.0.0.1:{free_port()}"
         path.write_text(json.dumps(tree))
         self.lives += 1
         self.child = Child(rig.loop, "balancer", environment={"NODE_CONFIG": str(path), "TMPDIR": rig.folder})
@@ -142,6 +142,24 @@
         self.rig.loop.at(self.rig.loop.now() + BACK_AFTER, lambda: self.rig.ending or self.start())
 
 
+class Look(Stream):
+    """A call at a balancer's operators' door: how many hosts it has set aside."""
+
+    def __init__(self, loop, balancer):
+        self.balancer, self.text = balancer, b""
+        super().__init__(loop, dial(loopback(balancer.operator)), dialing=True)
+
+    def connected(self):
+        self.write(b"show-stat\n")
+
+    def received(self, data):
+        self.text += data
+        if self.text.endswith(b"end\n"):
+            found = re.search(rb"^app_out_of_rotation (\d+)$", self.text, re.MULTILINE)
+            self.balancer.aside = int(found[1]) if found else 0
+            self.close()
+
+
 class Discovery(DiscoveryStandin):
     """One balancer's discovery: what it was told, and when, is kept for the rules."""
 
@@ -197,11 +215,11 @@
 class Rig:
     """A scenario's fleet as processes. Use as a context: on leaving, all of them have ended."""
 
-    def __init__(self, played, seed=1, operators=False, halted=lambda: False):
+    def __init__(self, played, seed=1, halted=lambda: False):
         fleet = played.fleet
         ways = fleet.balancers * (fleet.caches + 1)
         descriptors(max(2 * ways + 4 * CONNECTIONS, 8 * (fleet.balancers + fleet.caches)))
-        self.played, self.seed, self.operators, self.ending = played, seed, operators, False
+        self.played, self.seed, self.ending = played, seed, False
         self.halted = halted  # whether somebody wants it to end
         self.loop, self.trace, self.failed = Loop(), [], None
         self.entries, self.generation, self.load = {}, 1, None
@@ -359,9 +377,16 @@
         load.watchers.append(self._sample)
 
     def _sample(self, second):
-        self.samples.append((second, sum(host.connections for host in self.all), 0.0))
+        up = [one for one in self.balancers if one.up]
+        aside = sum(one.aside for one in up) / max(1, len(up))
+        self.samples.append((second, sum(host.connections for host in self.all), aside))
         for host in self.all:
             host.order("count", None)
+        for one in up:
+            try:
+                Look(self.loop, one)
+            except OSError:
+                one.aside = 0  # it is on its way down, or this process has no descriptor left
 
     def _some(self, of, trouble, random):
         return random.sample(of, min(len(of), max(1, ceil(trouble.part * len(of)))))
--- a/hopsail/load/trial.py
+++ b/hopsail/load/trial.py
@@ -74,7 +74,7 @@
     before = {number: signal.signal(number, lambda number, _: asked.append(number))
               for number in (signal.SIGINT, signal.SIGTERM)}  # fmt: skip
     try:
-        with Rig(played, seed, operators=True, halted=lambda: bool(asked)) as rig:
+        with Rig(played, seed, halted=lambda: bool(asked)) as rig:
             where = addresses(rig)
             shown = {front: where[front] for front in fronts or where}
             track = next((kind for kind in played.track if not kind.write), played.track[0])
