Storm control: returns damped first, refusals dealt times, the origin kept below its stop

Change: hopsail/storms/ (no I/O) tells a storm by the share of what comes that has been here before, marked (X-Second-Try) or known by customer and key; lets returns in for a part of what is served; deals each refusal a time of its own; and gives each balancer its equal part of what the origin bears. The module asks it and decides by its typed verdict; off by a setting (storms.control).

--- a/hopsail/__main__.py
+++ b/hopsail/__main__.py
@@ -128,6 +128,7 @@
             open_requests=door.open,
             registry_entries=door.listed_caches(),
             out_of_rotation=door.out_of_rotation(),
+            **door.storm(),
         )
 
     def _sweep(self):
--- a/hopsail/config.py
+++ b/hopsail/config.py
@@ -10,6 +10,7 @@
 
 from .model import MS, SECOND, Settings
 from .net.discovery import ListFault, Names, address
+from .storms import Rules
 from .settings import Pairs, SettingsFault, check, decode, flatten
 
 DEFAULT_SOCKETS = 1024  # descriptors, where no limit is stated
@@ -80,6 +81,7 @@
         dial_time = values.time("limits.dialTimeoutUs", "250000")
     except SettingsFault as fault:
         raise ConfigFault(f"settings: {fault}") from None
+    decoded = replace(decoded, storms=storms(tree, decoded))
     names = Names(words(settings, "failureDomains"), words(settings, "kinds"), decoded.origin_kind)
     limits = part(tree, "limits", dict, {})
     sockets = whole(limits, "sockets", DEFAULT_SOCKETS, LEAST_SOCKETS)
@@ -147,6 +149,19 @@
     return known[value]
 
 
+def storms(tree, decoded):
+    """The rules of storm control, None where it is off or left out."""
+    found = part(tree, "storms", dict, {})
+    if unknown := found.keys() - {"control", "originPerS"}:
+        raise ConfigFault(f"storms.{min(unknown)} is unknown; there are control and originPerS")
+    control, origin = found.get("control", False), found.get("originPerS", 0)
+    if not isinstance(control, bool):
+        raise ConfigFault(f"storms.control holds {control!r:.80}: true or false is needed")
+    if isinstance(origin, bool) or not isinstance(origin, int | float) or not 0 <= origin < MOST:
+        raise ConfigFault(f"storms.originPerS holds {origin!r:.80}: a rate of at least 0 is needed")
+    return Rules(decoded.advise_wait, float(origin)) if control else None
+
+
 def words(settings, key):
     value = settings.get(key) or []
     if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -7,22 +7,20 @@
 """
 
 from collections import deque
-from hashlib import blake2b
 from heapq import heappop, heappush
 from itertools import chain, count, islice
 from math import ceil, inf, log, log2, sqrt
 from random import Random
-from struct import unpack
 
 from .model import BROKEN, HEARD, MS, NEVER_RAN, NEVER_REACHED, RATED, SECOND
 from .model import Bounce, Close, Fetch, Hold, Leg, Mean, Outcome, Repeat, Scope, Scrap, Send
 from .model import State, Subscribe, Sum, Tokens, WakeAt
-from .tables import Counts, Ring
+from .storms import Control
+from .tables import Counts, Ring, Sizes, digests, places
 
 POINTS = 96  # ring points of a cache of common size: keeps shares within about a tenth of each other
 DEAR = 0.05  # price of crossing zones from which each zone has homes of its own: a key then misses in each
 PART_LEAST, PART_MOST = 0.05, 8.0  # of the common size: no host has fewer or more points than that
-SIZE_LEAST, SIZE_MOST = 1e-3, 1e4  # a listed size beyond them is a slip and counts as the common one
 HALVING = 60 * SECOND  # half-life of read counts: a balancer of hundreds sees a few reads a second
 HOT_FLOOR = 2  # reads counted before a key can be hot: a second copy of a key that is not is cheap
 SPREAD_FACTOR = 4  # caches for a hot key, per share x n: keeps each under a quarter of a fair cache's reads
@@ -93,12 +91,7 @@
 
     def places(self, unit):
         """Its points on the ring; a larger host has all the points that a smaller one would have."""
-        number = round(POINTS * min(PART_MOST, max(PART_LEAST, self.size / unit)))
-        return [place for i in range(0, number, 8) for place in digests(self.salt ^ i)[: number - i]]
-
-
-def digests(number):
-    return unpack("<8Q", blake2b(number.to_bytes(8, "little")).digest())
+        return places(self.salt, round(POINTS * min(PART_MOST, max(PART_LEAST, self.size / unit))))
 
 
 class Balancer:
@@ -108,7 +101,7 @@
         self.settings, self.random = settings, Random(seed)
         self.hosts, self.caches, self.origin = {}, {}, None  # caches: those that are ready, on the ring
         self.paces = {}  # of each kind of host: the time that answers took, in times their hinted work
-        self.largest = {}  # the largest size listed of each kind of host
+        self.sizes = Sizes(settings.sized, settings.live)
         # Two rings where crossing zones is dear, this balancer's own zone first; else all are on the first.
         self.rings, self.ready, self.unit, self.size = (self.ring(), self.ring()), [0, 0], 1.0, 0.0
         self.counts = Counts(HALVING, now)
@@ -125,6 +118,9 @@
         self.time, self.times, self.base = 0.0, 0, 0.0  # mean over all caches, its count, its best
         self.loads = Mean(TOLD_SPAN, now), Mean(TOLD_SPAN, now)  # told by the own zone's caches, the others
         self.first_legs, self.more_legs = Sum(SPAN, now), Sum(SPAN, now)
+        self.storms = (
+            Control(settings.storms, settings.balancers, self.random, now) if settings.storms else None
+        )
         self.turns, self.out, self.now, self.asked, self.failures = deque(), [], now, False, 0
 
     def listed(self, now, scope, entries):
@@ -141,7 +137,7 @@
         self.failures = 0
         for name in self.hosts.keys() - {e.name for e in entries} if scope is Scope.WHOLE else ():
             self._leave(self.hosts[name])
-        joined, grown = [], self._grown(entries)
+        joined, grown = [], self.sizes.grown(entries)
         for entry in entries:
             host = self.hosts.get(entry.name)
             if host is not None and (entry.started != host.started or entry.state is not State.READY):
@@ -150,7 +146,7 @@
                 continue
             if host is None or entry.started != host.started:
                 # A restart, too, makes a new host: its memory is empty and its old troubles are gone.
-                host = Host(entry, self._sized(entry), settings, now)
+                host = Host(entry, self.sizes.of(entry), settings, now)
                 host.tokens.level = self.random.random()  # all balancers at once would push it over
             host.state = entry.state
             self.hosts[host.name] = host
@@ -163,25 +159,11 @@
                 self.aside += bool(host.back_at)
                 joined.append(host)
         for host in self.caches.values() if grown else ():
-            size = self._sized(host)
+            size = self.sizes.of(host)
             self.size += size - host.size
             host.size = size
         self._join(joined, grown)
 
-    def _grown(self, entries):
-        """Live weights tell a size only when a host is idle, and of a kind one always is: the largest ever
-        listed is the kind's size. True when one is larger than was known."""
-        old = dict(self.largest)
-        for kind, size in ((e.kind, e.size) for e in entries if self.settings.live):
-            if max(SIZE_LEAST, self.largest.get(kind, 0.0)) < size <= SIZE_MOST:
-                self.largest[kind] = size
-        return self.largest != old
-
-    def _sized(self, entry):
-        if self.settings.live:
-            return self.largest.get(entry.kind, 1.0)
-        return entry.size if self.settings.sized and SIZE_LEAST <= entry.size <= SIZE_MOST else 1.0
-
     def _leave(self, host):
         self.hosts.pop(host.name, None)
         host.state = State.GONE
@@ -204,6 +186,13 @@
         self.now = now
         r.patience = now + int(HOLD_PART * min(r.track.promised, r.ends - now))
         r.flow = self._write(r) if r.write else self._read(r)
+        if self.storms:
+            hot = self.counts.share(r.key) * len(self.caches) > 1
+            r.again, damped, wait = self.storms.arrived(now, r.customer, r.key, r.again, hot)
+            if damped:  # a return before its time, or beyond the part that returns have
+                self.out.append(Bounce(r, wait))
+                r.done = True
+                return
         self._run(r)
 
     def leg_ended(self, now, leg, outcome, complete, report=None):
@@ -332,7 +321,7 @@
         if origin is None or origin.state is not State.READY:
             return False
         # Writes and reads each have a line and take turns: neither may starve the other.
-        line, rank = self.queues[r.write], (not self._within_share(r), -r.track.benefit)
+        line, rank = self.queues[r.write], (not self._within_share(r), r.again, -r.track.benefit)
         if not line and self._room(origin):
             return True
         ahead = sum(entry[0] <= rank for entry in line) + 1
@@ -355,7 +344,8 @@
         # An effect that may have happened must not be asked for again.
         if ran and (repeat is Repeat.EFFECTFUL or repeat is Repeat.RECEIPTED and r.track.group != "all"):
             return Scrap(r)
-        return Bounce(r, min(self.settings.advise_wait, WAIT_STEP))
+        wait = min(self.settings.advise_wait, WAIT_STEP)
+        return Bounce(r, self.storms.refused(self.now, r.customer, r.key, wait) if self.storms else wait)
 
     def _again(self, r):
         """Whether a further leg fits into the retrieval's limits and into the retry budget."""
@@ -389,6 +379,8 @@
     def _send(self, r, host):
         now = self.now
         self.cache_legs += host.is_cache
+        if self.storms and not host.is_cache:
+            self.storms.fetched(now)
         self.sent.add(now, host.is_cache)
         if not r.legs:
             self.first_legs.add(now)
@@ -428,6 +420,8 @@
 
     def _room(self, host, part=1.0):
         limit = host.limit * part
+        if self.storms and not host.is_cache and not self.storms.may_fetch(self.now):
+            return False
         if limit >= 1:
             return len(host.legs) < limit
         return not host.legs and self.now - host.last >= host.time.read(self.now) / limit
@@ -476,6 +470,8 @@
         host, outcome, now = leg.host, leg.outcome, self.now
         host.legs.pop(leg, None)
         self.cache_legs -= host.is_cache
+        if self.storms and outcome is Outcome.HANDLED:
+            self.storms.served(now)
         if outcome is Outcome.HANDLED or outcome is Outcome.MISS:
             host.good.add(now)
             self.good.add(now)
--- a/hopsail/emulator/oracle.py
+++ b/hopsail/emulator/oracle.py
@@ -17,6 +17,7 @@
 
 from heapq import heapify, heappop, heappush
 from itertools import count
+from math import sqrt
 
 from ..model import MS, SECOND, Leg, Outcome, Repeat, Send, WakeAt
 from .hosts import COUNTED, MISS_PART
@@ -25,6 +26,8 @@
 MARGIN = MS // 2  # a leg that ends this close to the promised time is not counted on
 SPARE = 2  # legs at the origin beyond its cores: they are on their way while a core comes free
 LOOK = 2 * MS  # until a leg is looked at again whose work has not begun
+HOPELESS = 0.1  # of the origin's mean work: in less time hardly any of it is done
+WRITES = 1e9  # before any read, whatever its key
 EASY = 0.5  # of the time left: a holder that needs more is helped by another copy, if the origin idles
 IDLE = 0.5  # of the origin's cores free: then a copy costs nobody anything
 
@@ -119,6 +122,8 @@
         waits = self.sight.work.get(host.name, 0) - (host.machine.cores - 1) * pace
         first = host.foreseen() if host.machine.law != "fixed" else 1.0
         own = pace * (first if waits <= 0 else 1.0) * (1.0 if held else MISS_PART)
+        if waits > 0:
+            waits += sqrt(waits * pace)  # work in a queue varies: by so much, about
         return now + travel + int(max(0.0, waits) / host.machine.cores + own)
 
     def _origin_host(self):
@@ -158,7 +163,8 @@
 
     def _queue(self, now, r):
         sight = self.sight
-        rank = r.track.benefit * (1 if r.write else 1 + sight.asked.get(r.key, 0))
+        # Writes first: they earn at once; for what a fetch will earn, the caches must have room.
+        rank = r.track.benefit * (WRITES if r.write else 1 + sight.asked.get(r.key, 0))
         heappush(sight.line, (-rank, r.patience, next(sight.serial), self, r))
         sight.waits += 1
         self.out.append(WakeAt(r.patience - MARGIN, r))
@@ -172,35 +178,52 @@
             heapify(sight.line)
             sight.waits = len(sight.line)
         while sight.line and host is not None and self._room(now, host):
-            rank, due, _, policy, r = heappop(sight.line)
+            entry = heappop(sight.line)
             sight.waits -= 1
-            node = policy.node
-            work = int(host.machine.service * host.times * self._foreseen(host))
-            least = now + 2 * policy._away(host) + work
-            if r.done or node.balancer is not policy or not node.alive or due <= now:
-                continue
-            if least > due and any(not entry[4].done for entry in sight.line):
-                # The next work at the origin is long: whoever gets it is late, and the
-                # least benefit loses least.
-                # A free core draws for whoever comes; nothing is gained by keeping it idle.
-                last = max(range(len(sight.line)), key=lambda i: sight.line[i][:3])
-                if sight.line[last][0] > rank and not sight.line[last][4].done:
-                    victim = sight.line[last]
-                    sight.line[last] = (rank, due, next(sight.serial), policy, r)
-                    heapify(sight.line)
-                    _, due, _, policy, r = victim
-                    node = policy.node
-                    if node.balancer is not policy or not node.alive:
-                        continue
-            if policy.origin is None:
+            if not self._waits(now, entry):
                 continue
+            away, mean = 2 * self._away(host), host.machine.service * host.times
+            least = now + away + int(mean * self._foreseen(host))
+            if least > entry[1]:
+                entry = self._instead(now, entry, least, entry[1] > now + away + int(HOPELESS * mean))
+            _, _, _, policy, r = entry
             policy._send(now, r, policy.origin, 1.0)
             if policy is not self:
+                node = policy.node
                 sight.world.clock.at(now, 2, node.call, node.life, lambda: None)
         if sight.line and not sight.started:
             sight.started = True
             sight.world.clock.at(now + LOOK, 3, self._again)
 
+    @staticmethod
+    def _waits(now, entry):
+        """Whether the one in the line is still to be served."""
+        _, due, _, policy, r = entry
+        alive = policy.node.balancer is policy and policy.node.alive
+        return not r.done and alive and due > now and policy.origin is not None
+
+    def _instead(self, now, entry, least, keep):
+        """Another from the line, when the next work at the origin is too long for the first: the first of
+        those that can wait for it, or else the last of all. `keep`: there will be shorter work for it."""
+        line = self.sight.line
+        able = [i for i, one in enumerate(line) if one[1] >= least and self._waits(now, one)]
+        if able:
+            at = min(able, key=line.__getitem__)
+        else:
+            waiting = (i for i, one in enumerate(line) if self._waits(now, one))
+            at = max(waiting, key=line.__getitem__, default=None)
+            if at is None or line[at] < entry:
+                return entry
+        other = line[at]
+        if keep:
+            line[at] = entry
+        else:
+            line[at] = line[-1]
+            line.pop()
+            self.sight.waits -= 1
+        heapify(line)
+        return other
+
     def _again(self):
         self.sight.started = False
         self._pump(self.sight.world.clock.now)
--- a/hopsail/emulator/scenario.py
+++ b/hopsail/emulator/scenario.py
@@ -115,6 +115,9 @@
     backoff: int = known(span, 50_000_000)
     leave: float = known(share, 0.0)  # of the clients give a try up while it is being served,
     after: int = known(span, 300_000_000)  # when it has taken so long, and come no more
+    marks: float = known(share, 0.0)  # of the clients mark a further try as one
+    apart: bool = known(bool, False)  # those that heed are one customer, the rest another, with quotas
+    heed: float = known(share, 0.0)  # of the clients wait as told, and back off, also in a storm
 
 
 @dataclass(frozen=True)
@@ -127,6 +130,16 @@
     later: int = known(span, 2_000_000_000)  # by so much
 
 
+@dataclass(frozen=True)
+class Storms:
+    """Storm control at balancers (`hopsail/storms/`)."""
+
+    control: bool = known(bool, False)
+    origin: float = known(
+        rate, 0.0
+    )  # what stops the origin, as balancers are told; 0 = they are told nothing
+
+
 @dataclass(frozen=True)
 class Feedback:
     """What hosts and clients tell balancers, as the settings of a deployment allow."""
@@ -174,7 +187,7 @@
 
 
 TABLES = {"fleet": Fleet, "cache": Machine, "origin": Machine, "network": Network, "load": Load,
-          "clients": Clients, "front": Front, "feedback": Feedback,
+          "clients": Clients, "front": Front, "feedback": Feedback, "storms": Storms,
           "lists": Lists, "rules": Rules}  # fmt: skip
 LISTS = {"track": Kind, "trouble": Trouble}
 
@@ -189,6 +202,7 @@
     clients: Clients
     front: Front
     feedback: Feedback
+    storms: Storms
     lists: Lists
     rules: Rules
     track: tuple[Kind, ...]
--- a/hopsail/emulator/world.py
+++ b/hopsail/emulator/world.py
@@ -27,6 +27,7 @@
 from .oracle import Oracle, Sight
 from .policies import POLICIES
 from .rings import Shared
+from ..storms import Rules
 from .scenario import EFFECTS
 
 START = 1_000_000 * SECOND  # of the emulated clock: not nought, which stands for "long ago"
@@ -158,6 +159,11 @@
         world.trace.append(("taken", world.clock.now, self.index, request.id, request.ends, kind.effect))
         track = world.tracks[request.kind]
         retrieval = Retrieval(request, track, request.key, request.ends, kind.write)
+        marks = world.scenario.clients.marks
+        if marks and request.tries + 1 < world.scenario.clients.tries:
+            retrieval.again = world.habits[request.first][0] < marks
+        if world.scenario.clients.apart:
+            retrieval.customer = int(world.habits[request.first][1] >= world.scenario.clients.heed)
         if request.size is not None and world.scenario.feedback.hints and not kind.write:
             retrieval.work = int(request.size * world.scenario.cache.service)
         leave = world.scenario.clients.leave
@@ -263,6 +269,10 @@
         self.listings = {name: self._entry(host, State.READY) for name, host in self.named.items()}
         self.nodes = self.dealt = [Node(self, i) for i in range(fleet.balancers)]
         front, self.leaving, self.sizes = self.stream("front"), self.stream("leaving"), self.stream("sizes")
+        self.manners, self.habits = (
+            self.stream("manners"),
+            {},
+        )  # of each client, by when it came: marks, heeds
         self.phases = [front.randrange(max(1, scenario.front.every)) for _ in self.nodes]
         self.lates = [front.random() for _ in self.nodes]
         weights = [1 / i**scenario.load.zipf for i in range(1, scenario.load.keys + 1)]
@@ -287,9 +297,15 @@
             subscribe=True, most_legs=MOST_LEGS, advise_wait=2 * SECOND, start_share=scenario.rules.start,
             warm_within=scenario.rules.warm, fall_multiple=scenario.rules.multiple,
             fall_time=scenario.rules.window, open_price=1.0, dial_price=1.0,
+            quotas=self._quotas(),
             columns=COLUMNS if scenario.feedback.reports else (),
+            **({"storms": Rules(2 * SECOND, scenario.storms.origin)} if scenario.storms.control else {}),
         )  # fmt: skip
 
+    def _quotas(self):
+        heed, rate = self.scenario.clients.heed, self.scenario.load.rate
+        return (rate * heed, rate * (1 - heed)) if self.scenario.clients.apart else ()
+
     def run(self):
         """Plays the day. The collector rests meanwhile: a request leaves no cycles behind, and to look
         through the parts of hundreds of balancers again and again takes more time than the day."""
@@ -344,6 +360,7 @@
         # All of a client's chance is drawn as it comes: what a policy does to one moves no other's day.
         tries = self.scenario.clients.tries
         luck = [self.random.random() for _ in range(2 * tries)]
+        self.habits[now] = self.manners.random(), self.manners.random()
         self._ask(min(kind, len(self.parts) - 1), key, tries, now, luck)
         gap = self.random.expovariate(self.scenario.load.rate * self.factor)
         self.clock.at(now + int(gap * SECOND), ARRIVAL, self._arrivals)
@@ -376,7 +393,8 @@
             self.results.append((request.first, request.kind, word, now - request.first, request.tries))
             return
         pause = clients.backoff * 2 ** (clients.tries - request.tries - 1)
-        pause = 0 if self.storm else max(wait, int(pause * (0.5 + request.luck[-2 * request.tries - 1])))
+        rushes = self.storm and self.habits[request.first][1] >= clients.heed
+        pause = 0 if rushes else max(wait, int(pause * (0.5 + request.luck[-2 * request.tries - 1])))
         self.clock.at(now + pause + MS, ARRIVAL, self._ask, request.kind, request.key, request.tries,
                       request.first, request.luck, request.size)  # fmt: skip
 
@@ -522,5 +540,6 @@
         for i in range(int(trouble.rate * trouble.lasts / SECOND)):
             at = self.clock.now + int(i * SECOND / trouble.rate)
             luck = random.random(), random.random()
+            self.habits[at] = 1.0, 1.0
             self.clock.at(at, ARRIVAL, self._ask, 0, 2 * 10**9 + self.scanned + i, 1, at, luck)
         self.scanned += int(trouble.rate * trouble.lasts / SECOND)
--- a/hopsail/experiments.py
+++ b/hopsail/experiments.py
@@ -27,6 +27,8 @@
 
 def value(text):
     """A word of the command line as the scenario file would have it."""
+    if text in ("true", "false"):
+        return text == "true"
     for kind in (int, float):
         try:
             return kind(text)
--- a/hopsail/load/generator.py
+++ b/hopsail/load/generator.py
@@ -99,10 +99,11 @@
 class Asked:
     """One client: its request, and the try of it that is out."""
 
-    __slots__ = ("due", "kind", "key", "tries", "number", "sent", "receipt")
+    __slots__ = ("due", "kind", "key", "tries", "number", "sent", "receipt", "marks", "heeds")
 
     def __init__(self, due, kind, key, tries):
         self.due, self.kind, self.key, self.tries = due, kind, key, tries
+        self.marks = self.heeds = False  # whether it marks a further try, and waits as it is told in a storm
         self.number, self.sent, self.receipt = 0, 0, 0  # of the try that is out: its id, and when it went out
 
 
@@ -114,6 +115,7 @@
     def __init__(self, loop, played, places, seed=1):
         self.loop, self.played, self.places = loop, played, list(places)
         self.random, self.luck = Random(f"{seed}/load"), Random(f"{seed}/luck")
+        self.manners = Random(f"{seed}/manners")
         load = played.load
         if load.rate * load.lasts / SECOND > MOST_REQUESTS or load.lasts > LONGEST:
             raise LoadFault(f"more than {MOST_REQUESTS} requests or {LONGEST // SECOND} s")
@@ -141,6 +143,9 @@
             if self.random.random() < self.hot:
                 key = f"hot{(self.next - self.begin) // HOT_MOVES}"
             client = Asked(self.next, min(kind, len(self.parts) - 1), key, self.played.clients.tries)
+            clients = self.played.clients
+            client.marks = self.manners.random() < clients.marks
+            client.heeds = self.manners.random() < clients.heed
             self.late = max(self.late, now - self.next)
             self._send(client)
             self.next += int(self.random.expovariate(self.played.load.rate * self.factor) * SECOND)
@@ -197,6 +202,8 @@
             f"{'PUT' if track.write else 'GET'} /{track.name}/k{client.key} HTTP/1.1", "Host: balancer",
             f"X-Trace-Id: l{self.number}-{self.begin}", "X-Customer: load", f"X-Expires-In: {patience:.3f}",
         ]  # fmt: skip
+        if client.marks and client.tries + 1 < self.played.clients.tries:
+            lines += ["X-Second-Try: 1"]
         if track.write:
             lines += ["Content-Length: 1"]
             lines += [f"Idempotency-Key: m{client.receipt}-{self.begin}"] * (track.effect == "by_key")
@@ -259,7 +266,7 @@
             return
         clients = self.played.clients
         pause = clients.backoff * 2 ** (clients.tries - client.tries - 1)
-        pause = 0 if self.storms else max(wait, int(pause * (0.5 + self.luck.random())))
+        pause = 0 if self.storms and not client.heeds else max(wait, int(pause * (0.5 + self.luck.random())))
         self.loop.at(now + pause + MS, lambda: self._send(client))
 
     def _final(self, client, word):
--- a/hopsail/load/rig.py
+++ b/hopsail/load/rig.py
@@ -84,6 +84,7 @@
             "discovery": self.discovery.place, "known": self.discovery.whole(),
             "limits": {"sockets": 1024, "memory_mb": 192},
             "settings": settings(rig.played) | {"myZone": self.zone},
+            "storms": {"control": rig.played.storms.control, "originPerS": rig.played.storms.origin},
         }  # fmt: skip
         self.operator = tree["operator"] = self.operator or f"127.0.0.1:{free_port()}"
         path.write_text(json.dumps(tree))
--- a/hopsail/model.py
+++ b/hopsail/model.py
@@ -68,6 +68,7 @@
     fall_multiple: float = 3.0
     fall_time: int = SECOND  # ns
     open_price: float = 1.0  # of a connection kept open at each host
+    storms: Any = None  # rules of storm control (`storms.Rules`), None = off
     dial_price: float = 1.0  # of a new connection for each retrieval, on the same scale
 
 
@@ -142,6 +143,7 @@
     write: bool = False
     work: int = 0  # ns that it is said to take on a common core, 0 = not said
     customer: int = 0
+    again: bool = False  # its client says that it is a further try of one that was refused or lost
     patience: int = 0  # how long it may be held with no leg out
     long: bool = False  # its body is still coming: what a host has of it is no work yet
     spent: bool = False  # part of its body has gone out and is no longer held: no other leg can carry it
--- a/hopsail/net/clients.py
+++ b/hopsail/net/clients.py
@@ -257,6 +257,7 @@
             if full:
                 self._make_room()  # only now: a look into an empty queue is worth no connection
             self.counters.add("clients.connections")
+            self.door.connected()
             client = Client(self.loop, sock, self)
             self.clients[client] = None
 
--- a/hopsail/net/door.py
+++ b/hopsail/net/door.py
@@ -19,6 +19,7 @@
 HEALTH = b"/healthz"
 LONGEST = 600  # seconds: a client's limit beyond it is cut
 LIMIT = re.compile(rb"\d{1,9}(\.\d{1,9})?")  # seconds; float() would take "nan", "inf" and "1_0" too
+MARKS = {None: False, b"0": False, b"1": True}  # of a further try; how often is not for clients to say
 METHODS = {b"GET": False, b"PUT": True}
 
 
@@ -81,6 +82,22 @@
         caches = [host for host in self.balancer.hosts.values() if host.is_cache]
         return sum(host.name in self.members.out or host.back_at > 0 for host in caches)
 
+    def connected(self):
+        """A client has opened a connection."""
+        if self.balancer.storms:
+            self.balancer.storms.connected(self.loop.now())
+
+    def storm(self):
+        """What storm control sees, as operators' figures; nothing where it is off."""
+        storms, now = self.balancer.storms, self.loop.now()
+        if not storms:
+            return {}
+        figures = {f"storm_{name}": count for name, count in storms.counts.items()}
+        return {
+            "storm_state": storms.state(now).value,
+            "storm_backlog": round(storms.backlog(now), 1),
+        } | figures
+
     def listed_caches(self):
         return sum(host.is_cache for host in self.balancer.hosts.values())
 
@@ -124,6 +141,8 @@
         expires = span(request.expires)
         if not expires:
             raise Refusal(400, b"X-Expires-In must be a time that is left", index)
+        if (again := MARKS.get(request.again) if self.balancer.storms else False) is None:
+            raise Refusal(400, b"X-Second-Try is 1 on a further try, or left out", index)
         if not self.ids.new(request.trace, self.loop.now()):
             raise Refusal(409, b"X-Trace-Id has come before", index)
         # The time of a long request counts from its last byte, which is still to come.
@@ -134,7 +153,7 @@
         track, key = self.config.settings.tracks[index], number(key) if key else 0
         work = self._work(request)
         exchange = Exchange(client, request, index, expires)
-        return Retrieval(exchange, track, key, ends, write, work, customer, long=long)
+        return Retrieval(exchange, track, key, ends, write, work, customer, again, long=long)
 
     def stop(self, clients, ends):
         """The process ends: what is in hand, or comes now, is answered by then."""
--- a/hopsail/net/messages.py
+++ b/hopsail/net/messages.py
@@ -22,6 +22,7 @@
     receipt: bytes | None
     body: bytes
     keep: bool  # the connection goes on after the answer
+    again: bytes | None = None  # "1": its client says that it is a further try
     work: bytes | None = None  # seconds that it is expected to take
     flow: Any = None  # the body, when it is long
 
@@ -177,6 +178,8 @@
         {b"x-trace-id", b"x-customer", b"x-expires-in", b"idempotency-key", b"x-expected-work"}
     )
 
+    joined = frozenset({b"x-second-try"})  # two of them are no mark, which only storm control asks
+
     def awaited(self):
         """True once when the client waits for a word before it sends the body."""
         asks = self.headed and not self.whole and self.headers.pop(b"expect", b"").lower() == b"100-continue"
@@ -193,6 +196,7 @@
             get(b"idempotency-key"),
             bytes(self.body),
             self.parser.should_keep_alive(),
+            get(b"x-second-try"),
             get(b"x-expected-work"),
             self.flow,
         )
--- a/hopsail/tables.py
+++ b/hopsail/tables.py
@@ -2,11 +2,48 @@
 
 from array import array
 from bisect import bisect_left
+from hashlib import blake2b
 from heapq import heappop, heappush, heapreplace
+from struct import unpack
 
 LONGEST = 900  # half-lives after which counting starts anew: new counts double each time, and floats end
 
 
+def digests(number):
+    """Eight places on a ring that a number stands for, evenly spread."""
+    return unpack("<8Q", blake2b(number.to_bytes(8, "little")).digest())
+
+
+def places(salt, number):
+    """The first `number` places of an owner: fewer are always the first of more."""
+    return [place for i in range(0, number, 8) for place in digests(salt ^ i)[: number - i]]
+
+
+SIZE_LEAST, SIZE_MOST = 1e-3, 1e4  # a listed size beyond them is a slip and counts as the common one
+
+
+class Sizes:
+    """Hosts' sizes from what lists say. Live weights tell a size only when a host is idle, and of a kind one
+    always is: the largest ever listed is the kind's size."""
+
+    def __init__(self, sized, live):
+        self.sized, self.live = sized, live
+        self.largest = {}  # the largest size listed of each kind of host
+
+    def grown(self, entries):
+        """True when one is larger than was known of its kind."""
+        old = dict(self.largest)
+        for kind, size in ((e.kind, e.size) for e in entries if self.live):
+            if max(SIZE_LEAST, self.largest.get(kind, 0.0)) < size <= SIZE_MOST:
+                self.largest[kind] = size
+        return self.largest != old
+
+    def of(self, entry):
+        if self.live:
+            return self.largest.get(entry.kind, 1.0)
+        return entry.size if self.sized and SIZE_LEAST <= entry.size <= SIZE_MOST else 1.0
+
+
 class Ring:
     """Owners by place. Putting one in or taking it out touches only its own places."""
 
@@ -73,3 +110,7 @@
             heappush(smallest, (weight, key))
         counts[key] = counts.get(key, 0.0) + weight
         return counts[key] / weight, self.all / weight
+
+    def share(self, key):
+        """The key's part of all that was counted."""
+        return self.counts.get(key, 0.0) / self.all if self.all else 0.0
