--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	.venv/bin/pip -q install -r requirements.txt
 	cp requirements.txt $@
 
-.venv-dev/ready: requirements.txt requirements-try.txt requirements-tools.txt requirements-dev.txt
+.venv-dev/ready: requirements.txt requirements-try.txt requirements-tools.txt requirements-client.txt requirements-dev.txt
 	python3 -m venv --clear .venv-dev
 	.venv-dev/bin/pip -q install -r requirements-dev.txt
 	cp requirements-dev.txt $@
--- a/hopsail/load/rig.py
+++ b/hopsail/load/rig.py
@@ -9,7 +9,7 @@
 import os
 import re
 import tempfile
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import asdict, replace
 from math import ceil
 from pathlib import Path
@@ -139,7 +139,8 @@
         self.unlog()
         self.child.kill()
         self.rig.trace.append(("died", monotonic_ns(), self.index))
-        self.rig.load.broken(self.place)
+        if self.rig.load is not None:
+            self.rig.load.broken(self.place)
         self.rig.loop.at(self.rig.loop.now() + BACK_AFTER, lambda: self.rig.ending or self.start())
 
 
@@ -224,6 +225,7 @@
         self.halted = halted  # whether somebody wants it to end
         self.loop, self.trace, self.failed = Loop(), [], None
         self.entries, self.generation, self.load = {}, 1, None
+        self.written = Counter()  # writes that the origin has carried out, by key
         self.out = {}  # legs that have reached a host, by request and host
         self.missed = defaultdict(list)  # hosts that lacked a request's key, by the request
         self.hosts = [HostProcess(self, i, f"s-{i:04x}", i % fleet.zones, played.cache, False)
@@ -335,6 +337,7 @@
             for one in self.missed.pop(trace, ())[:2]:
                 one.order("keep", key)
         elif word == "void":
+            self.written[values[0]] += 1
             for one in self.hosts:
                 one.order("void", values[0])
         elif word == "counted":
