--- a/hopsail/load/generator.py
+++ b/hopsail/load/generator.py
@@ -123,6 +123,7 @@
         self.times, self.lately = (HdrHistogram(LEAST_TIME, MOST_TIME, DIGITS) for _ in range(2))
         self.words = dict.fromkeys(("handled", "bounced", "scrapped", "lost", "not sent", "left"), 0)
         self.late, self.worth, self.gained, self.waiting = 0, 0.0, 0.0, 0
+        self.by_heed = {True: [0, 0], False: [0, 0]}  # clients that heed, and others: in time, all
         self.series = Series(-(-load.lasts // SECOND))
         self.trace, self.kinds, self.legs, self.deaths = [], [], {}, {}
         self.factor, self.storms, self.hot, self.scanned = 1.0, 0, 0.0, 0
@@ -280,6 +281,8 @@
         if client.due - self.begin < self.played.load.settles:
             return
         self.words[word] += 1
+        self.by_heed[client.heeds][0] += in_time
+        self.by_heed[client.heeds][1] += 1
         self.worth += track.benefit
         if handled:
             self.times.record_value(time)
@@ -317,12 +320,17 @@
             caller.close()
         return self.report()
 
+    def _in_time(self, heeds):
+        done, every = self.by_heed[heeds]
+        return round(done / every, 4) if every else None
+
     def report(self):
         count = sum(self.words.values())
         return {
             "requests": count, "earned": round(self.gained / self.worth, 4) if self.worth else 0.0,
             **{word: round(number / max(1, count), 4) for word, number in self.words.items()},
             **{f"p{p:g}_ms": self.times.get_value_at_percentile(p) / 1000 for p in (50, 99)},
+            "in_time_heeding": self._in_time(True), "in_time_others": self._in_time(False),
             "generator_late_ms": round(self.late / 1e6, 3),
         }  # fmt: skip
 
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -8,6 +8,7 @@
 from hopsail import config
 from hopsail.emulator import report, scenario
 from hopsail.emulator.world import START, World
+from hopsail.load import rig
 from hopsail.load.scripted import Rig, reply
 from hopsail.model import MS, SECOND
 from hopsail.storms import CALM, Control, Rules, State, control
@@ -357,3 +358,28 @@
                and event[1] == taken[event[3]]]  # fmt: skip
     assert len(at_once) > 100
     assert not any(node.hand for node in world.nodes if node.alive)
+
+
+# And on sockets: the same storm through real balancers, with an origin that falls over.
+
+SOCKETS = {
+    "fleet": {"balancers": 2, "caches": 4, "zones": 2},
+    "cache": {"service": "2 ms", "cores": 2, "keeps": 60, "law": "fixed"},
+    "origin": {"service": "5 ms", "cores": 16, "queue": 400, "stops": "110/s", "law": "fixed"},
+    "load": {"rate": "100/s", "lasts": "6 s", "settles": "1 s", "keys": 2000, "zipf": 0.8},
+    "clients": {"heed": "50%", "marks": "50%"},
+    "track": [{"name": "read", "part": "90%", "promised": "200 ms"},
+              {"name": "write", "part": "10%", "promised": "300 ms", "effect": "once", "write": True}],
+    "trouble": [{"what": "storm", "at": "2 s", "lasts": "2 s", "times": 5}],
+}  # fmt: skip
+
+
+def test_the_stand_in_origin_never_passes_its_stopping_point_and_who_heeds_is_better_off_on_sockets():
+    on, off = (rig.run(scenario.read(SOCKETS | {"storms": {"control": control, "origin": "110/s"}}), 1)
+               for control in (True, False))  # fmt: skip
+    for found in (on, off):
+        assert not any(found[key] for key in found if key.startswith("broken")), found["broken"]
+        assert found["ran_twice"] == 0 and found["fetches"] > 200
+    assert on["origin_falls"] == 0 < off["origin_falls"]
+    # Clients that ignore every hint stand beside them in both.
+    assert on["in_time_heeding"] > off["in_time_heeding"] + 0.03
