Storm control no longer takes first tries for returns: service is back as the storm ends

Checked: queues at the gate (empty), limits (at 6 to 10), admission (2.0): ruled out; legs and misses were low, so refusals came before the module. Cause: a refusal of a (customer, key) was remembered until somebody asked for that key, and renewed each time; with one customer and popular keys, every first try was an early return, was refused, and was a sign against the next (storms/control.py, arrived).

Change: a refusal says of one request at most that it is a return, only until 0.3 s after its time, only of first tries, and not at all of customers that mark their further tries.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -344,8 +344,8 @@
         # An effect that may have happened must not be asked for again.
         if ran and (repeat is Repeat.EFFECTFUL or repeat is Repeat.RECEIPTED and r.track.group != "all"):
             return Scrap(r)
-        wait = min(self.settings.advise_wait, WAIT_STEP)
-        return Bounce(r, self.storms.refused(self.now, r.customer, r.key, wait) if self.storms else wait)
+        key, wait = 0 if r.again else r.key, min(self.settings.advise_wait, WAIT_STEP)
+        return Bounce(r, self.storms.refused(self.now, r.customer, key, wait) if self.storms else wait)
 
     def _again(self, r):
         """Whether a further leg fits into the retrieval's limits and into the retry budget."""
--- a/hopsail/storms/control.py
+++ b/hopsail/storms/control.py
@@ -37,8 +37,10 @@
 STEP = 100 * MS  # the shortest wait: a few service times
 SPREAD = 0.25  # of a wait, to either side: refusals of one moment part
 EARLY = 20 * MS  # before its time a client may be and still count as one that heeds: clocks and ways differ
+LATEST = 300 * MS  # after its time in which who asks for the same is taken for one that was refused: later
+# it is as likely another, and a key that many were refused would make returns of first tries for long
+MARKS = 10 * SECOND  # after a mark in which a customer's clients are held to mark each further try
 MOST_KNOWN = 4096  # refusals that are remembered: 100 bytes each
-MOST_RETRIES = 16  # a mark beyond it is no mark: no client tries so often within any limit
 
 
 class Rules(NamedTuple):
@@ -75,6 +77,7 @@
         self.firsts, self.returns, self.good = (Sum(HALF, now) for _ in range(3))
         self.connections, self.usual = Sum(HALF, now), Sum(USUAL, now)
         self.raging, self.since = False, 0
+        self.marking = {}  # customer -> when a mark of it was last seen
         self.known = OrderedDict()  # (customer, key) -> when it may come again
         self.next = now  # up to here, times to come again have been dealt out
         self.room = Tokens(0.0, 1.0, 1.0, now)  # returns that may be let in
@@ -102,29 +105,31 @@
 
         Without a mark, the same customer and key soon after a refusal is a return; of a hot key it may
         be anyone."""
-        now, name = self._at(now), (customer, key)
-        due = None if hot or not key else self.known.get(name)
+        now = self._at(now)
+        if marked:
+            self.marking[customer] = now
+        # A refusal says of one request at most that it is a return: the next that asks for the same may be
+        # anyone's first try, and to take all of them for returns would be a storm of its own.
+        due = None if hot else self.known.pop((customer, key), None)
+        if due is not None and (now > due + LATEST or self._marks(now, customer)):
+            due = None
         again = marked or due is not None
         (self.returns if again else self.firsts).add(now)
         self.counts["returns"] += again
         self.counts["unmarked"] += again and not marked
         if not self._judge(now) or not again:
-            if due is not None:
-                del self.known[name]
             return Verdict(again)
         if due is not None and now < due - EARLY:
-            # It keeps its time, and no other's is put off for it: who ignores a hint gains nothing by it.
+            # It keeps its time, and no other's is put off for it.
             self.counts["early"] += 1
             return Verdict(True, True, self._bounded(due - now))
         self.room.rate = self._pace(now)
         self.room.most = 1 + RETURNS_BURST * self.room.rate
         if self.room.read(now) >= 1:
             self.room.level -= 1
-            if due is not None:
-                del self.known[name]
             return Verdict(True)
         self.counts["damped"] += 1
-        return Verdict(True, True, self.refused(now, customer, key))
+        return Verdict(True, True, self.refused(now, customer, 0))
 
     def served(self, now: int) -> None:
         """A retrieval was handled."""
@@ -133,7 +138,9 @@
     # What goes out.
 
     def refused(self, now: int, customer: int, key: int, calm: int = 0) -> int:
-        """A retrieval is turned away; the ns after which it may come again, `calm` when there is no storm."""
+        """A retrieval is turned away; the ns after which it may come again, `calm` when there is no storm.
+
+        `key` is 0 for a return: what is remembered are refusals of first tries."""
         now, wait = self._at(now), min(calm, self.rules.most_wait)
         if self.raging and self.rules.most_wait:
             self.next = max(self.next, now) + int(SECOND / self._pace(now))
@@ -143,7 +150,7 @@
             if self.next - now >= self.rules.most_wait:
                 part = 1 - self.random.random() / 2
             wait = self._bounded(int((self.next - now) * part))
-        if key:
+        if key and not self._marks(now, customer):
             self.known[customer, key] = now + wait
             self.known.move_to_end((customer, key))
             while len(self.known) > MOST_KNOWN:
@@ -174,6 +181,10 @@
         now = self._at(now)
         return max(0, self.next - now) * self._pace(now) / SECOND if self.raging else 0.0
 
+    def _marks(self, now, customer):
+        """Whether the customer's clients mark further tries: then what is not marked is a first one."""
+        return now - self.marking.get(customer, -MARKS) < MARKS
+
     def _judge(self, now):
         returns, firsts = self.returns.read(now), self.firsts.read(now)
         share = returns / (returns + firsts) if returns + firsts >= LEAST / 2 else 0.0
