--- a/hopsail/client/places.py
+++ b/hopsail/client/places.py
@@ -35,7 +35,7 @@
             return self.random.choice(fresh or free), now
         return None, min(place.not_before for place in self.all)
 
-    def broke(self, place, now, others=True):
+    def broke(self, place, now):
         """Its connections broke, or none came up: it is left alone for a while."""
         spread = min(MOST_SPREAD, SPREAD << min(10, place.failures))
         place.failures += 1
--- a/hopsail/series.py
+++ b/hopsail/series.py
@@ -5,7 +5,6 @@
 but `write` and `read`."""
 
 import json
-from bisect import bisect_left
 from collections import defaultdict
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -237,9 +236,11 @@
     begun = []
     for one in head["troubles"]:
         axes.axvspan(one["begins"], one["ends"], alpha=0.13, color="tab:red", linewidth=0)
-        level = bisect_left(begun, one["begins"])  # names of troubles that begin together stand below another
+        # Names of troubles that begin close together stand one below the other.
+        level = sum(abs(other - one["begins"]) < len(rows) / 8 for other in begun)
         begun.append(one["begins"])
-        axes.text(one["begins"], top, " " + one["what"] + "\n" * level, fontsize=7, va="top", color="tab:red")
+        text = "\n" * level + " " + one["what"]
+        axes.text(one["begins"], top, text, fontsize=7, va="top", color="tab:red")
     axes.set_xlabel("second of the day")
     axes.set_ylabel("share of benefit in time" if kind == "earned" else f"{kind} a second")
     axes.set_title(title or " ".join(str(head.get(key, "")) for key in ("scenario", "policy", "seed")),
--- a/hopsail/storms/control.py
+++ b/hopsail/storms/control.py
@@ -76,7 +76,7 @@
         self.rules, self.balancers, self.random, self.now = rules, max(1, balancers), random, now
         self.firsts, self.returns, self.good = (Sum(HALF, now) for _ in range(3))
         self.connections, self.usual = Sum(HALF, now), Sum(USUAL, now)
-        self.raging, self.since = False, 0
+        self.raging = False
         self.marking = {}  # customer -> when a mark of it was last seen
         self.known = OrderedDict()  # (customer, key) -> when it may come again
         self.next = now  # up to here, times to come again have been dealt out
@@ -189,7 +189,7 @@
         returns, firsts = self.returns.read(now), self.firsts.read(now)
         share = returns / (returns + firsts) if returns + firsts >= LEAST / 2 else 0.0
         if not self.raging and share >= STORM and returns + firsts >= LEAST:
-            self.raging, self.since, self.next = True, now, now
+            self.raging, self.next = True, now
             self.counts["storms"] += 1
         elif self.raging and share < OVER:
             self.raging = False
