--- a/hopsail/load/child.py
+++ b/hopsail/load/child.py
@@ -6,8 +6,10 @@
 
 import json
 import os
+import shutil
 import signal
 import sys
+from pathlib import Path
 from random import Random
 from time import monotonic_ns
 
@@ -16,6 +18,7 @@
 from .relay import Way
 from .standins import HostStandin, Unheard
 
+FOLDER = "hopsail-"  # how the name of a rig's folder begins
 FLUSH = 5_000_000  # ns: what there is to tell goes out together
 MOST_UNREAD = 64 << 20  # bytes that nobody reads: the parent is stuck, and so is the run
 READS = 1 << 16
@@ -138,14 +141,18 @@
     """One balancer as `python -m hopsail` runs it, which ends with its parent."""
     from ..__main__ import Node
 
-    node = Node(os.environ)
+    node, folder = Node(os.environ), Path(os.environ["TMPDIR"])
+    alone = []
 
     def gone(_mask):
         if not os.read(0, READS):
+            alone.append(True)
             node.loop.stop()
 
     node.loop.watch(0, READ, gone)
     node.run()
+    if alone and folder.name.startswith(FOLDER):
+        shutil.rmtree(folder, ignore_errors=True)  # who would have done so was killed
 
 
 def main():
--- a/hopsail/load/generator.py
+++ b/hopsail/load/generator.py
@@ -316,7 +316,9 @@
         self.stopped = True
         for caller in list(self.open):
             if caller.asked is not None:
-                self._final(self._over(caller), "lost")
+                client = self._over(caller)
+                if not self.halted():  # else nobody has waited for its answer
+                    self._final(client, "lost")
             caller.close()
         return self.report()
 
--- a/hopsail/load/rig.py
+++ b/hopsail/load/rig.py
@@ -21,6 +21,7 @@
 from ..model import MS, SECOND
 from ..net.loop import READ, Loop
 from ..net.stream import Stream, dial
+from .child import FOLDER
 from .generator import Load, loopback, settings
 from .processes import Child, RigFault, descriptors, end, free_port
 from .scripted import instance
@@ -234,7 +235,7 @@
         self.all = [*self.hosts, self.origin]
         self.named = {host.name: host for host in self.all}
         self.relay, self.balancers, self.samples = None, [], []
-        self.folder = tempfile.TemporaryDirectory(prefix="hopsail-")
+        self.folder = tempfile.TemporaryDirectory(prefix=FOLDER)
         self.keep, self.folder = self.folder, self.folder.name
 
     def __enter__(self):
--- a/hopsail/load/trial.py
+++ b/hopsail/load/trial.py
@@ -60,9 +60,8 @@
     row = load.series.at(second)
     p99 = load.lately.get_value_at_percentile(99) / 1000 if load.lately.get_total_count() else 0.0
     handled = row.handled / row.requests if row.requests else 0.0
-    return (f"{second + 1:4d} s  {row.requests:5d} requests  {handled:7.2%} handled  p99 {p99:7.1f} ms  "
-            f"{row.bounces:4d} bounced  {row.misses:4d} misses  {row.fetches:4d} fetches  "
-            f"{load.waiting:4d} in hand")  # fmt: skip
+    return (f"{second + 1:3d} s {row.requests:4d} asked {handled:6.1%} handled  p99 {p99:4.0f} ms "
+            f"{row.bounces:3d} bounced {row.misses:3d} missed {row.fetches:3d} fetched")  # fmt: skip
 
 
 def play(played, seed, as_json, rows=None, name="", fronts=()):
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -360,13 +360,14 @@
     found = json.loads(out.splitlines()[-1])
     assert run.returncode == 0 and found["requests"] > 200 and found["handled"] > 0.98 and found["p99_ms"] > 0
     assert not found["interrupted"] and len(re.findall(r"handled  p99", said)) == 3
+    assert all(len(line) < 80 for line in said.splitlines() if "p99" in line)
     assert len(mine) == 8 and gone(mine)
 
 
 @pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM, signal.SIGKILL])
 @pytest.mark.parametrize("early", [False, True])
-def test_try_leaves_no_process_however_it_is_ended(number, early):
-    run = start("--seconds", "60", "--json")
+def test_try_leaves_no_process_and_no_file_however_it_is_ended(number, early, tmp_path):
+    run = start("--seconds", "60", "--json", env=os.environ | {"TMPDIR": str(tmp_path)})
     if early:
         ends = monotonic() + 10
         while len(children(run.pid)) < 2 and monotonic() < ends:
@@ -378,6 +379,8 @@
     run.send_signal(number)
     out, _ = run.communicate(timeout=30)
     assert gone(mine) and len(mine) >= 2
+    if not early:
+        assert not list(tmp_path.iterdir())
     if number != signal.SIGKILL:
         assert run.returncode == 130 and json.loads(out.splitlines()[-1])["interrupted"] is True
 
