load --at plays the troubles that clients make, and writes their series

Change: Load sets storm, hot and scan on the loop itself; the rig leaves them to it. A test plays a storm at a named address and reads its series.

--- a/hopsail/cli.py
+++ b/hopsail/cli.py
@@ -149,7 +149,7 @@
     try:
         played = scenario.load(path, {key: values[0] for key, values in changes})
         if balancers:
-            found = generator.run(played, balancers, seed)
+            found = generator.run(played, balancers, seed, rows=series, name=path)
         else:
             found = rig.run(played, seed, rows=series, name=path)
     except scenario.ScenarioFault as fault:
--- a/hopsail/load/generator.py
+++ b/hopsail/load/generator.py
@@ -21,7 +21,7 @@
 from ..net.loop import Loop
 from ..net.messages import AnswerReader, MessageFault
 from ..net.stream import Stream, dial
-from ..series import Series
+from ..series import Series, spans, write
 from .standins import Fleet
 
 MOST_REQUESTS = 1_000_000  # of one run: a slip in a rate must end
@@ -32,6 +32,7 @@
 LEAST_TIME, MOST_TIME, DIGITS = 1, 60_000_000, 3  # microseconds that a histogram tells apart
 HOT_MOVES = SECOND  # a hot key's time
 DIES_BEFORE = 100 * MS  # a request may go out to a balancer that was killed so long before
+CLIENTS = ("storm", "hot", "scan")  # troubles that clients make
 STATUS = {200: "handled", 429: "bounced", 503: "bounced"}
 
 
@@ -169,6 +170,18 @@
 
     # Troubles that clients make.
 
+    def trouble(self, trouble):
+        """Sets one on the loop, at its time."""
+        begins, ends = self.begin + trouble.at, self.begin + trouble.at + trouble.lasts
+        if trouble.what == "storm":
+            self.loop.at(begins, lambda: self.storm(trouble.times))
+            self.loop.at(ends, lambda: self.calm(trouble.times))
+        elif trouble.what == "hot":
+            self.loop.at(begins, lambda: setattr(self, "hot", trouble.part or 0.2))
+            self.loop.at(ends, lambda: setattr(self, "hot", 0.0))
+        else:
+            self.loop.at(begins, lambda: self.scan(trouble.rate, trouble.lasts))
+
     def storm(self, times):
         self.storms, self.factor = self.storms + 1, self.factor * times
 
@@ -387,12 +400,20 @@
             process.stderr.close()
 
 
-def run(played, balancers=(), seed=1, script=()):
+def run(played, balancers=(), seed=1, script=(), rows=None, name=""):
     """Plays a scenario's load on sockets: against these addresses, or a fleet of its own.
 
     `script` holds (ns after the start, what to do with the fleet), for faults while it runs."""
     if balancers:
-        return Load(Loop(), played, [loopback(text) for text in balancers], seed).run()
+        load = Load(Loop(), played, [loopback(text) for text in balancers], seed)
+        for trouble in played.trouble:
+            if trouble.what in CLIENTS:  # the rest is not the clients' to do
+                load.trouble(trouble)
+        found = load.run()
+        if rows is not None:
+            made = [span for span in spans(played) if span.what in CLIENTS]
+            write(rows, load.series, made, {"scenario": name, "policy": "balancers named", "seed": seed})
+        return found
     loop = Loop()
     fleet = Fleet(loop, played, seed)
     with tempfile.TemporaryDirectory() as folder:
--- a/hopsail/load/rig.py
+++ b/hopsail/load/rig.py
@@ -22,7 +22,7 @@
 from ..net.loop import READ, Loop
 from ..net.stream import Stream, dial
 from .child import FOLDER
-from .generator import Load, loopback, settings
+from .generator import CLIENTS, Load, loopback, settings
 from .processes import Child, RigFault, descriptors, end, free_port
 from .scripted import instance
 from .standins import RESETS, SILENT, WELL, DiscoveryStandin
@@ -377,6 +377,9 @@
         """Sets the scenario's troubles on the loop; `load` has begun."""
         self.load = load
         for i, trouble in enumerate(self.played.trouble):
+            if trouble.what in CLIENTS:
+                load.trouble(trouble)
+                continue
             random, act = Random(f"{self.seed}/trouble {i}"), getattr(self, f"_{trouble.what}")
             self.loop.at(load.begin + trouble.at, lambda t=trouble, r=random, a=act: a(t, r))
         load.watchers.append(self._sample)
@@ -462,17 +465,6 @@
         for i, one in enumerate(some):
             self.loop.at(self.loop.now() + i * trouble.lasts // len(some), one.kill)
 
-    def _storm(self, trouble, _random):
-        self.load.storm(trouble.times)
-        self._later(trouble, lambda: self.load.calm(trouble.times))
-
-    def _hot(self, trouble, _random):
-        self.load.hot = trouble.part or 0.2
-        self._later(trouble, lambda: setattr(self.load, "hot", 0.0))
-
-    def _scan(self, trouble, _random):
-        self.load.scan(trouble.rate, trouble.lasts)
-
 
 def judge(rig):
     """What the four rules' checkers find in the records of stand-ins and clients.
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,11 +1,13 @@
 """The load tool and its stand-ins: open loop, loopback only, bounded; whole fleets with faults in the run."""
 
 import socket
+from dataclasses import replace
 from time import monotonic
 
 import pytest
 from click.testing import CliRunner
 
+from hopsail import series
 from hopsail.cli import main
 from hopsail.emulator import report, scenario
 from hopsail.load import generator, standins
@@ -72,6 +74,19 @@
     assert found["p50_ms"] > 200
 
 
+def test_what_clients_do_of_a_scenario_is_played_at_balancers_that_are_named(tmp_path):
+    path = tmp_path / "rows.jsonl"
+    played = made(load={"rate": "60/s", "lasts": "3 s"})
+    storm, crash = (scenario.Trouble(what, SECOND, SECOND, 0.5, 5.0) for what in ("storm", "crash"))
+    played = replace(played, trouble=(storm, crash))
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        place = "{}:{}".format(*free.getsockname())
+    found = generator.run(played, [place], rows=path, name="day")
+    head, rows = series.read(path)
+    assert [one["what"] for one in head["troubles"]] == ["storm"]
+    assert rows[1]["requests"] > 2.5 * rows[0]["requests"] and found["requests"] > 250
+
+
 def test_nobody_there_is_counted_as_lost_and_the_run_ends():
     with socket.create_server(("127.0.0.1", 0)) as free:
         place = "{}:{}".format(*free.getsockname())
