Read again: the bound acts for other balancers in one way; what nobody read goes

Request.left was set and never read; the same call that has a balancer carry out what another's policy decided stood three times, with bare numbers for the clock's orders.

--- a/hopsail/emulator/oracle.py
+++ b/hopsail/emulator/oracle.py
@@ -20,6 +20,7 @@
 from math import sqrt
 
 from ..model import MS, SECOND, Leg, Outcome, Repeat, Send, WakeAt
+from .clock import ANSWER, TIMER
 from .hosts import COUNTED, MISS_PART
 from .policies import Plain
 
@@ -189,11 +190,10 @@
             _, _, _, policy, r = entry
             policy._send(now, r, policy.origin, 1.0)
             if policy is not self:
-                node = policy.node
-                sight.world.clock.at(now, 2, node.call, node.life, lambda: None)
+                policy._act(now)
         if sight.line and not sight.started:
             sight.started = True
-            sight.world.clock.at(now + LOOK, 3, self._again)
+            sight.world.clock.at(now + LOOK, TIMER, self._again)
 
     @staticmethod
     def _waits(now, entry):
@@ -226,8 +226,13 @@
 
     def _again(self):
         self.sight.started = False
-        self._pump(self.sight.world.clock.now)
-        self.sight.world.clock.at(self.sight.world.clock.now, 2, self.node.call, self.node.life, lambda: None)
+        now = self.sight.world.clock.now
+        self._pump(now)
+        self._act(now)
+
+    def _act(self, now, call=lambda: None, *args):
+        """Has its balancer call this, and carry out what it then has decided: others decide for it, too."""
+        self.sight.world.clock.at(now, ANSWER, self.node.call, self.node.life, call, *args)
 
     def _foreseen(self, host):
         return host.foreseen() if host.machine.law != "fixed" else 1.0
@@ -238,8 +243,8 @@
         host = self.sight.world.named[entry.name]
         leg = Leg(r, entry, len(r.legs), now, max(MS, r.ends - now))
         r.legs.append(leg)
-        cost = host.machine.service * (part if not host.origin else 1.0)
-        cost *= host.times / host.warmth(now) if not host.origin else 1.0
+        # Of the origin's work only the number counts: how much of its room it takes.
+        cost = host.machine.service * (1.0 if host.origin else part * host.times / host.warmth(now))
         self.legs[leg] = host, cost
         self.sight.work[host.name] = self.sight.work.get(host.name, 0) + cost
         self.out.append(Send(leg))
@@ -272,8 +277,7 @@
         del self.sight.fetching[r.key]
         for policy, other in fetch[2]:
             if not other.done and policy.node.balancer is policy:
-                node = policy.node
-                self.sight.world.clock.at(now, 2, node.call, node.life, policy._serve, now, other)
+                policy._act(now, policy._serve, now, other)
 
     def woken(self, now, token):
         if type(token) is Leg:
--- a/hopsail/emulator/world.py
+++ b/hopsail/emulator/world.py
@@ -42,13 +42,13 @@
 class Request:
     """One try of a client; a retry is a new one."""
 
-    __slots__ = ("id", "kind", "key", "ends", "born", "tries", "first", "size", "left", "luck")
+    __slots__ = ("id", "kind", "key", "ends", "born", "tries", "first", "size", "luck")
 
     def __init__(self, number, kind, key, ends, born, tries, first, size, luck):
         self.id, self.kind, self.key, self.ends, self.born = number, kind, key, ends, born
         self.tries, self.first = tries, first  # those left, and when the first was made
         self.luck = luck  # two draws for each try: the balancer it is dealt to, and the next pause
-        self.size, self.left = size, False  # work in mean ones, None = the host draws; its client is gone
+        self.size = size  # its work in mean ones, None = the host draws it
 
 
 class Job:
@@ -178,7 +178,6 @@
         if life != self.life or not self.alive or retrieval.done:
             return
         world, request = self.world, retrieval.mark
-        request.left = True
         self.hand.pop(retrieval, None)
         world.trace.append(("left", world.clock.now, self.index, request.id))
         self.call(life, self.balancer.withdrawn, world.clock.now, retrieval)
@@ -269,10 +268,7 @@
         self.listings = {name: self._entry(host, State.READY) for name, host in self.named.items()}
         self.nodes = self.dealt = [Node(self, i) for i in range(fleet.balancers)]
         front, self.leaving, self.sizes = self.stream("front"), self.stream("leaving"), self.stream("sizes")
-        self.manners, self.habits = (
-            self.stream("manners"),
-            {},
-        )  # of each client, by when it came: marks, heeds
+        self.manners, self.habits = self.stream("manners"), {}  # by when a client came: marks, heeds
         self.phases = [front.randrange(max(1, scenario.front.every)) for _ in self.nodes]
         self.lates = [front.random() for _ in self.nodes]
         weights = [1 / i**scenario.load.zipf for i in range(1, scenario.load.keys + 1)]
