Modelled hosts and stand-ins have one memory, one warm-up and one stopping point

Need: the stand-in on sockets had its own copies of the LRU memory, the warm-up and the count against what stops an origin, with the emulator's constants written again: the two are compared, so they must not part.

Change: Memory, Stop and warmth in emulator/hosts.py serve both.

--- a/hopsail/emulator/hosts.py
+++ b/hopsail/emulator/hosts.py
@@ -10,24 +10,64 @@
 STOPPED = 5 * SECOND  # that it then answers nothing
 
 
+class Memory(OrderedDict):
+    """Keys that a cache keeps, the one that was used longest ago first to go."""
+
+    def __init__(self, keeps):
+        super().__init__()
+        self.keeps = keeps
+
+    def keep(self, key):
+        self[key] = None
+        self.move_to_end(key)
+        if len(self) > self.keeps:
+            self.popitem(last=False)
+
+
+class Stop:
+    """What an origin is sent, against what stops it: requests a second, 0 = nothing does."""
+
+    def __init__(self, rate):
+        self.rate, self.lately = rate, deque()
+
+    def passed(self, now):
+        """Notes a request; True when it is one too many, and counting begins anew."""
+        if not self.rate:
+            return False
+        self.lately.append(now)
+        while self.lately[0] < now - COUNTED:
+            self.lately.popleft()
+        if len(self.lately) <= self.most():
+            return False
+        self.lately.clear()
+        return True
+
+    def most(self):
+        """Requests that it bears in the time over which they are counted."""
+        return self.rate * COUNTED / SECOND
+
+
+def warmth(now, started, share, warm):
+    """The part of its capacity that a host has: `share` at its start, evenly more until it is warm."""
+    return 1.0 if now >= started + warm else share + (1 - share) * (now - started) / warm
+
+
 class Host:
     def __init__(self, world, name, zone, machine, origin, started=0):
         self.world, self.name, self.zone, self.machine = world, name, zone, machine
         self.origin, self.started = origin, started
         self.random, self.next = world.stream(f"host {name} {started}"), None
         self.queue, self.busy, self.connections = deque(), 0, 0
-        self.memory = OrderedDict()
+        self.memory = Memory(machine.keeps)
         self.up, self.silent_until, self.times = True, 0, 1.0  # times: slower than usual
-        self.lately, self.reads = deque(), 0
+        self.stop, self.reads = Stop(machine.stops if origin else 0.0), 0
         self.resets = False  # under each request
         self.served, self.worked, self.told_at, self.told = 0, 0, 0, None  # for its load reports
 
     def warmth(self, now):
-        """The part of its capacity that it has: cold after its start, evenly more until warm."""
+        """The part of its capacity that it has; one that was there from the beginning has all."""
         rules = self.world.scenario.rules
-        if not self.started or now >= self.started + rules.warm:
-            return 1.0
-        return rules.start + (1 - rules.start) * (now - self.started) / rules.warm
+        return warmth(now, self.started, rules.start, rules.warm) if self.started else 1.0
 
     def arrive(self, job):
         """A whole request has come; its answer, if any, leaves later."""
@@ -35,16 +75,11 @@
         if not self.up or now < self.silent_until:
             return  # nobody answers; the balancer's limit ends the leg
         self.world.trace.append(("reached", now, self.name, job.node.index, job.cold_miss))
-        if self.origin and self.machine.stops:
-            self.lately.append(now)
-            while self.lately[0] < now - COUNTED:
-                self.lately.popleft()
-            if len(self.lately) > self.machine.stops * COUNTED / SECOND:
-                self.silent_until = now + STOPPED
-                self.queue.clear()
-                self.lately.clear()
-                self.world.trace.append(("fell", now, self.name))
-                return
+        if self.stop.passed(now):
+            self.silent_until = now + STOPPED
+            self.queue.clear()
+            self.world.trace.append(("fell", now, self.name))
+            return
         if self.busy >= self.machine.cores and len(self.queue) >= self.machine.queue:
             self.world.answer(job, Outcome.FULL)
             return
@@ -118,12 +153,6 @@
             self.reads += 1
             self.world.answer(job, Outcome.MISS)
 
-    def keep(self, key):
-        self.memory[key] = None
-        self.memory.move_to_end(key)
-        if len(self.memory) > self.machine.keeps:
-            self.memory.popitem(last=False)
-
     def die(self):
         self.up, self.busy, self.connections = False, 0, 0
         self.queue.clear()
@@ -131,5 +160,5 @@
     def start(self):
         """Under its old address and name, with nothing in memory."""
         self.die()
-        self.up, self.started, self.memory = True, self.world.clock.now, OrderedDict()
-        self.lately.clear()
+        self.up, self.started, self.memory = True, self.world.clock.now, Memory(self.machine.keeps)
+        self.stop.lately.clear()
--- a/hopsail/emulator/oracle.py
+++ b/hopsail/emulator/oracle.py
@@ -156,9 +156,9 @@
             return False
         if not host.machine.stops:
             return True
-        lately = sum(1 for at in host.lately if at > now - COUNTED)
+        lately = sum(1 for at in host.stop.lately if at > now - COUNTED)
         arriving = max(0, out - host.busy - len(host.queue))
-        return lately + arriving + 2 < host.machine.stops * COUNTED / SECOND
+        return lately + arriving + 2 < host.stop.most()
 
     # The line for the origin.
 
--- a/hopsail/emulator/world.py
+++ b/hopsail/emulator/world.py
@@ -225,7 +225,7 @@
             missed = [one.host.name for one in leg.retrieval.legs if one.outcome is Outcome.MISS]
             for name in missed[:2]:
                 if world.named[name].up:
-                    world.named[name].keep(request.key)
+                    world.named[name].memory.keep(request.key)
         tells = world.scenario.feedback.reports and not host.origin and outcome in HEARD
         self.call(life, self.balancer.leg_ended, world.clock.now, leg, outcome, handled,
                   host.report() if tells else None)  # fmt: skip
--- a/hopsail/load/child.py
+++ b/hopsail/load/child.py
@@ -107,7 +107,7 @@
 
     def order(word, value):
         if word == "keep":
-            one.keep(value.encode("latin-1"))
+            one.memory.keep(value.encode("latin-1"))
         elif word == "void":
             one.memory.pop(value.encode("latin-1"), None)
         elif word == "manner":
--- a/hopsail/load/standins.py
+++ b/hopsail/load/standins.py
@@ -6,6 +6,7 @@
 from collections import OrderedDict, deque
 from random import Random
 
+from ..emulator.hosts import MISS_PART, STOPPED, Memory, Stop, warmth
 from ..model import SECOND
 from ..net.loop import READ
 from ..net.messages import Answer, MessageFault, RequestReader, encode_answer
@@ -13,8 +14,6 @@
 from .scripted import instance
 
 BACKLOG = 256
-MISS_PART = 0.2  # of a read's work that a miss costs, as in the emulator
-COUNTED, STOPPED = 2 * SECOND, 5 * SECOND  # an origin's requests over the one; what stops it lasts the other
 MOST_PREAMBLE = 107  # bytes of a PROXY line, version 1 (haproxy.org, the PROXY protocol, section 2.1)
 KEEP_ALIVE = 2 * SECOND  # an empty line on a watch, while nothing changes
 # A host answers as it should; with 500 at once; by a reset; not at all; or with half of what it promised.
@@ -106,40 +105,26 @@
 
     def __init__(self, loop, name, machine, fleet, origin=False, seed=1, warming=None, proxied=False):
         self.proxied, self.warming, self.started = proxied, warming, loop.now()
-        self.silent_until, self.lately = 0, deque()
+        self.silent_until, self.stop = 0, Stop(machine.stops if origin else 0.0)
         super().__init__(loop, HostSide)
         self.name, self.machine, self.fleet, self.origin = name, machine, fleet, origin
-        self.random, self.memory = Random(f"{seed}/{name}"), OrderedDict()
+        self.random, self.memory = Random(f"{seed}/{name}"), Memory(machine.keeps)
         self.busy, self.queue, self.manner, self.times = 0, deque(), WELL, 1.0
         self.asked_for, self.runs = 0, []  # requests that came; ids of writes that were carried out
 
     def warmth(self):
-        """The part of its capacity that it has: cold after its start, evenly more until warm."""
-        if self.warming is None:
-            return 1.0
-        share, warm = self.warming
-        return min(1.0, share + (1 - share) * (self.loop.now() - self.started) / max(1, warm))
-
-    def _falls(self):
-        """An origin that is sent more than `stops` answers nothing for a while."""
-        now = self.loop.now()
-        self.lately.append(now)
-        while self.lately[0] < now - COUNTED:
-            self.lately.popleft()
-        if len(self.lately) <= self.machine.stops * COUNTED / SECOND:
-            return False
-        self.silent_until = now + STOPPED
-        self.queue.clear()
-        self.lately.clear()
-        self.fleet.fell(self)
-        return True
+        """The part of its capacity that it has; one that does not start cold has all."""
+        return warmth(self.loop.now(), self.started, *self.warming) if self.warming else 1.0
 
     def asked(self, connection, request):
         self.asked_for += 1
         if self.manner == SILENT or self.loop.now() < self.silent_until:
             return
         self.fleet.reached(self, connection, request)
-        if self.origin and self.machine.stops and self._falls():
+        if self.stop.passed(self.loop.now()):
+            self.silent_until = self.loop.now() + STOPPED
+            self.queue.clear()
+            self.fleet.fell(self)
             return
         if self.manner == RESETS:
             connection.reset()
@@ -189,12 +174,6 @@
             connection.write(encode_answer(Answer(200, b"value of " + key), False))
         self._begin()
 
-    def keep(self, key):
-        self.memory[key] = None
-        self.memory.move_to_end(key)
-        if len(self.memory) > self.machine.keeps:
-            self.memory.popitem(last=False)
-
 
 class WatchSide(Stream):
     def __init__(self, loop, sock, discovery):
@@ -282,7 +261,7 @@
 
     def fetched(self, trace, key):
         for host in self.misses.pop(trace, ())[:2]:
-            host.keep(key)
+            host.memory.keep(key)
 
     def void(self, key):
         for host in self.caches:
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -147,7 +147,7 @@
     [(standins.ERRS, (500, False)), (standins.RESETS, "reset"), (standins.SPOILS, "reset")],
 )
 def test_a_host_misbehaves_as_it_is_told(fleet, manner, expected):
-    fleet.caches[0].keep(b"k")
+    fleet.caches[0].memory.keep(b"k")
     fleet.caches[0].manner = manner
     with socket.create_connection(fleet.caches[0].sock.getsockname()) as sock:
         assert exchange(fleet.loop, sock, get("a")) == expected
@@ -156,7 +156,7 @@
 def test_a_full_queue_turns_away_unrun(fleet):
     host = fleet.caches[0]
     host.machine = scenario.Machine(service=SECOND, cores=1, queue=0, law="fixed")
-    host.keep(b"k")
+    host.memory.keep(b"k")
     with socket.create_connection(host.sock.getsockname()) as first:
         first.sendall(get("a"))
         for _ in range(20):
