--- a/hopsail/emulator/report.py
+++ b/hopsail/emulator/report.py
@@ -22,11 +22,8 @@
     if trace is not None:
         for event in world.trace:
             print(*(sorted(part) if isinstance(part, set) else part for part in event), file=trace)
-    rows, troubles = figures.emulated(world)
-    settled = scenario.load.settles // SECOND
-    recovered = figures.told(figures.recoveries(rows.rows, troubles, settled))
-    if series is not None:
-        figures.write(series, rows, troubles, {"scenario": name, "policy": policy, "seed": seed})
+    about = {"scenario": name, "policy": policy, "seed": seed}
+    recovered = figures.recovered(figures.emulated(world), scenario, series, about)
     return summary(world) | {"recovery": recovered, "recover_s": slowest(recovered), "policy": policy,
                              "seed": seed, "run_s": round(took, 3),
                              "events_per_s": round(world.clock.done / took)}  # fmt: skip
--- a/hopsail/load/rig.py
+++ b/hopsail/load/rig.py
@@ -504,16 +504,12 @@
 def summary(rig, load, rows=None, name="", seed=1):
     """What the rig adds to a load's figures: hosts, rules, recovery."""
     broken, played = judge(rig), rig.played
-    series, troubles = load.series, figures.spans(played)
+    series = load.series
     for second, connections, aside in rig.samples:
         if (row := series.at(second)) is not None:
             row.connections, row.aside = connections, aside
-    settled = played.load.settles // SECOND
-    recovered = figures.told(figures.recoveries(series.rows, troubles, settled))
-    if rows is not None:
-        figures.write(
-            rows, series, troubles, {"scenario": name, "policy": "hopsail on sockets", "seed": seed}
-        )
+    about = {"scenario": name, "policy": "hopsail on sockets", "seed": seed}
+    recovered = figures.recovered(series, played, rows, about)
     asked = [host.reached for host in rig.hosts]
     counts = defaultdict(int)
     for event in rig.trace:
--- a/hopsail/series.py
+++ b/hopsail/series.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from .model import SECOND
+
 NEAR = 0.03  # of the share before: service that stays within it counts as recovered
 STEADY = 3  # seconds before a trouble that say what service was like; fewer say too little
 LEAST = 100  # requests that a share is taken over: a second with fewer is taken with those before it
@@ -157,6 +159,14 @@
     ]  # fmt: skip
 
 
+def recovered(series, scenario, path=None, about=None):
+    """What a day's series says of its troubles, as its summary has it; with a path, written to that file."""
+    troubles = spans(scenario)
+    if path is not None:
+        write(path, series, troubles, about)
+    return told(recoveries(series.rows, troubles, scenario.load.settles // SECOND))
+
+
 def write(path, series, troubles, about):
     """The whole file or nothing of it: a header, then a row a line."""
     head = {"form": FORM, "troubles": [vars(one) for one in troubles]} | about
@@ -182,9 +192,8 @@
 
 
 def emulated(world):
-    """The series and the troubles of an emulated day, from its trace, results and samples."""
+    """The series of an emulated day, from its trace, results and samples."""
     from .emulator.world import ORIGIN, START
-    from .model import SECOND
 
     scenario = world.scenario
     series = Series(-(-scenario.load.lasts // SECOND))
@@ -206,12 +215,10 @@
     for second, connections, aside in world.samples:
         if (row := series.at(second)) is not None:
             row.connections, row.aside = connections, aside
-    return series, spans(scenario)
+    return series
 
 
 def spans(scenario):
-    from .model import SECOND
-
     return [Span(one.what, one.at / SECOND, (one.at + one.lasts) / SECOND) for one in scenario.trouble]
 
 
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -377,8 +377,8 @@
 def test_first_tries_are_served_again_as_soon_as_a_storm_of_clients_that_mark_is_over():
     """Returns are still to come for seconds: they must not cost the others, nor make a second storm."""
     world = day([STORM], True, heed="100%", marks="100%").run()
-    rows, spans = series.emulated(world)
-    assert series.recoveries(rows.rows, spans, 3)[0].after <= 1
+    rows = series.emulated(world)
+    assert series.recoveries(rows.rows, series.spans(world.scenario), 3)[0].after <= 1
     assert sum(row.bounces for row in rows.rows[9:12]) > 200 > sum(row.bounces for row in rows.rows[13:])
 
 
