The part of its keys a host is left follows its kind's pace, learned from answers

Checked: the first list (all sizes 2.0, which are cores; kinds differ threefold in speed), legs by kind and host (a probe around the module): the jammed hosts are the slow ones with a popular key. Ruled out: list and retries (nothing had happened yet), connections (1 of 1,500), the origin (p50 75 ms). At fault: `_part` and the tie-break of hot reads take all hosts of a size as equal; balancers of hundreds have ties only, and a slow host with one leg of each never empties its queue.

Change: the mean time of answers by kind, against the fastest kind's, bounds the part of its keys that a host is left, and weighs the draw among caches of a hot key. Hosts that report load keep their own way.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -46,7 +46,8 @@
 BASE_COUNT = 40  # answers that the mean time is taken over, however few a second: chance evens out
 LATE, LATE_MOST, LATE_MEAN = 0.35, 0.6, 2  # of the promised time; in between, times the best mean
 HEAVY, HOPELESS = 0.4, 1.5  # of the promised time: hinted work in between needs a fast host
-PACE_MOST = 4.0  # bound of one answer's time, in times its hinted work
+PACE_MOST = 4.0  # bound of one answer's time, in times its hinted work or the promised time
+PACE_PRIOR = 5  # answers at the mean of all kinds that a kind is taken to have given before its own
 LATE_SURPLUS, LATE_SHARE = 0.25, 0.4  # of all legs to caches, before the surplus is shed, and then the rest
 ADMIT_GAIN = 4.0  # of the late share, over a half-life of outcomes: sheds within seconds
 ADMIT_LEAST = 0.2  # of what lies within shares is always let in, else nothing shows that the crowd is gone
@@ -100,7 +101,8 @@
     def __init__(self, settings, seed, now):
         self.settings, self.random = settings, Random(seed)
         self.hosts, self.caches, self.origin = {}, {}, None  # caches: those that are ready, on the ring
-        self.paces = {}  # of each kind of host: the time that answers took, in times their hinted work
+        self.paces = {}  # of each kind of host: the time that answers took, in times their hinted work if any
+        self.pace, self.speeds = Mean(HALVING, now), {}  # of all kinds; and of each, 1 = the fastest kind's
         self.sizes = Sizes(settings.sized, settings.live)
         # Two rings where crossing zones is dear, this balancer's own zone first; else all are on the first.
         self.rings, self.ready, self.unit, self.size = (self.ring(), self.ring()), [0, 0], 1.0, 0.0
@@ -411,7 +413,7 @@
         part = 1.0 if self._within_share(r) else SURPLUS_ROOM
         if spread > 1 or not found:
             near = [h for h in found[:spread] if self._room(h, part)]
-            loads = [(len(h.legs), self.random.random() * self._crowd(h.told), h) for h in near]
+            loads = [(len(h.legs), self._draw(h), h) for h in near]
             return min(loads)[2] if loads else None
         home, after, queued = found[0], found[:2][-1], len(found[0].legs)
         spills = queued >= SPILL_FLOOR and queued * len(self.caches) > SPILL_FACTOR * self.cache_legs
@@ -495,9 +497,8 @@
         target = due * ORIGIN_ON_TIME
         if host.is_cache:
             # Crowded hosts do less and stay crowded, long before answers are late: the best mean time tells.
-            if leg.retrieval.work and outcome is Outcome.HANDLED:
-                pace = self.paces.setdefault(host.kind, Mean(HALVING, now))
-                pace.add(now, min(PACE_MOST, took / leg.retrieval.work))
+            if outcome is Outcome.HANDLED or outcome is Outcome.TIMED_OUT:
+                self._pace(host.kind, took, leg.retrieval)
             self.times += 1
             self.time += (took - self.time) / min(self.times, BASE_COUNT)
             base = self.base or due
@@ -517,6 +518,20 @@
             cut = LIMIT_CUT if host.limit > 1 else PART_CUT
             host.limit, host.cut_at = max(self.least, host.limit * cut), now
 
+    def _pace(self, kind, took, r):
+        """Listed sizes are cores, if anything: how fast a kind's cores are shows only in its answers."""
+        now, pace = self.now, min(PACE_MOST, took / (r.work or r.track.promised))
+        for mean in self.pace, self.paces.setdefault(kind, Mean(HALVING, now)):
+            mean.add(now, pace)
+        usual = self.pace.read(now)
+        known = {kind: mean.read(now, usual, PACE_PRIOR) for kind, mean in self.paces.items()}
+        best = min(known.values())
+        self.speeds = {kind: best / pace for kind, pace in known.items()}
+
+    def _draw(self, host):
+        """Least at a host in proportion to what it can do; balancers of hundreds have ties only."""
+        return self.random.expovariate(host.size * self.speeds.get(host.kind, 1.0)) * self._crowd(host.told)
+
     def _grow(self, host):
         host.limit += min(LIMIT_GROWTH * host.limit, 1 / host.limit)
 
@@ -544,7 +559,7 @@
     def _part(self, host):
         """The part of its keys that a cache is left: less where answers take longer than they should."""
         if not host.report:
-            return host.limit
+            return min(host.limit, self.speeds.get(host.kind, 1.0))
         return max(self.least, min(host.limit, 1 / max(1.0, self._crowd(host.told))))
 
     def _crowd(self, told):
