Hosts that the list drops without draining stay in use by steps, where the settings say so

The evidence that the list erred: `rules.onlyDrainingBinds` says that it can, and legs out at that moment still ended well. At fault: `listed` took every host that was gone or left out off the ring. Ruled out: the origin (p50 65 ms throughout), the hosts that stayed (they jammed only after the list changed).

Change: `rules.onlyDrainingBinds` is passed on. A ready host that is dropped stays; the part of its keys it is left halves each half second down to the share of caches that was dropped at once (a tenth at least) and doubles again when listed; each good answer doubles that goal, each bad one halves it. One that drained is bound as before, also if left out and listed again. One that never answers is forgotten after 60 s. Covers also: crashes that the list follows, growth taken back. Harm: a host that is truly gone is tried a little longer, one leg each. On sockets staff can still take such a host out by hand; figures of the list count listed hosts only.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -58,6 +58,9 @@
 BAD_COUNT = 3.0  # bad outcomes before a host is judged: one or two are chance
 BAD_SHARE, BAD_TIMES = 0.5, 2  # of its outcomes, and times the share of the rest: the host and not the work
 MOST_ASIDE = 0.67  # of the ready caches: a whole zone may be lost, but not everything is the hosts' fault
+TRUST_LEAST = 0.1  # of its keys are left a host that the list dropped: else nothing shows that it serves
+TRUST_STEP, TRUST_STEPS = 500 * MS, 8  # for each doubling or halving towards that, and the most that matter
+FORGET = 60 * SECOND  # with no answer, before a host that the list dropped is forgotten: tables are bounded
 ASIDE_TIME = 1500 * MS  # fixed part, and the most of the random one: what a process needs to restart
 RETRY_SHARE = 0.2  # further legs per first leg: a failing fleet must not be fed with retries
 SILENT_PART, SILENT_TIMES = 0.4, 6  # of the promised time, and times the host's mean: no answer will come
@@ -89,6 +92,8 @@
         self.report, self.told_at = None, now  # the last one that it gave, and when
         self.told = Mean(TOLD_SPAN, now)  # how crowded it is by its reports, 1 = as much as may be
         self.back_at = 0  # when a host that was set aside may be tried, 0 = trusted
+        self.trust, self.goal, self.trust_at = 1.0, 1.0, now  # part of its usual keys that the list leaves it
+        self.dropped = 0  # when the list dropped it without draining, 0 = listed
 
     def places(self, unit):
         """Its points on the ring; a larger host has all the points that a smaller one would have."""
@@ -137,15 +142,19 @@
             self.asked = True
             self.out.append(Subscribe())
         self.failures = 0
-        for name in self.hosts.keys() - {e.name for e in entries} if scope is Scope.WHOLE else ():
-            self._leave(self.hosts[name])
+        gone = self.hosts.keys() - {e.name for e in entries} if scope is Scope.WHOLE else set()
+        gone |= {e.name for e in entries if e.state is State.GONE} & self.hosts.keys()
+        self._drop([self.hosts[name] for name in sorted(gone)])
         joined, grown = [], self.sizes.grown(entries)
         for entry in entries:
+            if entry.state is State.GONE:
+                continue
             host = self.hosts.get(entry.name)
             if host is not None and (entry.started != host.started or entry.state is not State.READY):
                 self._leave(host)
-            if entry.state is State.GONE:
-                continue
+            elif host is not None:
+                self._trust(host, 1.0)
+                host.dropped = 0
             if host is None or entry.started != host.started:
                 # A restart, too, makes a new host: its memory is empty and its old troubles are gone.
                 host = Host(entry, self.sizes.of(entry), settings, now)
@@ -166,6 +175,32 @@
             host.size = size
         self._join(joined, grown)
 
+    def _drop(self, hosts):
+        """What the list no longer has. Where only draining binds, the list may err, the more so the more it
+        takes at once: own legs tell, and traffic goes down and comes back by steps."""
+        doubt = self.settings.only_drains
+        ready = [host for host in hosts if doubt and host.state is State.READY]
+        taken = sum(host.is_cache for host in ready) / max(1, len(self.caches))
+        for host in hosts:
+            if host not in ready:
+                self._leave(host)
+            elif not host.dropped:
+                host.dropped = self.now
+                self._trust(host, max(TRUST_LEAST, taken))
+        for host in [h for h in self.hosts.values() if h.dropped] if doubt else ():
+            if self.now - max(host.dropped, host.heard) > FORGET:
+                self._leave(host)
+
+    def _trust(self, host, goal=None):
+        """The part that a list and own legs leave a host: a step each TRUST_STEP towards its goal."""
+        steps = min(TRUST_STEPS, (self.now - host.trust_at) // TRUST_STEP)
+        host.trust_at += steps * TRUST_STEP if steps < TRUST_STEPS else self.now - host.trust_at
+        up, down = min(host.goal, host.trust * 2**steps), max(host.goal, host.trust / 2**steps)
+        host.trust = up if host.trust < host.goal else down
+        if goal is not None and goal != host.goal:
+            host.goal, host.trust_at = goal, self.now
+        return host.trust
+
     def _leave(self, host):
         self.hosts.pop(host.name, None)
         host.state = State.GONE
@@ -450,7 +485,8 @@
         # part: its keys come home bit by bit, and its budget holds even when there is nowhere else to go.
         start, cold = self.settings.start_share, now < host.warm_at
         share = start + (1 - start) * max(0, now - host.started) / self.settings.warm_within if cold else 1.0
-        if place is not None and (place ^ host.salt) >> 32 >= min(share, self._part(host)) * 2**32:
+        trust = self._trust(host) if host.goal < 1 or host.trust < 1 else 1.0
+        if place is not None and (place ^ host.salt) >> 32 >= min(share, trust, self._part(host)) * 2**32:
             return False
         if not cold:
             return True
@@ -477,12 +513,16 @@
         if outcome is Outcome.HANDLED or outcome is Outcome.MISS:
             host.good.add(now)
             self.good.add(now)
+            if host.dropped:  # it serves, whatever the list says
+                self._trust(host, min(1.0, 2 * host.goal))
             if host.back_at:
                 self.aside -= host.state is State.READY
                 host.back_at, host.bad.value = 0, 0.0
         if outcome in BROKEN or outcome is Outcome.TIMED_OUT and host.heard <= leg.sent:  # else just busy
             host.bad.add(now)
             self.bad.add(now)
+            if host.dropped:
+                self._trust(host, max(TRUST_LEAST, host.goal / 2))
             if host.is_cache:
                 self._judge(host)
         host.heard = now if outcome in HEARD else host.heard
--- a/hopsail/membership.py
+++ b/hopsail/membership.py
@@ -80,29 +80,38 @@
 class Membership:
     """The list as discovery tells it, and as the module is told it."""
 
-    def __init__(self):
+    def __init__(self, only_drains: bool = False):
+        self.only_drains = only_drains  # what the list drops without draining is still in use
         self.listed: dict[int, Listing] = {}  # as discovery has it, without those that are gone
+        self.dropped: dict[int, Listing] = {}  # what it dropped so: staff must be able to take it out, too
         self.out: set[int] = set()
         self.back: dict[int, int] = {}
 
     def heard(self, scope: Scope, entries: Iterable[Listing]) -> list[Listing]:
         """An update from discovery; what the module is told of it."""
         entries = list(entries)
-        if scope is Scope.WHOLE:
-            self.listed.clear()
+        kept = {entry.name for entry in entries if entry.state is not State.GONE}
+        gone = self.listed.keys() - kept if scope is Scope.WHOLE else {entry.name for entry in entries} - kept
+        for name in sorted(gone & self.listed.keys()):
+            entry = self.listed.pop(name)
+            if self.only_drains and entry.state is State.READY:
+                self.dropped[name] = entry
         for entry in entries:
-            if entry.state is State.GONE:
-                self.listed.pop(entry.name, None)
-            else:
+            if entry.state is not State.GONE:
                 self.listed[entry.name] = entry
+                self.dropped.pop(entry.name, None)
+        for oldest in list(self.dropped)[: max(0, len(self.dropped) - MOST_NAMES)]:
+            del self.dropped[oldest]
         return [self.shown(entry) for entry in entries]
 
     def adopt(self, standing: Standing) -> list[Listing]:
         """What operators ask for from now on; the entries that the module must be told anew."""
-        before = {name: self.shown(entry) for name, entry in self.listed.items()}
+        before = {name: self.shown(entry) for name, entry in (self.dropped | self.listed).items()}
         self.out = {number(name.encode()) for name in standing.out}
         self.back = {number(name.encode()): at for name, at in standing.back.items()}
         after = [self.shown(entry) for entry in self.listed.values()]
+        # A dropped host that is taken out is drained like others; called back, it waits for the list.
+        after += [e for e in map(self.shown, self.dropped.values()) if e.state is State.DRAINING]
         return [entry for entry in after if entry != before[entry.name]]
 
     def shown(self, entry: Listing) -> Listing:
@@ -115,4 +124,4 @@
         return entry
 
     def has(self, name: str) -> bool:
-        return number(name.encode()) in self.listed
+        return number(name.encode()) in self.listed.keys() | self.dropped.keys()
--- a/hopsail/model.py
+++ b/hopsail/model.py
@@ -63,6 +63,7 @@
     ask_within: int = 10 * SECOND  # ns
     most_legs: int = 4
     advise_wait: int = 0  # longest wait that clients can be asked for, ns; 0 = none
+    only_drains: bool = False  # what the list drops without draining may still be sent to
     start_share: float = 1.0  # of a fresh host's capacity
     warm_within: int = 0  # ns
     fall_multiple: float = 3.0
--- a/hopsail/net/door.py
+++ b/hopsail/net/door.py
@@ -54,7 +54,7 @@
         self.open = 0  # retrievals with no final answer yet
         self.ends = None  # when all must be answered, once the process is to end
         self.drained = False  # operators want no clients here
-        self.members = Membership()
+        self.members = Membership(config.settings.only_drains)
         self.figures = Figures(config.tracks)
         self.flows = Flows(config.flow_bytes)
         self.pool = Pool(loop, counters, config, self.flows, self.leg_ended, self.leg_written)
@@ -79,7 +79,7 @@
 
     def out_of_rotation(self):
         """Listed cache hosts that get nothing now: out by hand, or set aside by the module."""
-        caches = [host for host in self.balancer.hosts.values() if host.is_cache]
+        caches = [host for host in self.balancer.hosts.values() if host.is_cache and not host.dropped]
         return sum(host.name in self.members.out or host.back_at > 0 for host in caches)
 
     def connected(self):
@@ -99,7 +99,7 @@
         } | figures
 
     def listed_caches(self):
-        return sum(host.is_cache for host in self.balancer.hosts.values())
+        return sum(host.is_cache and not host.dropped for host in self.balancer.hosts.values())
 
     def asked(self, client, request):
         """A whole request has come on a client's connection, which is owed one answer."""
@@ -243,7 +243,8 @@
                 self.pool.close_idle(listing.name)  # connections from before a restart lead nowhere
         self._step(None, self.balancer.listed, self.loop.now(), scope, entries)
         for listing in entries:
-            if listing.state is not State.READY:
+            host = hosts.get(listing.name)
+            if host is None or host.state is not State.READY:
                 self.pool.call_off(listing.name)  # also what was decided before: nothing new goes there
         for name in [name for name in self.pool.addresses if name not in hosts]:
             self.pool.forget(name)
--- a/hopsail/settings.py
+++ b/hopsail/settings.py
@@ -118,6 +118,7 @@
         ask_within=time("rules.askWithinUs", "10000000"),
         most_legs=value("limits.mostLegs", int),
         advise_wait=time("limits.maxRetryAfterUs", "0") if advised else 0,
+        only_drains=value("rules.onlyDrainingBinds", bool, "false"),
         start_share=value("rules.startCapacity", float),
         warm_within=time("rules.warmWithinUs"),
         fall_multiple=value("rules.fallMultiple", float),
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -609,3 +609,89 @@
         bench.end(leg, HANDLED, after=(90 if leg.host.kind == SLOW else 30) * MS)
         hot.append(leg.host.kind == SLOW)
     assert 0.12 < sum(hot) / len(hot) < 0.4  # hot reads too, and balancers of hundreds have only ties there
+
+
+def dropping(part, **settings):
+    """A list that drops this part of 20 caches at once, by absence."""
+    bench = Bench(20, balancers=60, **{"only_drains": True} | settings)
+    not_hot(bench)
+    left = [entry(i) for i in range(1 + round(20 * part), 21)] + [entry(ORIGIN, kind=9)]
+    bench.list(left)
+    return bench, left
+
+
+def share_to(bench, hosts, keys=400):
+    homes = []
+    for key in range(2000, 2000 + keys):
+        r, actions = bench.ask(key)
+        homes += names(actions)
+        for leg in sent(actions):
+            bench.balancer.withdrawn(bench.now, r)  # no outcome: it tells nothing
+            leg.host.legs.pop(leg, None)
+            bench.balancer.cache_legs -= 1
+    return sum(home in hosts for home in homes) / len(homes)
+
+
+def test_traffic_to_dropped_hosts_goes_down_and_comes_back_by_steps():
+    """Danger: a list that wrongly drops most of a fleet turned all its traffic over at a stroke."""
+    bench, left = dropping(0.2)
+    gone, shares = {1, 2, 3, 4}, []
+    for _ in range(12):
+        shares.append(share_to(bench, gone))
+        bench.now += 400 * MS
+    assert shares[0] > 0.1 and 0 < shares[-1] < 0.08
+    assert all(b <= a + 0.02 and b >= a / 3 for a, b in zip(shares, shares[1:], strict=False))
+    bench.list(left + [entry(i) for i in gone])
+    back = []
+    for _ in range(12):
+        back.append(share_to(bench, gone))
+        bench.now += 400 * MS
+    assert back[0] < 0.1 and back[-1] > 0.15
+    assert all(a / 1.5 <= b <= 3 * a for a, b in zip(back, back[1:], strict=False))
+
+
+@pytest.mark.parametrize("part, least, most", [(0.2, 0.0, 0.08), (0.8, 0.6, 0.8)])
+def test_a_list_is_doubted_the_more_the_more_it_drops(part, least, most):
+    bench, _ = dropping(part)
+    gone = set(range(1, 1 + round(20 * part)))
+    share_to(bench, gone, 10)
+    bench.now += 10 * SECOND
+    assert least < share_to(bench, gone) < most
+
+
+@pytest.mark.parametrize("outcome, low, high", [(HANDLED, 0.15, 0.3), (Outcome.NO_CONNECTION, 0.0, 0.08)])
+def test_own_legs_tell_whether_a_dropped_host_serves(outcome, low, high):
+    bench, _ = dropping(0.2)
+    for key in range(5000, 5300):
+        r, actions = bench.ask(key)
+        (leg,) = sent(actions)
+        bench.end(leg, outcome if leg.host.name <= 4 else HANDLED, after=30 * MS)
+        bench.balancer.withdrawn(bench.now, r)
+        bench.take()
+    assert low <= share_to(bench, {1, 2, 3, 4}) <= high
+
+
+@pytest.mark.parametrize("only_drains", [False, True])
+@pytest.mark.parametrize("whole", [False, True])
+@pytest.mark.parametrize("state", [State.READY, State.DRAINING])
+def test_only_what_drains_is_bound_where_the_settings_say_so(only_drains, whole, state):
+    """The rule on drains stays exact, also for a host that drains, is left out, and is listed again."""
+    bench = Bench(2, only_drains=only_drains)
+    bench.list([entry(1, state=state)], Scope.CHANGES)
+    gone = [entry(2), entry(ORIGIN, kind=9)] if whole else [entry(1, state=State.GONE)]
+    bench.list(gone, Scope.WHOLE if whole else Scope.CHANGES)
+    keys = range(100, 180)
+    assert (1 in {home_of(bench, key) for key in keys}) is (only_drains and state is State.READY)
+    bench.list([entry(1, state=State.DRAINING)], Scope.CHANGES)
+    bench.list(gone, Scope.WHOLE if whole else Scope.CHANGES)
+    assert 1 not in {home_of(bench, key) for key in keys}
+    bench.list([entry(1, started=bench.now)], Scope.CHANGES)
+    bench.now += 9 * SECOND
+    assert 1 in {home_of(bench, key) for key in range(300, 400)}
+
+
+def test_a_dropped_host_that_never_answers_is_forgotten():
+    bench, left = dropping(0.2)
+    bench.now += 61 * SECOND
+    bench.list(left)
+    assert len(bench.balancer.caches) == len(bench.balancer.hosts) - 1 == 16
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -106,3 +106,25 @@
     with pytest.raises(OverflowError):
         standing.without("one more")
     assert Standing.decode(standing.encode()) == standing
+
+
+@pytest.mark.parametrize("only_drains", [False, True])
+@pytest.mark.parametrize("scope", [Scope.WHOLE, Scope.CHANGES])
+def test_a_dropped_host_that_is_still_in_use_can_be_taken_out_by_hand(scope, only_drains):
+    """Danger: where only draining binds the module goes on sending to what the list dropped; staff's order to
+    stop that would be refused, or never reach the module."""
+    made = Membership(only_drains)
+    made.heard(Scope.WHOLE, [entry(A), entry(B, state=State.DRAINING)])
+    update = [] if scope is Scope.WHOLE else [entry(A, state=State.GONE), entry(B, state=State.GONE)]
+    made.heard(scope, update)
+    assert made.has("a") is only_drains and not made.has("b")
+    assert states(made.adopt(OUT)) == ({A: ("DRAINING", 0)} if only_drains else {})
+    assert made.adopt(BACK) == []  # until the list has it again
+    assert states(made.heard(scope, [entry(A)])) == {A: ("READY", 500)} and not made.dropped
+
+
+def test_dropped_hosts_are_kept_within_a_bound():
+    made = Membership(True)
+    for name in range(MOST_NAMES + 50):
+        made.heard(Scope.WHOLE, [entry(name)])
+    assert len(made.dropped) == MOST_NAMES and len(made.listed) == 1
