A host is judged by as few outcomes as a sparse balancer sees of it

At fault: BAD_COUNT 3 within a half-life of four seconds. Change: the count is half of the mean outcomes a cache, at most three, at least one. Covers also silent machines and hosts that err. Harm: one chance error sets a host aside for 1.5 to 3 s at a balancer that would hardly ask it.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -55,7 +55,8 @@
 SHARE_BURST = 4  # seconds of it saved up at most, and one retrieval: arrivals come in clusters
 SPAN = 4 * SECOND  # half-life of outcomes, times, grants and retries: rides out a second, forgets a trouble
 SURPLUS_ROOM = 0.5  # of the limit is open to what lies beyond a customer's share
-BAD_COUNT = 3.0  # bad outcomes before a host is judged: one or two are chance
+BAD_COUNT = 3.0  # bad outcomes before a host is judged: one or two are chance, if it is sent many
+BAD_SURE = 0.9  # of that count: it decays from the first outcome to the last
 BAD_SHARE, BAD_TIMES = 0.5, 2  # of its outcomes, and times the share of the rest: the host and not the work
 MOST_ASIDE = 0.67  # of the ready caches: a whole zone may be lost, but not everything is the hosts' fault
 TRUST_LEAST = 0.1  # of its keys are left a host that the list dropped: else nothing shows that it serves
@@ -615,7 +616,9 @@
         bound = max(BAD_SHARE, BAD_TIMES * rest_bad / max(1.0, rest_bad + rest_good))
         if not host.back_at:
             many = self.aside + 1 > MOST_ASIDE * len(self.caches)
-            if many or bad < BAD_COUNT or bad < bound * (bad + good) or host.state is not State.READY:
+            # Balancers of hundreds send a host a leg in seconds: what they see of it is one outcome.
+            count = max(1, min(BAD_COUNT, (self.good.value + self.bad.value) / 2 / max(1, len(self.caches))))
+            if many or bad < BAD_SURE * count or bad < bound * (bad + good) or host.state is not State.READY:
                 return
             self.aside += 1
         host.back_at = now + ASIDE_TIME + int(self.random.random() * ASIDE_TIME)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -619,6 +619,23 @@
     assert len({home_of(not_hot(Bench(6, seed=seed)), 5) for seed in range(60)}) == 1
 
 
+@pytest.mark.parametrize("rate, failures", [(0.2, 1), (20, 3)])
+def test_a_host_that_is_sent_little_is_judged_by_as_little(rate, failures):
+    """Danger: a balancer of hundreds never sees three bad outcomes within seconds, and set no host aside."""
+    bench = not_hot(Bench(6))
+    host, count = bench.balancer.hosts[3], 0
+    bench.now += 60 * SECOND
+    for name in (1, 2, 4, 5, 6, 1, 2, 4, 5, 6) * int(max(1, rate)):
+        bench.balancer.good.add(bench.now, 0.1 if rate < 1 else 1.0)
+        bench.balancer.hosts[name].good.add(bench.now)
+    while not host.back_at:
+        bench.balancer.now, count = bench.now, count + 1
+        host.bad.add(bench.now)
+        bench.balancer.bad.add(bench.now)
+        bench.balancer._judge(host)
+    assert count == failures
+
+
 SLOW, FAST = 1, 2  # kinds
 
 
