A leg in a calm fleet ends in time for the origin, which is asked next

The origin answered in 160 ms all the time. Checked: limits and outcomes of all legs by a probe. At fault: `_limit` (six mean times, and nothing where a second leg of that length has no room), `_read` (next cache). Ruled out: the retry budget (never used up), the origin (p50 160 ms, p90 355). Change: while the mean is below twice the best, the host reports nothing and the origin has room, a leg that may be repeated ends at the promised time less two best means, three of them or 0.4 of it at the least; after a leg that timed out the origin is next, if it has room. Covers also lost answers and silent connections. Harm: work done twice, so not in a crowd.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -66,6 +66,8 @@
 RETRY_SHARE = 0.2  # further legs per first leg: a failing fleet must not be fed with retries
 SILENT_PART, SILENT_TIMES = 0.4, 6  # of the promised time, and times the host's mean: no answer will come
 SILENT_WORK = 3  # the same, times the hinted work
+# Times the best mean: what another leg needs, the least for one, and a mean with which there is no crowd
+AGAIN_TIMES, PATIENT_TIMES, CALM_TIMES = 2, 3, 2
 RETRY_SLACK = 4.0  # further legs at once after a calm stretch
 HOLD_PART = 0.48  # of the promised time, or of what the client waits if less: past half, a bounce costs extra
 CROWD = 75  # balancers that may keep idle connections at each host, at equal prices: by price alone, 100
@@ -310,8 +312,9 @@
                 if leg.outcome is not Outcome.MISS:
                     if not self._again(r):
                         return self._turn_away(r)
-                    if len(r.legs) + 1 >= self.settings.most_legs > 1 and self.origin is not None:
-                        # The last leg: a cache that may miss would leave none for the origin.
+                    last = len(r.legs) + 1 >= self.settings.most_legs > 1
+                    if last and self.origin is not None or leg.outcome is Outcome.TIMED_OUT and self._spare():
+                        # The last leg, or no time for two: a cache may miss, the origin does not.
                         return (yield from self._write(r))
                 elif lead or r.key not in self.fetches:
                     if r.key and not lead:
@@ -397,8 +400,17 @@
         limit = int(max(SILENT_PART * track.promised, usual))
         may = track.repeat is Repeat.PURE or track.repeat is Repeat.RECEIPTED and limit < track.remembered
         more = may and len(r.legs) + 1 < self.settings.most_legs and self._budget() >= RETRY_SLACK / 2
+        # In a calm fleet who is late is stuck: the origin still has time to answer as promised.
+        patient = max(SILENT_PART * track.promised, PATIENT_TIMES * self.base)
+        patient = int(max(patient, track.promised - AGAIN_TIMES * self.base))
+        calm = self.time < CALM_TIMES * self.base and host.is_cache and not host.report
+        if more and calm and patient < min(limit, left) and left > track.promised and self._spare():
+            return patient
         return limit if more and 2 * limit <= left else left
 
+    def _spare(self):
+        return self.origin is not None and self._room(self.origin)
+
     def _may_repeat(self, r, host):
         for leg in r.legs:
             if leg.outcome in NEVER_RAN or r.track.repeat is Repeat.PURE:
