What hangs is kept out of the mean time; the very first reads are spread as wide as they are few

Checked: limits, mean and best time at each leg: the mean was twice the best, for time-outs counted in it, so that the fleet passed for crowded. At fault: `_learn` (self.time), `_spread` (two). Change: a leg that timed out at a silent host, or broke, is left out of the mean; a first read is spread over n / reads caches of the own zone (n at the first, two at n/2). A last leg to the origin asks whether that is still listed. Covers also dead machines that the list still has. Harm: n log n misses at a start, once.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -312,8 +312,8 @@
                 if leg.outcome is not Outcome.MISS:
                     if not self._again(r):
                         return self._turn_away(r)
-                    last = len(r.legs) + 1 >= self.settings.most_legs > 1
-                    if last and self.origin is not None or leg.outcome is Outcome.TIMED_OUT and self._spare():
+                    last = len(r.legs) + 1 >= self.settings.most_legs > 1 and self.origin is not None
+                    if last or leg.outcome is Outcome.TIMED_OUT and self._spare():
                         # The last leg, or no time for two: a cache may miss, the origin does not.
                         return (yield from self._write(r))
                 elif lead or r.key not in self.fetches:
@@ -395,21 +395,20 @@
 
     def _limit(self, r, host):
         """A connection may fall silent while its host serves others: what may be repeated is, in time."""
-        left, track, mean = r.ends - self.now, r.track, host.time.read(self.now)
-        usual = max(SILENT_TIMES * max(mean, self.time), SILENT_WORK * r.work)
-        limit = int(max(SILENT_PART * track.promised, usual))
+        left, track, due, best = r.ends - self.now, r.track, r.track.promised, self.base
+        usual = max(SILENT_TIMES * max(host.time.read(self.now), self.time), SILENT_WORK * r.work)
+        limit = int(max(SILENT_PART * due, usual))
         may = track.repeat is Repeat.PURE or track.repeat is Repeat.RECEIPTED and limit < track.remembered
         more = may and len(r.legs) + 1 < self.settings.most_legs and self._budget() >= RETRY_SLACK / 2
         # In a calm fleet who is late is stuck: the origin still has time to answer as promised.
-        patient = max(SILENT_PART * track.promised, PATIENT_TIMES * self.base)
-        patient = int(max(patient, track.promised - AGAIN_TIMES * self.base))
-        calm = self.time < CALM_TIMES * self.base and host.is_cache and not host.report
-        if more and calm and patient < min(limit, left) and left > track.promised and self._spare():
+        patient = int(max(SILENT_PART * due, PATIENT_TIMES * best, due - AGAIN_TIMES * best))
+        calm = self.time < CALM_TIMES * best and host.is_cache and not host.report
+        if more and calm and patient < min(limit, left) and left > due and self._spare():
             return patient
         return limit if more and 2 * limit <= left else left
 
     def _spare(self):
-        return self.origin is not None and self._room(self.origin)
+        return self.origin is not None and self.origin.state is State.READY and self._room(self.origin)
 
     def _may_repeat(self, r, host):
         for leg in r.legs:
@@ -447,7 +446,7 @@
         if not key or reads * n <= all_reads:
             return 1
         if reads < HOT_FLOOR:  # what comes so early is popular, and all balancers have a first read of it
-            return min(2, ceil(n / all_reads))
+            return ceil((self.ready[0] or n) / all_reads)
         return min(n, max(2, ceil(SPREAD_FACTOR * reads / all_reads * n)))
 
     def _pick(self, r, spread):
@@ -528,7 +527,10 @@
             if host.back_at:
                 self.aside -= host.state is State.READY
                 host.back_at, host.bad.value = 0, 0.0
-        if outcome in BROKEN or outcome is Outcome.TIMED_OUT and host.heard <= leg.sent:  # else just busy
+        failed = (
+            outcome in BROKEN or outcome is Outcome.TIMED_OUT and host.heard <= leg.sent
+        )  # else just busy
+        if failed:
             host.bad.add(now)
             self.bad.add(now)
             if host.dropped:
@@ -552,8 +554,9 @@
             # Crowded hosts do less and stay crowded, long before answers are late: the best mean time tells.
             if outcome is Outcome.HANDLED or outcome is Outcome.TIMED_OUT:
                 self._pace(host, took, leg.retrieval)
-            self.times += 1
-            self.time += (took - self.time) / min(self.times, BASE_COUNT)
+            if not failed:  # what hangs says nothing of the others
+                self.times += 1
+                self.time += (took - self.time) / min(self.times, BASE_COUNT)
             base = self.base or due
             late = took > min(LATE_MOST * due, max(LATE * due, LATE_MEAN * base))
             late = took > due if host.report else late or outcome is Outcome.FULL
