--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -203,7 +203,7 @@
 
 def test_a_host_that_is_back_under_its_name_is_cold_and_its_old_work_is_gone():
     trouble = {"what": "crash", "at": "2 s", "lasts": "2 s", "part": "20%"}
-    world = World(made(trouble, load={"rate": "1500/s"}), "hopsail", 1).run()
+    world = World(made(trouble, load={"rate": "2500/s"}), "hopsail", 1).run()
     back = [host for host in world.caches if host.started]
     assert len(back) == 2 and all(host.up and host.warmth(host.started) == 0.3 for host in back)
     resets = [event for event in world.trace if event[0] == "ended" and event[5] == "RESET"]
