--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -47,6 +47,7 @@
 LATE, LATE_MOST, LATE_MEAN = 0.35, 0.6, 2  # of the promised time; in between, times the best mean
 HEAVY, HOPELESS = 0.4, 1.5  # of the promised time: hinted work in between needs a fast host
 PACE_MOST = 4.0  # bound of one answer's time, in times its hinted work or the promised time
+# Reads taken as even; times the even part that are chance; of the rest, which falls as parts do: so steeply
 LOAD_PRIOR, OVER_MOST, PART_POWER, DRAW_POWER = 5, 1.1, 4, 2
 WAY_POWER = 2  # of a zone's speed: what is late on the way is late at any load
 LATE_SURPLUS, LATE_SHARE = 0.25, 0.4  # of all legs to caches, before the surplus is shed, and then the rest
@@ -553,7 +554,10 @@
         if host.is_cache:
             # Crowded hosts do less and stay crowded, long before answers are late: the best mean time tells.
             if outcome is Outcome.HANDLED or outcome is Outcome.TIMED_OUT:
-                self._pace(host, took, leg.retrieval)
+                # Listed sizes are cores, if anything: how fast a kind's cores are shows only in its answers.
+                pace = min(PACE_MOST, took / (leg.retrieval.work or due))
+                self.kinds.add(now, host.kind, pace)
+                self.zones.add(now, host.zone, pace * self.kinds.speed(host.kind))
             if not failed:  # what hangs says nothing of the others
                 self.times += 1
                 self.time += (took - self.time) / min(self.times, BASE_COUNT)
@@ -574,20 +578,14 @@
             cut = LIMIT_CUT if host.limit > 1 else PART_CUT
             host.limit, host.cut_at = max(self.least, host.limit * cut), now
 
-    def _pace(self, host, took, r):
-        """Listed sizes are cores, if anything: how fast a kind's cores are shows only in its answers."""
-        pace = min(PACE_MOST, took / (r.work or r.track.promised))
-        self.kinds.add(self.now, host.kind, pace)
-        self.zones.add(self.now, host.zone, pace * self.kinds.speed(host.kind))
-
     def _able(self, zone, kind):
         """What a host of the common size can do here; a slow way to its zone is no lack of cores."""
         return self.kinds.speed(kind) * max(LEAST_PART, self.zones.speed(zone) ** WAY_POWER)
 
     def _draw(self, host):
         """Least at a host in proportion to what it can do; balancers of hundreds have ties only."""
-        able = host.size * self._able(host.zone, host.kind) / self._over(host) ** DRAW_POWER
-        return self.random.expovariate(able) * self._crowd(host.told)
+        able = self._able(host.zone, host.kind) * host.size * host.trust.read(self.now)
+        return self.random.expovariate(able / self._over(host) ** DRAW_POWER) * self._crowd(host.told)
 
     def _fair(self, host):
         """The part of this balancer's reads that a host of its size and kind would have if all were even."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -782,6 +782,19 @@
     assert all(a / 1.5 <= b <= 4 * a for a, b in zip(back, back[1:], strict=False))
 
 
+def test_hot_reads_at_dropped_hosts_go_down_by_steps_too():
+    bench, _ = dropping(0.2)
+    for _ in range(40):
+        home_of(bench, 7)
+    hot = lambda: sum(home_of(even(bench), 7) <= 4 for _ in range(300)) / 300  # noqa: E731
+    bench.balancer.counts.add(bench.now, 7, 60)
+    shown = hot()
+    for name in (1, 2, 3, 4):
+        bench.balancer.hosts[name].trust.value = bench.balancer.hosts[name].trust.goal = 0.1
+        bench.balancer.hosts[name].dropped = 0  # no answer raises it
+    assert shown > 0.1 and hot() < 0.4 * shown
+
+
 @pytest.mark.parametrize("part, least, most", [(0.2, 0.0, 0.08), (0.8, 0.6, 0.8)])
 def test_a_list_is_doubted_the_more_the_more_it_drops(part, least, most):
     bench, _ = dropping(part)
