--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -82,7 +82,8 @@
     def __init__(self, entry, size, settings, now):
         self.name, self.zone, self.cell = entry.name, entry.zone, entry.cell
         self.kind, self.size = entry.kind, size
-        self.far = settings.cross_price >= DEAR and entry.zone != settings.zone
+        dear = settings.columns and settings.cross_price >= DEAR  # only reports tell when a zone is full
+        self.far = bool(dear) and entry.zone != settings.zone
         self.site = self.far, entry.zone, entry.kind
         self.salt = digests(entry.name ^ 0x9E3779B97F4A7C15)[0]
         self.is_cache = entry.kind != settings.origin_kind
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -166,7 +166,7 @@
 
 
 def test_where_crossing_is_dear_reads_stay_in_their_zone_until_it_is_full():
-    bench = Bench(0, cross_price=0.1, zone=1, balancers=60)
+    bench = Bench(0, cross_price=0.1, zone=1, balancers=60, columns=("cpu",))
     bench.list([entry(i, zone=i % 2) for i in range(1, 9)] + [entry(ORIGIN, kind=9)])
 
     def crossing():
@@ -186,6 +186,13 @@
     assert crossing() == 1  # the zone is lost: the other has room
 
 
+def test_zones_have_homes_of_their_own_only_where_hosts_report():
+    """Danger: with no reports nothing tells that the own zone is full, and its hosts were swamped."""
+    bench = Bench(0, cross_price=0.1, zone=1, balancers=60)
+    bench.list([entry(i, zone=i % 2) for i in range(1, 9)] + [entry(ORIGIN, kind=9)])
+    assert 0.3 < sum(home_of(bench, key) % 2 == 0 for key in range(100, 500)) / 400 < 0.7
+
+
 def test_home_with_a_queue_spills_once_to_the_next():
     bench = not_hot(Bench(6))
     seen = [names(bench.ask(5)[1])[0] for _ in range(3)]
@@ -635,7 +642,7 @@
 
 def test_what_the_other_zones_hosts_are_spared_does_not_count_as_too_much_for_the_own():
     """Danger: where crossing is dear all reads stay in one zone: its hosts have twice an even part."""
-    bench = Bench(0, cross_price=0.1, zone=1, balancers=60)
+    bench = Bench(0, cross_price=0.1, zone=1, balancers=60, columns=("cpu",))
     bench.list([entry(i, zone=i % 2) for i in range(1, 9)] + [entry(ORIGIN, kind=9)])
     assert {home_of(bench, key) % 2 for key in range(100, 900)} == {1}
 
