Read again: one way to take what waits at scripted listeners; a drop looks at each host once

`_drop` looked each dropped host up in a list of them, and three statements were split around their comments. The operators' test took connections with its own copy of `Rig.accept`'s loop: `Rig.waiting` serves both.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -122,10 +122,8 @@
         # A host's table of connections is soon full of idle ones that keep other balancers out.
         dial, kept = settings.dial_price, settings.open_price
         self.closes = settings.balancers > CROWD * (dial / kept if dial and kept else inf if dial else 1)
-        self.reads, self.able = (
-            (Sum(HALVING, now), Sum(HALVING, now)),
-            {},
-        )  # near and far; their sizes by kind
+        self.reads = Sum(HALVING, now), Sum(HALVING, now)  # that near and far caches have worked on
+        self.able = {}  # sizes of all caches of a site together
         self.cache_legs, self.aside, self.fetches, self.queues = 0, 0, {}, ([], [])
         self.serial, self.turn, self.least = count(), False, max(LEAST_PART, LEAST_LIMIT / settings.balancers)
         shares = [SHARE_SLACK * quota / settings.balancers for quota in settings.quotas]
@@ -191,10 +189,10 @@
     def _drop(self, hosts):
         """What the list no longer has. Where only draining binds, the list may err, the more so the more it
         takes at once: own legs tell, and traffic goes down and comes back by steps."""
-        doubted = [h for h in hosts if h.state is State.READY] if self.settings.only_drains else []
-        taken = sum(host.is_cache for host in doubted) / max(1, len(self.caches))
+        taken = sum(h.is_cache and h.state is State.READY for h in hosts) / max(1, len(self.caches))
         for host in hosts:
-            if host not in doubted or self.now - max(host.dropped or self.now, host.heard) > FORGET:
+            known = self.settings.only_drains and host.state is State.READY
+            if not known or self.now - max(host.dropped or self.now, host.heard) > FORGET:
                 self._leave(host)
             elif not host.dropped:
                 host.dropped = self.now
@@ -529,9 +527,8 @@
             if host.back_at:
                 self.aside -= host.state is State.READY
                 host.back_at, host.bad.value = 0, 0.0
-        failed = (
-            outcome in BROKEN or outcome is Outcome.TIMED_OUT and host.heard <= leg.sent
-        )  # else just busy
+        silent = outcome is Outcome.TIMED_OUT and host.heard <= leg.sent  # else just busy
+        failed = outcome in BROKEN or silent
         if failed:
             host.bad.add(now)
             self.bad.add(now)
--- a/hopsail/load/scripted.py
+++ b/hopsail/load/scripted.py
@@ -132,21 +132,20 @@
 
         return self.until(whole)
 
+    def waiting(self, *listeners):
+        """A connection that waits at each of the listeners, where there is one."""
+        for sock in listeners:
+            try:
+                taken = sock.accept()[0]
+            except BlockingIOError:
+                continue
+            taken.setblocking(False)
+            self.open.append(taken)
+            yield taken
+
     def accept(self, *listeners):
         """The next connection to one of the listeners."""
-
-        def come():
-            for sock in listeners:
-                try:
-                    taken = sock.accept()[0]
-                except BlockingIOError:
-                    continue
-                taken.setblocking(False)
-                self.open.append(taken)
-                return taken
-            return None
-
-        return self.until(come)
+        return self.until(lambda: next(self.waiting(*listeners), None))
 
     def leg(self):
         """The next leg on a new connection to any cache host, and its request."""
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -419,14 +419,7 @@
                 client[0].sendall(
                     message(f"{kind} HTTP/1.1", X_Trace_Id=name, X_Customer="acme", X_Expires_In="3")
                 )
-        for listener in (*rig.hosts, rig.origin):
-            try:
-                sock = listener.accept()[0]
-            except BlockingIOError:
-                continue
-            sock.setblocking(False)
-            rig.open.append(sock)
-            hosts.append(sock)
+        hosts += rig.waiting(*rig.hosts, rig.origin)
         for sock in hosts:
             try:
                 data = sock.recv(65536)
