A read whose leg broke goes to the origin next, not to one cache after the other

At fault: _read, which sent only what had timed out to the origin. Change: any leg that may have run and broke is followed by the origin, if that has room. It covers hosts that die under any cause: a bystander is answered by the origin, too.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -307,7 +307,7 @@
                     if not self._again(r):
                         return self._turn_away(r)
                     last = len(r.legs) + 1 >= self.settings.most_legs > 1 and self.origin is not None
-                    if last or leg.outcome is Outcome.TIMED_OUT and self._spare():
+                    if last or leg.outcome not in NEVER_RAN and self._spare():
                         # The last leg, or no time for two: a cache may miss, the origin does not.
                         return (yield from self._write(r))
                 elif lead or r.key not in self.fetches:
