--- a/hopsail/__main__.py
+++ b/hopsail/__main__.py
@@ -49,6 +49,12 @@
         if settings.operator is not None:
             self.operator = Operator(self.loop, self.counters, settings.operator, Desk(self).calls)
         self.listener.hold(self.replaces is not None)
+        self.peers = None
+        if settings.peers is not None:
+            from .peers.node import Peers  # only here: what is off costs nothing
+
+            many, seed = settings.settings.balancers, settings.seed
+            self.peers = Peers(self.loop, settings.peers, many, seed, self.door.dealt)
         self._open()
         self.adopt()
         self.loop.on_signal(signal.SIGTERM, self.stop)
@@ -72,6 +78,8 @@
         """Gives back all sockets."""
         if self.operator is not None:
             self.operator.close()
+        if self.peers is not None:
+            self.peers.close()
         self.handover.close()
         self.listener.close()
         self.door.close()
@@ -129,6 +137,7 @@
             registry_entries=door.listed_caches(),
             out_of_rotation=door.out_of_rotation(),
             **door.storm(),
+            **(self.peers.figures() if self.peers is not None else {}),
         )
 
     def _sweep(self):
@@ -153,6 +162,8 @@
         self.config, left = config.renewed(self.config, new)
         form(self.config.log_json, self.config.name)
         self._limit()
+        if self.peers is not None:
+            self.peers.renewed(self.config.peers)
         self.counters.add("configuration.taken")
         say("reload", "discovery at {}:{}".format(*self.config.discovery))
         if left:
@@ -162,6 +173,8 @@
         if self.door.ends is not None:
             return
         say("stop", f"{self.door.open} retrievals in hand")
+        if self.peers is not None:
+            self.peers.leave()
         now = self.loop.now()
         self.door.stop(self.listener.clients, now + LAST_TIME)
         if self.config.listener is not None and self.handover.succeeded:
--- a/hopsail/config.py
+++ b/hopsail/config.py
@@ -6,7 +6,9 @@
 import socket
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from importlib.util import find_spec
 from pathlib import Path
+from typing import Any
 
 from .model import MS, SECOND, Settings
 from .net.discovery import ListFault, Names, address
@@ -50,6 +52,7 @@
     listener: int | None  # descriptor of the clients' listening socket, where the platform holds it
     log_json: bool  # log lines are objects of JSON, not text
     folder: str | None  # outlives the process, where operators' orders need to
+    peers: Any = None  # rules of the fleet's own view (`peers.rules.Rules`), None = off
 
 
 def read(environment: Mapping[str, str], again: bool = False) -> Config:
@@ -109,10 +112,12 @@
         listener=inherited(environment),
         log_json=word(tree, "log", {"plain": False, "json": True}, "plain"),
         folder=environment.get("TMPDIR") if "operator" in tree else None,
+        peers=peers(tree, environment),
     )
 
 
-TOLD = ("name", "listen", "settings", "tracks", "customers", "operator")  # those that one may have meant
+# Those that one may have meant to change.
+TOLD = ("name", "listen", "settings", "tracks", "customers", "operator", "peers")
 STAYS = (*TOLD, "seed", "names", "known", "listener", "folder")
 SHARED = ("most_clients", "most_asked_once", "most_host_connections", "most_open", "flow_bytes")
 
@@ -125,6 +130,8 @@
 def renewed(old: Config, new: Config) -> tuple[Config, list[str]]:
     """The new configuration as far as a running process can take it over, and what it cannot."""
     kept = {key: getattr(old, key) for key in STAYS}
+    if old.peers and new.peers:  # keys are changed in a running fleet, one process after the other
+        kept["peers"] = replace(old.peers, keys=new.peers.keys)
     return replace(new, **kept), [key for key in TOLD if getattr(new, key) != kept[key]]
 
 
@@ -162,6 +169,21 @@
     return Rules(decoded.advise_wait, float(origin)) if control else None
 
 
+def peers(tree, environment):
+    """The rules of the fleet's view, None where it is off; only then is anything of it imported."""
+    if tree.get("peers") is None:
+        return None
+    found = part(tree, "peers", dict)
+    from .peers import rules
+
+    if find_spec("msgpack") is None:
+        raise ConfigFault("peers needs the library msgpack: pip install hopsail[peers]")
+    try:
+        return rules.read(found, part(tree, "name", str), environment.get("TMPDIR"), address)
+    except rules.RulesFault as fault:
+        raise ConfigFault(str(fault)) from None
+
+
 def words(settings, key):
     value = settings.get(key) or []
     if not isinstance(value, list) or not all(isinstance(item, str) for item in value):
--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -16,7 +16,7 @@
 from .model import Bounce, Close, Fetch, Hold, Leg, Mean, Outcome, Repeat, Scope, Scrap, Send
 from .model import State, Steps, Subscribe, Sum, Tokens, WakeAt
 from .storms import Control
-from .tables import Counts, Latest, Paces, Ring, Sites, Sizes, digests, places
+from .tables import Counts, Latest, Paces, Ring, Shares, Sites, Sizes, digests, places
 
 POINTS = 96  # ring points of a cache of common size: keeps shares within about a tenth of each other
 DEAR = 0.05  # price of crossing zones from which each zone has homes of its own: a key then misses in each
@@ -127,8 +127,8 @@
         self.reads = Sum(HALVING, now), Sum(HALVING, now)  # that near and far caches have worked on
         self.cache_legs, self.aside, self.fetches, self.queues = 0, 0, {}, ([], [])
         self.serial, self.turn, self.least = count(), False, max(LEAST_PART, LEAST_LIMIT / settings.balancers)
-        shares = [SHARE_SLACK * quota / settings.balancers for quota in settings.quotas]
-        self.granted = [Tokens(share, 1 + SHARE_BURST * share, 1 + share, now) for share in shares]
+        self.part = 1 / settings.balancers  # of what all balancers share; the door may say another
+        self.granted = Shares([SHARE_SLACK * quota for quota in settings.quotas], SHARE_BURST, self.part, now)
         self.admission = 1.0  # above 1: the part of the surplus that is let in, below: of all else
         self.time, self.times, self.base = 0.0, 0, 0.0  # mean over all caches, its count, its best
         self.loads = Mean(TOLD_SPAN, now), Mean(TOLD_SPAN, now)  # told by the own zone's caches, the others
@@ -423,8 +423,8 @@
         self.sent.add(now, host.is_cache)
         if not r.legs:
             self.first_legs.add(now)
-            if self.granted and self._within_share(r):
-                self.granted[r.customer].level -= 1
+            if self.granted.tokens and self._within_share(r):
+                self.granted.tokens[r.customer].level -= 1
         if host.back_at:
             host.back_at = now + ASIDE_TIME  # others pass over it until this leg has ended
         host.last = now
@@ -498,7 +498,7 @@
             return False
         if not cold:
             return True
-        slack = COLD_SLACK / self.settings.balancers  # a balancer's part: maybe far less than a leg
+        slack = COLD_SLACK * self.part  # maybe far less than a leg
         usual = self.sent.read(now) * log(2) * host.size / self.sites.size
         budget = slack + COLD_ROOM * self.settings.fall_multiple * share * usual
         host.tokens.rate, host.tokens.most = budget * SECOND / self.settings.fall_time, 1 + slack
@@ -510,7 +510,7 @@
         return part >= 1 or self.random.random() < part
 
     def _within_share(self, r):
-        return not self.granted or self.granted[r.customer].read(self.now) >= 1
+        return not self.granted.tokens or self.granted.tokens[r.customer].read(self.now) >= 1
 
     def _learn(self, leg, report):
         host, outcome, now = leg.host, leg.outcome, self.now
--- a/hopsail/net/discovery.py
+++ b/hopsail/net/discovery.py
@@ -4,7 +4,7 @@
 
 import httptools
 
-from ..membership import number
+from ..standing import number
 from ..model import MS, SECOND, Listing, Scope, State
 from .log import say
 from .messages import authority
--- a/hopsail/net/door.py
+++ b/hopsail/net/door.py
@@ -6,7 +6,7 @@
 from urllib.parse import unquote_to_bytes
 
 from ..decide import Balancer
-from ..membership import Membership, number
+from ..standing import Membership, number
 from ..model import SECOND, Bounce, Close, Outcome, Retrieval, Scope, Scrap, Send, State, Subscribe, WakeAt
 from .discovery import Discovery
 from .figures import Figures
@@ -87,6 +87,14 @@
         if self.balancer.storms:
             self.balancer.storms.connected(self.loop.now())
 
+    def dealt(self, part):
+        """This balancer's part of what all share is another from now on (`peers/parts.py`)."""
+        balancer, now = self.balancer, self.loop.now()
+        balancer.part = part
+        balancer.granted.deal(now, part)
+        if balancer.storms:
+            balancer.storms.dealt(now, part)
+
     def storm(self):
         """What storm control sees, as operators' figures; nothing where it is off."""
         storms, now = self.balancer.storms, self.loop.now()
--- a/hopsail/net/handover.py
+++ b/hopsail/net/handover.py
@@ -10,7 +10,7 @@
 import os
 from pathlib import Path
 
-from ..membership import Standing, StandingFault
+from ..standing import Standing, StandingFault
 from ..model import MS
 from .log import say
 
--- a/hopsail/net/ids.py
+++ b/hopsail/net/ids.py
@@ -7,7 +7,7 @@
 
 from struct import Struct
 
-from ..membership import number
+from ..standing import number
 from ..model import SECOND
 
 BUCKETS = 8192  # of eight entries: with 10,000 ids in 6 s one in a thousand is forgotten sooner at most
--- a/hopsail/net/operator.py
+++ b/hopsail/net/operator.py
@@ -121,6 +121,9 @@
             "enable-server": (self.enable, 1),
             "drain": (self.drain, 0),
             "resume": (self.resume, 0),
+            "show-fleet": (self.show_fleet, 0),
+            "remove-peer": (self.remove_peer, 1),
+            "admit-peer": (self.admit_peer, 1),
         }
 
     def ready(self):
@@ -148,6 +151,25 @@
     def resume(self):
         return self._order(lambda standing: standing.draining(False))
 
+    def _fleet(self):
+        if self.node.peers is None:
+            raise CallFault("peers are off")
+        return self.node.peers
+
+    def show_fleet(self):
+        return self._fleet().shown(), 0
+
+    def remove_peer(self, name):
+        return self._peer(name, False)
+
+    def admit_peer(self, name):
+        return self._peer(name, True)
+
+    def _peer(self, name, stays):
+        if not self._fleet().order(name, stays):
+            raise CallFault("no other balancer has this name")
+        return "done", 0
+
     def _order(self, make):
         """Puts a standing order in force here and at the other process, if there is one; then the yes."""
         try:
--- a/hopsail/storms/control.py
+++ b/hopsail/storms/control.py
@@ -161,6 +161,14 @@
         """Whether the origin may be sent one more request from here."""
         return self.fetches is None or self.fetches.read(self._at(now)) >= 1
 
+    def dealt(self, now: int, part: float) -> None:
+        """This balancer's part of the origin's rate is another from now on; more than it saves is lost."""
+        if self.fetches is not None:
+            self.fetches.read(self._at(now))
+            self.fetches.rate = FETCHES * self.rules.origin * part
+            self.fetches.most = max(1.0, FETCH_BURST * self.fetches.rate)
+            self.fetches.level = min(self.fetches.level, self.fetches.most)
+
     def fetched(self, now: int) -> None:
         if self.fetches is not None:
             self.fetches.read(self._at(now))
--- a/hopsail/tables.py
+++ b/hopsail/tables.py
@@ -7,7 +7,7 @@
 from itertools import islice
 from struct import unpack
 
-from .model import Mean
+from .model import Mean, Tokens
 
 LONGEST = 900  # half-lives after which counting starts anew: new counts double each time, and floats end
 
@@ -62,6 +62,21 @@
         self.put(host, -1)
 
 
+class Shares:
+    """A bucket of tokens for each customer, filled at this balancer's part of the customer's rate."""
+
+    def __init__(self, rates, burst, part, now):
+        self.rates, self.burst = rates, burst  # all balancers together, a second; seconds saved up
+        self.tokens = [Tokens(rate * part, 1 + burst * rate * part, 1 + rate * part, now) for rate in rates]
+
+    def deal(self, now, part):
+        """Another part from now on; what has been saved up beyond it is lost."""
+        for tokens, rate in zip(self.tokens, self.rates, strict=True):
+            tokens.read(now)
+            tokens.rate, tokens.most = rate * part, 1 + self.burst * rate * part
+            tokens.level = min(tokens.level, tokens.most)
+
+
 class Latest:
     """Owners by when each was last put in; neither that nor a look at the last few walks through them all."""
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -582,7 +582,7 @@
 
 def test_a_crowd_too_thin_to_see_at_one_host_sheds_the_surplus_first_and_ends():
     bench = Bench(40, balancers=300, quotas=(3000.0, 0.3))
-    bench.balancer.granted[1].level = 0.0  # the second customer is beyond its share
+    bench.balancer.granted.tokens[1].level = 0.0  # the second customer is beyond its share
     assert many_legs(bench, 900 * MS, 0, range(1, 40)) > 8
     assert many_legs(bench, 900 * MS, 1, range(100, 140)) == 0
     assert many_legs(bench, 900 * MS, 0, range(200, 240)) > 2  # never all, or nothing shows that it is over
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -9,7 +9,7 @@
 from hopsail.__main__ import Node
 from hopsail.config import ConfigFault
 from hopsail.load.scripted import at, instance, message, reply, stuck, update
-from hopsail.membership import Standing
+from hopsail.standing import Standing
 from hopsail.model import SECOND
 from hopsail.net.operator import MOST_CALLERS, MOST_LINE
 
--- a/tests/test_membership.py
+++ b/tests/test_standing.py
@@ -5,7 +5,7 @@
 import pytest
 from helpers import entry
 
-from hopsail.membership import FORM, MOST_NAMES, Membership, Standing, StandingFault, number
+from hopsail.standing import FORM, MOST_NAMES, Membership, Standing, StandingFault, number
 from hopsail.model import Scope, State
 
 A, B = number(b"a"), number(b"b")
