--- a/hopsail/__main__.py
+++ b/hopsail/__main__.py
@@ -50,11 +50,11 @@
             self.operator = Operator(self.loop, self.counters, settings.operator, Desk(self).calls)
         self.listener.hold(self.replaces is not None)
         self.peers = None
-        if settings.peers is not None:
+        if settings.view is not None:
             from .peers.node import Peers  # only here: what is off costs nothing
 
             many, seed = settings.settings.balancers, settings.seed
-            self.peers = Peers(self.loop, settings.peers, many, seed, self.door.dealt)
+            self.peers = Peers(self.loop, settings.view, many, seed, self.door.dealt)
         self._open()
         self.adopt()
         self.loop.on_signal(signal.SIGTERM, self.stop)
@@ -163,7 +163,7 @@
         form(self.config.log_json, self.config.name)
         self._limit()
         if self.peers is not None:
-            self.peers.renewed(self.config.peers)
+            self.peers.renewed(self.config.view)
         self.counters.add("configuration.taken")
         say("reload", "discovery at {}:{}".format(*self.config.discovery))
         if left:
--- a/hopsail/cli.py
+++ b/hopsail/cli.py
@@ -73,11 +73,42 @@
             scenario.load(path)
             click.echo(f"{path}: can be played")
         if not scenarios:
-            click.echo(f"{config.read(os.environ).name}: the configuration can be used")
+            read = config.read(os.environ)
+            click.echo(f"{read.name}: the configuration can be used")
+            if read.view is not None:
+                say_bounds(read)
     except (scenario.ScenarioFault, config.ConfigFault) as fault:
         raise click.UsageError(str(fault)) from None
 
 
+def say_bounds(read):
+    """What follows from the settings of the fleet's view, for as many balancers as the settings count."""
+    from .peers.rules import bounds
+
+    found = {name: time / 1e9 for name, time in bounds(read.view, read.settings.balancers).items()}
+    click.echo(f"peers: {read.settings.balancers} balancers; a crash is seen within {found['detect']:.1f} s, "
+               f"views are equal within {found['settle']:.1f} s of the last fault")  # fmt: skip
+    if read.view.stewards:
+        click.echo(f"peers: what a lost balancer had is dealt anew within {found['dealt']:.1f} s")
+
+
+@main.group()
+def study():
+    """Measurements on processes of this program and in simulation; each ends with a line of JSON."""
+
+
+@study.command()
+@click.option("--quick", is_flag=True, help="processes only, under 50 s")
+@click.option("--seed", default=1, show_default=True, type=click.IntRange(0))
+def membership(quick, seed):
+    """Faults between balancers that keep a view of the fleet. Status 1 when a view was wrong too long."""
+    from .peers import study as measure
+
+    found = measure.membership(seed, quick)
+    click.echo(json.dumps(found))
+    sys.exit(int(found["violations"] > 0))
+
+
 @main.command()
 @click.argument("path", type=click.Path(exists=True, dir_okay=False))
 @click.option("--policy", "names", default="hopsail", callback=policies, help="one or more, with commas")
@@ -167,6 +198,8 @@
     "--seconds", callback=finite, type=click.FloatRange(1, 600), help="how long, if not as the scenario says"
 )
 @click.option("--seed", default=1, show_default=True, type=click.IntRange(0))
+@click.option("--balancers", type=click.IntRange(1, 64), help="how many, if not as the scenario says")
+@click.option("--peers", is_flag=True, help="they keep a view of the fleet among themselves")
 @click.option(
     "--front", "fronts", multiple=True, type=click.Choice(FRONTS), help="what to show; all, if left out"
 )
@@ -174,7 +207,7 @@
 @click.option(
     "--series", callback=writable, type=click.Path(dir_okay=False), help="figures a second, to this file"
 )
-def try_it(path, seconds, seed, fronts, as_json, series):
+def try_it(path, seconds, seed, balancers, peers, fronts, as_json, series):
     """Starts a small fleet on loopback, with stand-ins for all around it and a steady load, and shows it.
 
     It says how to ask it, then figures a second, and as its last line a summary in JSON. An interrupt
@@ -182,8 +215,9 @@
     from .load import rig, trial
 
     try:
-        played = scenario.lasting(scenario.load(path or TRIAL), seconds)
-        status = trial.play(played, seed, as_json, series, str(path or TRIAL), fronts)
+        changes = {"fleet.balancers": balancers} if balancers else {}
+        played = scenario.lasting(scenario.load(path or TRIAL, changes), seconds)
+        status = trial.play(played, seed, as_json, series, str(path or TRIAL), fronts, peers)
     except scenario.ScenarioFault as fault:
         raise click.UsageError(str(fault)) from None
     except rig.RigFault as fault:
--- a/hopsail/config.py
+++ b/hopsail/config.py
@@ -52,7 +52,7 @@
     listener: int | None  # descriptor of the clients' listening socket, where the platform holds it
     log_json: bool  # log lines are objects of JSON, not text
     folder: str | None  # outlives the process, where operators' orders need to
-    peers: Any = None  # rules of the fleet's own view (`peers.rules.Rules`), None = off
+    view: Any = None  # rules of the fleet's own view (`peers.rules.Rules`), None = off
 
 
 def read(environment: Mapping[str, str], again: bool = False) -> Config:
@@ -112,12 +112,12 @@
         listener=inherited(environment),
         log_json=word(tree, "log", {"plain": False, "json": True}, "plain"),
         folder=environment.get("TMPDIR") if "operator" in tree else None,
-        peers=peers(tree, environment),
+        view=view(tree, environment),
     )
 
 
 # Those that one may have meant to change.
-TOLD = ("name", "listen", "settings", "tracks", "customers", "operator", "peers")
+TOLD = ("name", "listen", "settings", "tracks", "customers", "operator", "view")
 STAYS = (*TOLD, "seed", "names", "known", "listener", "folder")
 SHARED = ("most_clients", "most_asked_once", "most_host_connections", "most_open", "flow_bytes")
 
@@ -130,8 +130,8 @@
 def renewed(old: Config, new: Config) -> tuple[Config, list[str]]:
     """The new configuration as far as a running process can take it over, and what it cannot."""
     kept = {key: getattr(old, key) for key in STAYS}
-    if old.peers and new.peers:  # keys are changed in a running fleet, one process after the other
-        kept["peers"] = replace(old.peers, keys=new.peers.keys)
+    if old.view and new.view:  # keys are changed in a running fleet, one process after the other
+        kept["view"] = replace(old.view, keys=new.view.keys)
     return replace(new, **kept), [key for key in TOLD if getattr(new, key) != kept[key]]
 
 
@@ -169,15 +169,17 @@
     return Rules(decoded.advise_wait, float(origin)) if control else None
 
 
-def peers(tree, environment):
-    """The rules of the fleet's view, None where it is off; only then is anything of it imported."""
-    if tree.get("peers") is None:
+def view(tree, environment):
+    """The rules of the fleet's view, None where it is off: only where it is on, anything of it is imported.
+
+    The platform has a key `peers` of its own, a list of addresses: it turns nothing on."""
+    if tree.get("view") is None:
         return None
-    found = part(tree, "peers", dict)
+    found = part(tree, "view", dict)
     from .peers import rules
 
     if find_spec("msgpack") is None:
-        raise ConfigFault("peers needs the library msgpack: pip install hopsail[peers]")
+        raise ConfigFault("view needs the library msgpack: pip install hopsail[peers]")
     try:
         return rules.read(found, part(tree, "name", str), environment.get("TMPDIR"), address)
     except rules.RulesFault as fault:
--- a/hopsail/load/mesh.py
+++ b/hopsail/load/mesh.py
@@ -194,7 +194,7 @@
             "operator": self._text(member.operator), "limits": {"sockets": 128, "memory_mb": 64},
             "settings": SETTINGS | {"balancers": len(self.names)},
             "known": update(1, instance("h0", "127.0.0.1:9"), reset=True),
-            "peers": {"fleet": "mesh", "listen": self._text(member.listen), "advertise": self._text(place),
+            "view": {"fleet": "mesh", "listen": self._text(member.listen), "advertise": self._text(place),
                       "keys": self.keys, "seeds": seeds, "period_ms": round(1000 * self.period),
                       "datagram": self.size, "stewards": self.stewards,
                       "lease_ms": round(1000 * self.lease)},
--- a/hopsail/load/processes.py
+++ b/hopsail/load/processes.py
@@ -39,6 +39,13 @@
         return sock.getsockname()[1]
 
 
+def free_datagrams():
+    """host:port where nobody takes datagrams yet."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return "{}:{}".format(*sock.getsockname())
+
+
 class Child:
     """A process of `load/child.py`; `heard(word, at, *values)` gets each line that it tells."""
 
--- a/hopsail/load/rig.py
+++ b/hopsail/load/rig.py
@@ -8,6 +8,7 @@
 import json
 import os
 import re
+import secrets
 import tempfile
 from collections import Counter, defaultdict
 from dataclasses import asdict, replace
@@ -23,7 +24,7 @@
 from ..net.stream import Stream, dial
 from .child import FOLDER
 from .generator import CLIENTS, Load, loopback, settings
-from .processes import Child, RigFault, descriptors, end, free_port
+from .processes import Child, RigFault, descriptors, end, free_datagrams, free_port
 from .scripted import instance
 from .standins import RESETS, SILENT, WELL, DiscoveryStandin
 
@@ -86,7 +87,7 @@
             "limits": {"sockets": 1024, "memory_mb": 192},
             "settings": settings(rig.played) | {"myZone": self.zone},
             "storms": {"control": rig.played.storms.control, "originPerS": rig.played.storms.origin},
-        }  # fmt: skip
+        } | self._peers()  # fmt: skip
         self.operator = tree["operator"] = self.operator or f"127.0.0.1:{free_port()}"
         path.write_text(json.dumps(tree))
         self.lives += 1
@@ -96,6 +97,14 @@
         self.buffer, self.child.watched = b"", True
         rig.loop.watch(pipe, READ, lambda _mask, child=self.child: self._log(child))
 
+    def _peers(self):
+        places = self.rig.peers
+        if not places:
+            return {}
+        seeds = [place for place in places[:2] if place != places[self.index]]
+        return {"view": {"fleet": "try", "listen": places[self.index], "keys": [self.rig.key], "seeds": seeds,
+                          "period_ms": 300}}  # fmt: skip
+
     def _log(self, child):
         try:
             data = os.read(child.process.stderr.fileno(), 1 << 16)
@@ -218,12 +227,14 @@
 class Rig:
     """A scenario's fleet as processes. Use as a context: on leaving, all of them have ended."""
 
-    def __init__(self, played, seed=1, halted=lambda: False):
+    def __init__(self, played, seed=1, halted=lambda: False, peers=False):
         fleet = played.fleet
         ways = fleet.balancers * (fleet.caches + 1)
         descriptors(max(2 * ways + 4 * CONNECTIONS, 8 * (fleet.balancers + fleet.caches)))
         self.played, self.seed, self.ending = played, seed, False
         self.halted = halted  # whether somebody wants it to end
+        self.peers = [free_datagrams() for _ in range(fleet.balancers)] if peers else []
+        self.key = secrets.token_hex(32)
         self.loop, self.trace, self.failed = Loop(), [], None
         self.entries, self.generation, self.load = {}, 1, None
         self.written = Counter()  # writes that the origin has carried out, by key
--- a/hopsail/load/trial.py
+++ b/hopsail/load/trial.py
@@ -64,7 +64,7 @@
             f"{row.bounces:3d} bounced {row.misses:3d} missed {row.fetches:3d} fetched")  # fmt: skip
 
 
-def play(played, seed, as_json, rows=None, name="", fronts=()):
+def play(played, seed, as_json, rows=None, name="", fronts=(), peers=False):
     """Starts the fleet, plays its load, prints what is to be seen; the status to end with.
 
     With `as_json` the first line on standard output is the addresses, as JSON, and the lines a second go to
@@ -73,9 +73,10 @@
     before = {number: signal.signal(number, lambda number, _: asked.append(number))
               for number in (signal.SIGINT, signal.SIGTERM)}  # fmt: skip
     try:
-        with Rig(played, seed, halted=lambda: bool(asked)) as rig:
+        with Rig(played, seed, halted=lambda: bool(asked), peers=peers) as rig:
             where = addresses(rig)
             shown = {front: where[front] for front in fronts or where}
+            shown["pids"] = {one.name: one.child.process.pid for one in rig.balancers}
             track = next((kind for kind in played.track if not kind.write), played.track[0])
             if as_json:
                 print(json.dumps(shown), flush=True)
--- a/hopsail/peers/__init__.py
+++ b/hopsail/peers/__init__.py
@@ -1,1 +1,1 @@
-"""A view of the fleet that the balancers keep themselves; off unless the configuration has `peers`."""
+"""A view of the fleet that the balancers keep themselves; off unless the configuration has `view`."""
--- a/hopsail/peers/rules.py
+++ b/hopsail/peers/rules.py
@@ -74,18 +74,18 @@
 
 
 def read(tree: Mapping, name: str, folder: str | None, place: Callable) -> Rules:
-    """The rules from the configuration's `peers`; `place(text, least)` reads host:port."""
+    """The rules from the configuration's `view`; `place(text, least)` reads host:port."""
 
     def one(key, kind, default=None, needed=False):
         value = tree.get(key, default)
         if (value is None and needed) or (value is not None and not isinstance(value, kind)) or value is True:
-            raise RulesFault(f"peers.{key} holds {value!r:.80}" if key in tree else f"peers.{key} is missing")
+            raise RulesFault(f"view.{key} holds {value!r:.80}" if key in tree else f"view.{key} is missing")
         return value
 
     def number(key, least, most, default):
         value = one(key, int, default)
         if not least <= value <= most:
-            raise RulesFault(f"peers.{key} holds {value}: {least} to {most} is needed")
+            raise RulesFault(f"view.{key} holds {value}: {least} to {most} is needed")
         return value
 
     def places(key, least=1):
@@ -93,40 +93,40 @@
         try:
             return place(text, least)
         except ValueError as fault:
-            raise RulesFault(f"peers.{key}: {fault}") from None
+            raise RulesFault(f"view.{key}: {fault}") from None
 
     def texts(key, most):
         values = one(key, list, [])
         if len(values) > most or not all(isinstance(value, str) for value in values):
-            raise RulesFault(f"peers.{key} holds {values!r:.80}: at most {most} texts are needed")
+            raise RulesFault(f"view.{key} holds {values!r:.80}: at most {most} texts are needed")
         return values
 
     if unknown := tree.keys() - KEYS:
-        raise RulesFault(f"peers.{min(unknown)} is unknown; there are {', '.join(sorted(KEYS))}")
+        raise RulesFault(f"view.{min(unknown)} is unknown; there are {', '.join(sorted(KEYS))}")
     if not 0 < len(name.encode()) <= LONGEST_NAME:
-        raise RulesFault(f"name holds {name!r:.80}: with peers, 1 to {LONGEST_NAME} bytes are needed")
+        raise RulesFault(f"name holds {name!r:.80}: with `view`, 1 to {LONGEST_NAME} bytes are needed")
     keys = []
     for text in texts("keys", MOST_KEYS):
         try:
             keys.append(bytes.fromhex(text))
         except ValueError:
-            raise RulesFault("peers.keys: a key is no hexadecimal number") from None
+            raise RulesFault("view.keys: a key is no hexadecimal number") from None
         if not LEAST_KEY <= len(keys[-1]) <= 64:
-            raise RulesFault(f"peers.keys: a key has {len(keys[-1])} bytes; {LEAST_KEY} to 64 are needed")
+            raise RulesFault(f"view.keys: a key has {len(keys[-1])} bytes; {LEAST_KEY} to 64 are needed")
     if not keys:
-        raise RulesFault("peers.keys is missing: strangers must not join")
+        raise RulesFault("view.keys is missing: strangers must not join")
     seeds = []
     for text in texts("seeds", MOST_SEEDS):
         try:
             seeds.append(place(text, 1))
         except ValueError as fault:
-            raise RulesFault(f"peers.seeds: {fault}") from None
+            raise RulesFault(f"view.seeds: {fault}") from None
     stewards = texts("stewards", MOST_STEWARDS)
     if len(set(stewards)) != len(stewards) or not all(0 < len(s.encode()) <= LONGEST_NAME for s in stewards):
-        raise RulesFault("peers.stewards: each needs another name, and one that a balancer can have")
+        raise RulesFault("view.stewards: each needs another name, and one that a balancer can have")
     fleet = one("fleet", str, needed=True)
     if not fleet:
-        raise RulesFault("peers.fleet is empty")
+        raise RulesFault("view.fleet is empty")
     listen = places("listen")
     return Rules(
         name=name, fleet=fleet, listen=listen, place=places("advertise") if "advertise" in tree else listen,
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -8,6 +8,7 @@
 import pytest
 
 from hopsail.load.mesh import Mesh
+from hopsail.load.scripted import SETTINGS
 from hopsail.peers import faults
 
 KINDS = (
@@ -84,9 +85,9 @@
 
 
 def test_what_is_off_is_not_imported_and_says_so(tmp_path):
-    tree = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
-            "settings": {"tracks": [{"name": "r", "effect": "repeatable",
-                                     "promisedTimeUs": 1000000}]}}  # fmt: skip
+    # The platform lists addresses under `peers`: that turns nothing on.
+    tree = {"name": "n0", "peers": ["127.0.0.1:7946"], "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
+            "settings": SETTINGS}  # fmt: skip
     path = tmp_path / "config.json"
     path.write_text(json.dumps(tree))
     code = ("import sys, hopsail.__main__ as m; from hopsail.net.operator import Desk, CallFault\n"
@@ -96,7 +97,7 @@
     done = subprocess.run([sys.executable, "-c", code, str(path)], capture_output=True, text=True, timeout=30,
                           env=os.environ | {"PYTHONPATH": os.pathsep.join(sys.path)})  # fmt: skip
     assert done.stdout == "peers are off\n", done.stderr
-    path.write_text(json.dumps(tree | {"peers": {"fleet": "f", "listen": "127.0.0.1:1", "keys": ["00"]}}))
+    path.write_text(json.dumps(tree | {"view": {"fleet": "f", "listen": "127.0.0.1:1", "keys": ["00"]}}))
     done = subprocess.run([sys.executable, "-m", "hopsail", "--check"], capture_output=True, text=True,
                           timeout=30, env=os.environ | {"NODE_CONFIG": str(path)})  # fmt: skip
-    assert done.returncode == 2 and "peers.keys" in done.stderr
+    assert done.returncode == 2 and "view.keys" in done.stderr
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -176,7 +176,7 @@
         "seeds": ["127.0.0.1:7001"],
     } | change
     tree = {k: v for k, v in tree.items() if v is not None}
-    with pytest.raises(RulesFault, match=f"peers.{key}"):
+    with pytest.raises(RulesFault, match=f"view.{key}"):
         rules.read(tree, "b0", None, address)
     with pytest.raises(RulesFault, match="name"):
         rules.read({"fleet": "f"}, "x" * 33, None, address)
