--- a/hopsail/emulator/scenario.py
+++ b/hopsail/emulator/scenario.py
@@ -13,8 +13,9 @@
 UNITS = {"us": 1_000, "ms": 1_000_000, "s": 1_000_000_000, "min": 60_000_000_000}
 NUMBER = r"(\d+(?:\.\d+)?)"
 TROUBLES = ("crash", "silence", "slow", "zone", "partition", "restart", "storm", "hot", "scan", "brownout",
-            "resets", "drain")  # fmt: skip
-PARTED = ("crash", "silence", "slow", "partition", "restart", "resets", "drain")  # need the part they meet
+            "resets", "drain", "lose")  # fmt: skip
+# These need the part that they meet.
+PARTED = ("crash", "silence", "slow", "partition", "restart", "resets", "drain", "lose")
 EFFECTS = {"repeatable": Repeat.PURE, "by_key": Repeat.RECEIPTED, "once": Repeat.EFFECTFUL}
 
 
@@ -140,6 +141,14 @@
     )  # what stops the origin, as balancers are told; 0 = they are told nothing
 
 
+@dataclass(frozen=True)
+class View:
+    """Parts of what balancers share, dealt by stewards as leases (`hopsail/peers/parts.py`)."""
+
+    stewards: int = known(whole(0, 9), 0)  # the first so many balancers; 0 = each has its equal part
+    lease: int = known(span, 6_000_000_000)
+
+
 @dataclass(frozen=True)
 class Feedback:
     """What hosts and clients tell balancers, as the settings of a deployment allow."""
@@ -187,7 +196,7 @@
 
 
 TABLES = {"fleet": Fleet, "cache": Machine, "origin": Machine, "network": Network, "load": Load,
-          "clients": Clients, "front": Front, "feedback": Feedback, "storms": Storms,
+          "clients": Clients, "front": Front, "feedback": Feedback, "storms": Storms, "view": View,
           "lists": Lists, "rules": Rules}  # fmt: skip
 LISTS = {"track": Kind, "trouble": Trouble}
 
@@ -203,6 +212,7 @@
     front: Front
     feedback: Feedback
     storms: Storms
+    view: View
     lists: Lists
     rules: Rules
     track: tuple[Kind, ...]
--- a/hopsail/emulator/world.py
+++ b/hopsail/emulator/world.py
@@ -22,12 +22,15 @@
     State,
 )
 from ..model import Subscribe, Track, WakeAt
+from ..peers.parts import Holder, Steward
+from ..peers.rules import Rules as Leases
+from ..storms import Rules
+from ..tables import deal
 from .clock import ANSWER, ARRIVAL, LIST, SAMPLE, TIMER, TROUBLE, Clock
 from .hosts import Host
 from .oracle import Oracle, Sight
 from .policies import POLICIES
 from .rings import Shared
-from ..storms import Rules
 from .scenario import EFFECTS
 
 START = 1_000_000 * SECOND  # of the emulated clock: not nought, which stands for "long ago"
@@ -82,8 +85,50 @@
         self.balancer = world.policy(world.settings(self.zone), seed, world.clock.now)
         if world.sees:
             self.balancer.node = self
+        self._share()
         self._list(Scope.WHOLE, list(world.listings.values()))
 
+    def _share(self):
+        """A life begins with its own part of what all share, and asks for more where stewards deal it."""
+        view, now = self.world.scenario.view, self.world.clock.now
+        if not view.stewards or not hasattr(self.balancer, "granted"):
+            return
+        names = tuple(f"n{i}" for i in range(view.stewards))
+        place = "127.0.0.1", self.index + 1
+        rules = Leases(f"n{self.index}", "emulated", place, place, (), stewards=names, lease=view.lease)
+        self.holder = Holder(rules, now)
+        self.holder.balancers = self.world.scenario.fleet.balancers
+        self.steward = Steward(rules, now) if self.index < view.stewards else None
+        self._claim(self.life)
+
+    def _claim(self, life):
+        if not self.alive or life != self.life:
+            return
+        world, now = self.world, self.world.clock.now
+        for name, serial in self.holder.claims(now):
+            steward = world.nodes[int(name[1:])]
+            away = world.away(self.zone, steward.zone)
+            world.clock.at(now + away, TIMER, steward.claimed, self, life, name, serial)
+        deal(self.balancer, now, self.holder.part(now))
+        world.clock.at(self.holder.due(now), TIMER, self._claim, life)
+
+    def claimed(self, node, life, name, serial):
+        """As a steward: another asks for a part."""
+        if not self.alive or self.steward is None:
+            return
+        world, now = self.world, self.world.clock.now
+        part, lasts = self.steward.claim(now, f"n{node.index}")
+        away = world.away(self.zone, node.zone)
+        world.clock.at(now + away, TIMER, node.granted, life, name, serial, part, lasts)
+
+    def granted(self, life, name, serial, part, lasts):
+        if self.alive and life == self.life:
+            now = self.world.clock.now
+            self.holder.granted(now, name, serial, part, lasts)
+            deal(self.balancer, now, self.holder.part(now))
+
+    steward = None
+
     def die(self):
         self.alive = False
         self.world.trace.append(("died", self.world.clock.now, self.index))
@@ -486,7 +531,12 @@
         for i, node in enumerate(some):
             self.clock.at(self.clock.now + i * trouble.lasts // len(some), TROUBLE, self._kill, node)
 
-    def _kill(self, node):
+    def _lose(self, trouble, random):
+        """Balancers die, and stay away for as long as the trouble lasts."""
+        for node in self._some(self.nodes, trouble, random):
+            self._kill(node, trouble.lasts)
+
+    def _kill(self, node, away=BACK_AFTER):
         """A balancer dies and is back after half a second; the front hears of both late."""
         if not node.alive:
             return
@@ -495,7 +545,7 @@
         self._looked(node)
         for request in lost:
             self._failed(request, "lost with its balancer", 0)
-        self.clock.at(self.clock.now + BACK_AFTER, TROUBLE, self._revive, node)
+        self.clock.at(self.clock.now + away, TROUBLE, self._revive, node)
 
     def _revive(self, node):
         node.start()
--- a/hopsail/load/mesh.py
+++ b/hopsail/load/mesh.py
@@ -266,6 +266,14 @@
     def garbled(self, part):
         self.hub.spoilt = part
 
+    def rekey(self, name, keys):
+        """Another ring of keys in its file, which it takes over on SIGHUP."""
+        path = Path(self.keep.name) / name / "config.json"
+        tree = json.loads(path.read_text())
+        tree["view"]["keys"] = self.keys = keys
+        path.write_text(json.dumps(tree))
+        self.members[name].process.send_signal(signal.SIGHUP)
+
     # What can be seen of it.
 
     def now(self):
--- a/hopsail/load/rig.py
+++ b/hopsail/load/rig.py
@@ -141,7 +141,7 @@
             self.rig.loop.unwatch(self.child.process.stderr)
             self.child.watched = False
 
-    def kill(self):
+    def kill(self, away=BACK_AFTER):
         """Dies as it stands, and starts again soon."""
         if not self.up or self.rig.ending:
             return
@@ -151,7 +151,7 @@
         self.rig.trace.append(("died", monotonic_ns(), self.index))
         if self.rig.load is not None:
             self.rig.load.broken(self.place)
-        self.rig.loop.at(self.rig.loop.now() + BACK_AFTER, lambda: self.rig.ending or self.start())
+        self.rig.loop.at(self.rig.loop.now() + away, lambda: self.rig.ending or self.start())
 
 
 class Look(Stream):
@@ -471,6 +471,10 @@
             one.discovery.part(True)
             self._later(trouble, lambda one=one: one.discovery.part(False))
 
+    def _lose(self, trouble, random):
+        for one in self._some(self.balancers, trouble, random):
+            one.kill(trouble.lasts)
+
     def _restart(self, trouble, random):
         some = self._some(self.balancers, trouble, random)
         for i, one in enumerate(some):
--- a/hopsail/net/door.py
+++ b/hopsail/net/door.py
@@ -6,8 +6,9 @@
 from urllib.parse import unquote_to_bytes
 
 from ..decide import Balancer
-from ..standing import Membership, number
 from ..model import SECOND, Bounce, Close, Outcome, Retrieval, Scope, Scrap, Send, State, Subscribe, WakeAt
+from ..standing import Membership, number
+from ..tables import deal
 from .discovery import Discovery
 from .figures import Figures
 from .flow import Flows
@@ -89,11 +90,7 @@
 
     def dealt(self, part):
         """This balancer's part of what all share is another from now on (`peers/parts.py`)."""
-        balancer, now = self.balancer, self.loop.now()
-        balancer.part = part
-        balancer.granted.deal(now, part)
-        if balancer.storms:
-            balancer.storms.dealt(now, part)
+        deal(self.balancer, self.loop.now(), part)
 
     def storm(self):
         """What storm control sees, as operators' figures; nothing where it is off."""
--- a/hopsail/peers/parts.py
+++ b/hopsail/peers/parts.py
@@ -60,7 +60,10 @@
         self.balancers = 1  # as the settings count them
 
     def due(self, now):
-        return self.at if self.rules.stewards else now + self.rules.lease
+        if not self.rules.stewards:
+            return now + self.rules.lease
+        # Also when a part ends: to use it a moment longer may be to use it twice.
+        return min([self.at, *(until for _, until in self.parts.values() if until > now)])
 
     def claims(self, now):
         """Stewards to be asked now, each with the number of its question."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,6 +7,7 @@
 
 from hopsail import experiments
 from hopsail.cli import main
+from hopsail.load.scripted import SETTINGS
 
 TEXT = """
 [fleet]
@@ -117,3 +118,17 @@
 def test_series_have_the_median_and_the_ends():
     rows = [{"policy": "a", "changes": {"x": 1}, "y": value} for value in (5, 1, 9)]
     assert experiments.series(rows, "x", "y") == {"a": [(1, 5, 1, 9)]}
+
+
+def test_check_prints_the_bounds_that_follow_from_the_view(tmp_path):
+    tree = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
+            "settings": SETTINGS | {"balancers": 40},
+            "view": {"fleet": "f", "listen": "127.0.0.1:7946", "keys": ["00" * 32],
+                     "stewards": ["n1"]}}  # fmt: skip
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(tree))
+    found = CliRunner().invoke(main, ["check"], env={"NODE_CONFIG": str(path)})
+    assert found.exit_code == 0 and "a crash is seen within" in found.output and "dealt anew" in found.output
+    path.write_text(json.dumps(tree | {"view": {"fleet": "f"}}))
+    found = CliRunner().invoke(main, ["check"], env={"NODE_CONFIG": str(path)})
+    assert found.exit_code == 2 and "view.keys" in found.output
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -371,3 +371,22 @@
     assert not any(rules.check(world.trace, world.scenario).values())
     late = [event for event in world.trace if event[0] == "sent" and event[1] > START + 7 * SECOND]
     assert {event[3] for event in told} <= {event[5] for event in late}
+
+
+def test_leased_parts_never_pass_the_whole_while_half_of_the_balancers_are_away():
+    """Danger: those that are left take the parts of the others, which still use them."""
+    lost = {"what": "lose", "at": "3 s", "lasts": "3 s", "part": "50%"}
+    fleet = {"balancers": 6, "caches": 4}
+    world = World(made(lost, fleet=fleet, view={"stewards": 2, "lease": "400 ms"}), "hopsail", 3)
+    sums, parts = [], []
+
+    def look():
+        shares = [node.balancer.part for node in world.nodes if node.alive]
+        sums.append(sum(shares))
+        parts.extend(shares)
+
+    for at in range(0, 8 * SECOND, SECOND // 50):
+        world.clock.at(START + at, TIMER, look)
+    world.run()
+    assert max(sums) <= 1 + 1e-9 and max(parts) > 1.2 / 6
+    assert abs(sums[-1] - 1) < 1e-6
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -84,6 +84,28 @@
     assert judge.settle(mesh.names)
 
 
+def test_keys_are_changed_in_a_running_fleet_with_nobody_lost(fleet):
+    """Danger: one that signs with a key that another does not know yet is a stranger there."""
+    mesh, judge = fleet
+    (old,), new = mesh.keys, "11" * 32
+    for keys in ([old, new], [new, old], [new]):
+        for name in mesh.names:
+            mesh.rekey(name, keys)
+            mesh.run(0.1)
+            assert all(len(row["alive"]) == 5 for row in judge.look().values())
+        assert judge.settle(mesh.names), judge.violations
+    assert all("refused_key" not in text for text in mesh.ask(b"show-stat").values())
+
+
+def test_one_with_other_keys_stays_a_stranger(fleet):
+    mesh, judge = fleet
+    mesh.rekey("b2", ["22" * 32])
+    rest = [name for name in mesh.names if name != "b2"]
+    assert judge.settle(["b2"], rest, why="another key"), judge.violations
+    mesh.rekey("b2", ["11" * 32])
+    assert judge.settle(mesh.names, why="the key again"), judge.violations
+
+
 def test_what_is_off_is_not_imported_and_says_so(tmp_path):
     # The platform lists addresses under `peers`: that turns nothing on.
     tree = {"name": "n0", "peers": ["127.0.0.1:7946"], "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
