--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -60,7 +60,7 @@
 BAD_COUNT = 3.0  # bad outcomes before a host is judged: one or two are chance, if it is sent many
 BAD_SURE = 0.9  # of that count: it decays from the first outcome to the last
 BAD_SHARE, BAD_TIMES = 0.5, 2  # of its outcomes, and times the share of the rest: the host and not the work
-LOST_LEAST, LOST_SHARE, LAST = 3.0, 0.06, 2  # cut legs: chance, part of good ones past set-asides; asked then
+LOST_LEAST, LOST_SHARE, LAST = 3.0, 0.25, 2  # cut legs: chance, part of good ones past set-asides; asked then
 MOST_ASIDE = 0.67  # of the ready caches: a whole zone may be lost, but not everything is the hosts' fault
 TRUST_STEP = 500 * MS  # for each halving or doubling of a dropped host's keys, or of one that is listed again
 FORGET = 60 * SECOND  # with no answer, before a host that the list dropped is forgotten: tables are bounded
@@ -308,7 +308,7 @@
                     if not self._again(r):
                         return self._turn_away(r)
                     last = len(r.legs) + 1 >= self.settings.most_legs > 1 and self.origin is not None
-                    if last or leg.outcome not in NEVER_RAN and self._spare():
+                    if last or leg.outcome in (Outcome.RESET, Outcome.TIMED_OUT) and self._spare():
                         # The last leg, or no time for two: a cache may miss, the origin does not.
                         return (yield from self._write(r))
                 elif lead or r.key not in self.fetches:
--- a/hopsail/emulator/world.py
+++ b/hopsail/emulator/world.py
@@ -22,10 +22,9 @@
     State,
 )
 from ..model import Subscribe, Track, WakeAt
-from ..peers.parts import Holder, Steward
+from ..peers.parts import Holder, Steward, deal
 from ..peers.rules import Rules as Leases
 from ..storms import Rules
-from ..tables import deal
 from .clock import ANSWER, ARRIVAL, LIST, SAMPLE, TIMER, TROUBLE, Clock
 from .hosts import Host
 from .oracle import Oracle, Sight
--- a/hopsail/net/door.py
+++ b/hopsail/net/door.py
@@ -8,7 +8,6 @@
 from ..decide import Balancer
 from ..model import SECOND, Bounce, Close, Outcome, Retrieval, Scope, Scrap, Send, State, Subscribe, WakeAt
 from ..standing import Membership, number
-from ..tables import deal
 from .discovery import Discovery
 from .figures import Figures
 from .flow import Flows
@@ -89,7 +88,9 @@
             self.balancer.storms.connected(self.loop.now())
 
     def dealt(self, part):
-        """This balancer's part of what all share is another from now on (`peers/parts.py`)."""
+        """This balancer's part of what all share is another from now on."""
+        from ..peers.parts import deal  # only who has peers comes here
+
         deal(self.balancer, self.loop.now(), part)
 
     def storm(self):
--- a/hopsail/peers/parts.py
+++ b/hopsail/peers/parts.py
@@ -95,3 +95,11 @@
         if not self.rules.stewards:
             return 1 / self.balancers
         return RESERVE / self.balancers + self.units(now) / WHOLE
+
+
+def deal(balancer, now, part):
+    """Tells a module its part of what all balancers share, from now on."""
+    balancer.part = part
+    balancer.granted.deal(now, part)
+    if balancer.storms:
+        balancer.storms.dealt(now, part)
--- a/hopsail/tables.py
+++ b/hopsail/tables.py
@@ -77,14 +77,6 @@
             tokens.level = min(tokens.level, tokens.most)
 
 
-def deal(balancer, now, part):
-    """Tells a module its part of what all balancers share, from now on."""
-    balancer.part = part
-    balancer.granted.deal(now, part)
-    if balancer.storms:
-        balancer.storms.dealt(now, part)
-
-
 class Latest:
     """Owners by when each was last put in; neither that nor a look at the last few walks through them all."""
 
