Read again: datagrams are doubled and spoilt in one way, in simulation and between processes

The hub of load/mesh.py and the simulation each had the lines. No change of behaviour: the same draws in the same order; checks of the core, schedules and the mesh's garble test pass.

--- a/hopsail/load/mesh.py
+++ b/hopsail/load/mesh.py
@@ -19,6 +19,7 @@
 from ..model import MS, SECOND
 from ..net.loop import READ, Loop
 from ..net.stream import Stream, dial
+from ..peers.faults import spoilt
 from ..peers.rules import Rules, bounds
 from .processes import ROOT, RigFault, free_port
 from .scripted import SETTINGS, instance, update
@@ -92,12 +93,7 @@
         self.bytes += len(data)
         if random.random() < self.loss:
             return
-        copies = 1
-        if self.spoilt and random.random() < self.spoilt:
-            copies = random.choice((1, 2, 3))
-            if copies == 1:
-                at = random.randrange(len(data))
-                data = data[:at] + bytes([data[at] ^ 1 << random.randrange(8)]) + data[at + 1 :]
+        data, copies = spoilt(data, random, self.spoilt)
         for _ in range(copies):
             delay = random.uniform(*DELAY) * MS
             if random.random() < LATE_PART:
--- a/hopsail/peers/faults.py
+++ b/hopsail/peers/faults.py
@@ -44,6 +44,17 @@
     return [asdict(fault) for fault in faults]
 
 
+def spoilt(data, random, part):
+    """The datagram, and how often it arrives: a part of them twice or thrice, or with a bit changed."""
+    if not part or random.random() >= part:
+        return data, 1
+    copies = random.choice((1, 2, 3))
+    if copies == 1:
+        at = random.randrange(len(data))
+        data = data[:at] + bytes([data[at] ^ 1 << random.randrange(8)]) + data[at + 1 :]
+    return data, copies
+
+
 class Judge:
     """Collects what is seen of a fleet and says what is wrong with it."""
 
--- a/hopsail/peers/sim.py
+++ b/hopsail/peers/sim.py
@@ -6,6 +6,7 @@
 
 from ..model import MS, SECOND
 from .core import Core
+from .faults import spoilt
 from .rules import Rules, bounds
 
 KEY = bytes(range(32))
@@ -167,12 +168,7 @@
         target, random = self.at.get(place), self.random
         if target is None or (process.name, target.name) in self.blocked or random.random() < self.loss:
             return
-        copies = 1
-        if self.spoilt and random.random() < self.spoilt:
-            copies = random.choice((1, 2, 3))
-            if copies == 1:
-                at = random.randrange(len(data))
-                data = data[:at] + bytes([data[at] ^ 1 << random.randrange(8)]) + data[at + 1 :]
+        data, copies = spoilt(data, random, self.spoilt)
         for _ in range(copies):
             # Now and then one is late, so that others overtake it.
             delay = random.uniform(0.2, 2.0) * MS
