Read again: what ends a member and brings it back is one act; a dead branch and two unread names go

In peers/core.py a doubt of a doubted member could never reach the branch that returned for it; Core.bounds and Judge.asked were read by nobody; killed and left differed in one call. No change of behaviour.

--- a/hopsail/peers/core.py
+++ b/hopsail/peers/core.py
@@ -13,7 +13,7 @@
 from zlib import crc32
 
 from .parts import Holder, Steward
-from .rules import AWARE_MOST, DOUBTS, HELPERS, MOST_MEMBERS, NEWS_TIMES, RETRY, bounds, spread, suspicion
+from .rules import AWARE_MOST, DOUBTS, HELPERS, MOST_MEMBERS, NEWS_TIMES, RETRY, spread, suspicion
 from .wire import MOST, PAD, Codec, Entry, Kind, Refused, Status, Window, packed
 
 ALIVE, SUSPECT, GONE, LEFT = Status
@@ -244,8 +244,6 @@
             entry = entry._replace(status=SUSPECT)
             self._ask_again(known)
         if newer or entry.status > known.status:
-            if entry.status is SUSPECT and not newer and known.status is SUSPECT:
-                return
             known.place, known.life, known.count = entry.place, entry.life, entry.count
             known.doubts = {entry.by} if entry.status is SUSPECT else set()
             self._become(known, entry.status)
@@ -510,6 +508,3 @@
             return 0
         own = number(self.rules.name)
         return own if own in member.doubts else next(iter(sorted(member.doubts)), 0)
-
-    def bounds(self):
-        return bounds(self.rules, max(2, len(self.members)))
--- a/hopsail/peers/faults.py
+++ b/hopsail/peers/faults.py
@@ -62,7 +62,6 @@
         self.fleet, self.violations, self.settled, self.waits, self.faults = fleet, [], 0, [], 0
         self.false_gone, self.looked, self.lives = 0, 0, {}
         self.parted_at = {}  # (a, b) -> when they could last not reach each other
-        self.asked = 0
 
     def wrong(self, text):
         self.violations.append(f"{self.fleet.now():.2f} s: {text}")
@@ -163,13 +162,18 @@
         fleet.start(name, moved)
 
 
-def _kill(fleet, judge, fault, who, rest, lasts, why):
+def _away(fleet, judge, who, rest, why, end):
+    """They end in this way, the rest settle without them, and they are back."""
     for name in who:
-        fleet.kill(name)
+        end(name)
     judge.settle(rest, why=why)
     _start(fleet, judge, who)
 
 
+def _kill(fleet, judge, fault, who, rest, lasts, why):
+    _away(fleet, judge, who, rest, why, fleet.kill)
+
+
 def _move(fleet, judge, fault, who, rest, lasts, why):
     for name in who:
         fleet.kill(name)
@@ -185,10 +189,7 @@
 
 
 def _leave(fleet, judge, fault, who, rest, lasts, why):
-    for name in who:
-        fleet.leave(name)
-    judge.settle(rest, why=why)
-    _start(fleet, judge, who)
+    _away(fleet, judge, who, rest, why, fleet.leave)
 
 
 def _again(fleet, judge, fault, who, rest, lasts, why):
