What a watch misses is acted on before it binds; lists in any form; a spoilt entry drains its host

A watch that falls silent was broken after 4.5 s and asked for again after 20 ms a balancer, half random: 2 to 4 s with 200. Excluded: discovery's own time (a call is answered within 1 s or ends). Tests of tests/test_endings.py, each seen to fail on the code before.

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -16,7 +16,7 @@
 from .model import Bounce, Close, Fetch, Hold, Leg, Mean, Outcome, Repeat, Scope, Scrap, Send
 from .model import State, Steps, Subscribe, Sum, Tokens, WakeAt
 from .storms import Control
-from .tables import Counts, Latest, Paces, Ring, Shares, Sites, Sizes, digests, places
+from .tables import Asking, Counts, Latest, Paces, Ring, Shares, Sites, Sizes, digests, places
 
 POINTS = 96  # ring points of a cache of common size: keeps shares within about a tenth of each other
 DEAR = 0.05  # price of crossing zones from which each zone has homes of its own: a key then misses in each
@@ -76,7 +76,6 @@
 COLD_ROOM = 0.4  # of the stated multiple: the rest is for chance and for what spills over
 COLD_SLACK = 3.0  # legs of all balancers together on top of that in each window, and saved up for a burst
 WAIT_STEP = 250 * MS  # advised before a client comes back: a few service times
-ASK_PAUSE = 20 * MS  # a balancer, before the list is asked for again; doubled each time, half of it random
 
 
 class Host:
@@ -134,20 +133,19 @@
         self.loads = Mean(TOLD_SPAN, now), Mean(TOLD_SPAN, now)  # told by the own zone's caches, the others
         self.first_legs, self.more_legs = Sum(SPAN, now), Sum(SPAN, now)
         self.storms = settings.storms and Control(settings.storms, settings.balancers, self.random, now)
-        self.turns, self.out, self.now, self.asked, self.failures = deque(), [], now, False, 0
+        self.asking = Asking(settings.balancers, settings.subscribe, settings.ask_within)
+        self.turns, self.out, self.now, self.asked = deque(), [], now, False
 
     def listed(self, now, scope, entries):
         self.now, settings = now, self.settings
-        if scope is Scope.FAILED:
-            # Grows, but stays within what counts as told; partly random, so that balancers part.
-            pause = min(ASK_PAUSE * settings.balancers * 2**self.failures, settings.ask_within // 2)
-            self.out.append(WakeAt(now + int(pause * (0.5 + self.random.random() / 2)), None))
-            self.failures += 1
+        if scope in (Scope.FAILED, Scope.SILENT):
+            pause = self.asking.failed(scope is Scope.SILENT, self.random.random())
+            self.out.append(WakeAt(now + pause, None))
             return
         if settings.subscribe and not self.asked:
             self.asked = True
             self.out.append(Subscribe())
-        self.failures = 0
+        self.asking.heard()
         kept = {e.name for e in entries if e.state is not State.GONE}
         gone = {e.name for e in entries} | {host.name for host in self.hosts.values() if host.dropped}
         gone = (self.hosts.keys() if scope is Scope.WHOLE else self.hosts.keys() & gone) - kept
--- a/hopsail/model.py
+++ b/hopsail/model.py
@@ -124,7 +124,8 @@
 class Scope(Enum):
     CHANGES = 0
     WHOLE = 1
-    FAILED = 2
+    FAILED = 2  # nothing has come: a call that failed, or a watch that ended
+    SILENT = 3  # the watch fell silent: what it missed meanwhile binds soon
 
 
 @dataclass(slots=True, eq=False)
--- a/hopsail/net/door.py
+++ b/hopsail/net/door.py
@@ -6,7 +6,8 @@
 from urllib.parse import unquote_to_bytes
 
 from ..decide import Balancer
-from ..model import SECOND, Bounce, Close, Outcome, Retrieval, Scope, Scrap, Send, State, Subscribe, WakeAt
+from ..model import MS, SECOND, Bounce, Close, Outcome, Retrieval, Scope, Scrap, Send, State
+from ..model import Subscribe, WakeAt
 from ..standing import Membership, number
 from .discovery import Discovery
 from .figures import Figures
@@ -17,6 +18,7 @@
 from .report import read as read_report
 
 HEALTH = b"/healthz"
+GRACE = 400 * MS  # past its time an answer still ends; half a second past it, it is lost
 LONGEST = 600  # seconds: a client's limit beyond it is cut
 LIMIT = re.compile(rb"\d{1,9}(\.\d{1,9})?")  # seconds; float() would take "nan", "inf" and "1_0" too
 MARKS = {None: False, b"0": False, b"1": True}  # of a further try; how often is not for clients to say
@@ -169,6 +171,10 @@
                 retrieval.ends = ends
                 for leg in retrieval.legs:
                     self.pool.hasten(leg, ends)
+                # What the module holds with no leg out was to be woken at an end that lies too late now.
+                retrieval.patience = min(retrieval.patience, ends)
+                if (hold := retrieval.hold) is not None:
+                    self.loop.at(ends, lambda hold=hold: self._woken(hold))
 
     def left(self, client):
         """The client closed its connection: nothing more is owed, and nothing more is sent."""
@@ -231,7 +237,7 @@
 
     def listed(self, scope, entries):
         for listing, address in entries:
-            if listing.state is not State.GONE:
+            if address is not None:
                 self.pool.place(listing.name, address)
         self._list(scope, self.members.heard(scope, [listing for listing, _ in entries]))
 
@@ -305,8 +311,10 @@
         if answer.flow is None:
             self._count(retrieval.mark, word)
         else:
-            client.passing = retrieval.mark  # it is answered, and counted, once all has gone out
+            client.passing = exchange = retrieval.mark  # answered, and counted, once all has gone out
             self.open += 1
+            ends = retrieval.ends + GRACE
+            self.loop.at(min(ends, self.ends or ends), lambda: client.too_short(exchange))
         client.answer(answer)
 
     def _count(self, exchange, word):
--- a/hopsail/standing.py
+++ b/hopsail/standing.py
@@ -88,8 +88,10 @@
         self.back: dict[int, int] = {}
 
     def heard(self, scope: Scope, entries: Iterable[Listing]) -> list[Listing]:
-        """An update from discovery; what the module is told of it."""
-        entries = list(entries)
+        """An update from discovery; what the module is told of it. An entry with no kind is one of which only
+        the name could be read: that host, where it is known, is as it was, and drains."""
+        entries = [self._known(entry) if entry.kind is None else entry for entry in entries]
+        entries = [entry for entry in entries if entry is not None]
         kept = {entry.name for entry in entries if entry.state is not State.GONE}
         gone = self.listed.keys() - kept if scope is Scope.WHOLE else {entry.name for entry in entries} - kept
         for name in sorted(gone & self.listed.keys()):
@@ -104,6 +106,10 @@
             del self.dropped[oldest]
         return [self.shown(entry) for entry in entries]
 
+    def _known(self, entry: Listing) -> Listing | None:
+        old = self.listed.get(entry.name)
+        return None if old is None else old._replace(state=State.DRAINING)
+
     def adopt(self, standing: Standing) -> list[Listing]:
         """What operators ask for from now on; the entries that the module must be told anew."""
         before = {name: self.shown(entry) for name, entry in (self.dropped | self.listed).items()}
--- a/hopsail/tables.py
+++ b/hopsail/tables.py
@@ -1,4 +1,4 @@
-"""Two containers that the decision module keeps: a ring of places, and a bounded table of decaying counts."""
+"""What the decision module keeps and nothing is decided by alone: rings, bounded counts, sums, pauses."""
 
 from array import array
 from bisect import bisect_left
@@ -7,7 +7,7 @@
 from itertools import islice
 from struct import unpack
 
-from .model import Mean, Tokens
+from .model import MS, SECOND, Mean, Tokens
 
 LONGEST = 900  # half-lives after which counting starts anew: new counts double each time, and floats end
 
@@ -47,6 +47,33 @@
         return entry.size if self.sized and SIZE_LEAST <= entry.size <= SIZE_MOST else 1.0
 
 
+ASK_PAUSE = 20 * MS  # a balancer, before the list is asked for again; doubled each time, half of it random
+AGENT_PAUSE = 50 * MS  # where lists are pushed: what the agent has counts as told, heard or not
+SILENT_PAUSE = 2 * SECOND  # what a silent watch missed binds 6 s after its last line: 3 s find it, 1 answers
+
+
+class Asking:
+    """How long it is until the list is asked for again; chooses no host, no leg and no refusal."""
+
+    def __init__(self, balancers, subscribes, within):
+        self.first, self.subscribes, self.most = ASK_PAUSE * balancers, subscribes, within // 2
+        self.failures = 0  # in a row
+
+    def heard(self):
+        self.failures = 0
+
+    def failed(self, silent, chance):
+        """The pause in ns, with a `chance` from 0 to 1, after a call that failed or a watch that ended. It
+        grows, but stays within what counts as told; partly random, so that balancers part."""
+        if not self.subscribes:
+            return int(AGENT_PAUSE * (0.5 + chance / 2))
+        if silent:
+            # All watches may fall silent at once: they come again spread over all the time that there is.
+            return int(min(2 * self.first, SILENT_PAUSE) * chance)
+        self.failures += 1
+        return int(min(self.first * 2 ** (self.failures - 1), self.most) * (0.5 + chance / 2))
+
+
 class Sites:
     """What the ready caches are in all and by site, kept as they come and go; decides nothing."""
 
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,212 @@
+"""What ends, and what is owed at that instant: each crossing forced over loopback sockets."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+import pytest
+
+from hopsail.decide import Balancer
+from hopsail.load.scripted import SETTINGS, at, instance, listener, message, reply, stuck, update
+from hopsail.model import MS, SECOND, Scope, Settings, State, Subscribe, WakeAt
+from hopsail.net.discovery import ListFault, Names, Objects
+from hopsail.net.hosts import REST_TIME
+
+HEADERS = {"X_Customer": "acme", "X_Expires_In": "2.000"}
+CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def again(number, track="read", **headers):
+    """A further request on a client's connection."""
+    return message(f"GET /{track}/k{number} HTTP/1.1", X_Trace_Id=f"n{number}", **HEADERS | headers)
+
+
+def short(limit_s, tracks=SETTINGS["tracks"]):
+    """The settings, with all hard limits as given."""
+    return SETTINGS | {"tracks": [track | {"hardLimitUs": int(limit_s * 1e6)} for track in tracks]}
+
+
+def tell(sock, data):
+    """A piece of a watch's answer."""
+    sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+
+
+def watched(rig, data=b"\n"):
+    """The watch, once discovery has begun its answer."""
+    sock = rig.accept(rig.discovery)
+    assert rig.read(sock).startswith(b"GET /v1/servers")
+    sock.sendall(CHUNKS)
+    tell(sock, data)
+    return sock
+
+
+# Discovery.
+
+
+LISTS = [update(8, {"instanceId": 'a"}{[\\'}, reset=True), update(9), update(10, {"x": [1, {"y": "}"}]})]
+FORMS = {
+    "lines": lambda tree: json.dumps(tree) + "\n",
+    "indented": lambda tree: json.dumps(tree, indent=2) + "\n",
+    "tabs": lambda tree: "\r\n\t" + json.dumps(tree, indent="\t") + "\r\n\r\n",
+    "nothing between": lambda tree: json.dumps(tree),
+    "escaped": lambda tree: json.dumps(tree).replace("x", "\\u0078") + " ",
+}
+
+
+@pytest.mark.parametrize("form", FORMS)
+@pytest.mark.parametrize("size", [1, 2, 7, 1 << 20])
+def test_objects_are_told_apart_whatever_stands_between_and_in_pieces_of_any_size(form, size):
+    data, objects = "".join(map(FORMS[form], LISTS)).encode(), Objects()
+    pieces = [data[i : i + size] for i in range(0, len(data), size)]
+    assert [json.loads(found) for piece in pieces for found in objects.feed(piece)] == LISTS
+    assert not objects.held.strip()
+
+
+@pytest.mark.parametrize("data", [b"x", b'"generation"', b"7\n", b"}", b"{}]", b"\x00", b"{}x"])
+def test_what_is_no_object_ends_the_watch_at_once(data):
+    with pytest.raises(ListFault):
+        list(Objects().feed(data))
+
+
+def test_an_object_without_end_is_bounded_and_each_byte_looked_at_once():
+    objects, piece = Objects(), b'{"a": [' + b" \n" * 8000
+    with pytest.raises(ListFault):
+        for _ in range(1000):
+            list(objects.feed(piece))
+    many, start = Objects(), time.process_time()
+    data = json.dumps(update(8, *[instance(f"h{i}", "10.0.0.1:80") for i in range(5000)]), indent=1).encode()
+    assert sum(len(list(many.feed(data[i : i + 64]))) for i in range(0, len(data), 64)) == 1
+    assert time.process_time() - start < 5  # seconds; read anew with each line it takes minutes
+
+
+def test_an_indented_list_is_followed_and_the_watch_goes_on(rig):
+    rig = rig()
+    drain = instance("h0", at(rig.hosts[0]), state="terminating")
+    sock = watched(rig, json.dumps(update(8, drain), indent=4).encode() + b"\n")
+    rig.until(lambda: rig.counts["discovery.updates"] or None)
+    tell(sock, json.dumps(update(9), indent=4).encode())
+    rig.until(lambda: rig.counts["discovery.updates"] == 2)
+    assert len(rig.node.door.balancer.caches) == 1 and rig.counts["discovery.failed"] == 0
+
+
+SPOILT = {
+    "no address": lambda entry: entry | {"hostPort": "nowhere"},
+    "state": lambda entry: entry | {"lifecycle": "drowsy"},
+    "no state": lambda entry: {"instanceId": entry["instanceId"]},
+    "start": lambda entry: entry | {"startedAtMs": "soon"},
+}
+
+
+@pytest.mark.parametrize("what", SPOILT)
+@pytest.mark.parametrize("reset", [True, False])
+def test_a_host_whose_entry_cannot_be_read_gets_nothing_until_one_can(rig, what, reset):
+    rig = rig()
+    first, second, origin = (instance(n, at(s)) for n, s in
+                             zip(("h0", "h1", "o"), (*rig.hosts, rig.origin), strict=True))  # fmt: skip
+    origin = origin | {"machineType": "origin"}
+    spoilt = SPOILT[what](first | {"lifecycle": "terminating"})
+    sock = watched(rig, json.dumps(update(8, spoilt, second, origin, reset=reset)).encode() + b"\n")
+    rig.until(lambda: rig.counts["discovery.updates"] or None)
+    balancer = rig.node.door.balancer
+    assert [rig.node.door.pool.addresses[name] for name in balancer.caches] == [rig.hosts[1].getsockname()]
+    assert balancer.origin.state is State.READY
+    tell(sock, json.dumps(update(9, first)).encode())
+    rig.until(lambda: rig.counts["discovery.updates"] == 2)
+    assert len(balancer.caches) == 2
+
+
+def test_an_entry_that_cannot_be_read_of_the_origin_or_a_stranger_makes_no_cache_of_it(rig):
+    rig = rig()
+    odd = [{"instanceId": "o"}, {"instanceId": "new"}, instance("h1", at(rig.hosts[1]))]
+    watched(rig, json.dumps(update(8, *odd)).encode())
+    rig.until(lambda: rig.counts["discovery.updates"] or None)
+    balancer = rig.node.door.balancer
+    assert len(balancer.hosts) == 3 and balancer.origin.state is State.DRAINING and len(balancer.caches) == 2
+
+
+def test_zones_and_kinds_that_only_a_slip_brings_are_bounded():
+    names = Names(["east"], ["box", "origin"], 1)
+    for i in range(5000):
+        names.listing(instance(f"h{i}", "10.0.0.1:80", zone=f"z{i}", kind=f"k{i}"))
+    assert max(len(names.zones), len(names.kinds)) <= 1010
+    listing, _ = names.listing(instance("h", "10.0.0.1:80", zone="other", kind="other"))
+    assert listing.zone and listing.kind not in (0, 1)
+
+
+@pytest.mark.parametrize(
+    "subscribes, scope, balancers, least, most",
+    [
+        (True, Scope.SILENT, 200, 0, 2 * SECOND),  # 3 s of silence, 1 s to answer: 6 s are the patience
+        (True, Scope.SILENT, 2, 0, 80 * MS),
+        (True, Scope.FAILED, 200, 2 * SECOND, 4 * SECOND),
+        (False, Scope.SILENT, 200, 25 * MS, 50 * MS),  # what the agent has binds, heard or not
+        (False, Scope.FAILED, 200, 25 * MS, 50 * MS),
+    ],
+)
+def test_a_list_is_asked_for_again_before_what_was_missed_binds(subscribes, scope, balancers, least, most):
+    pauses = []
+    for seed in range(40):
+        settings = Settings(balancers=balancers, subscribe=subscribes)
+        balancer = Balancer(settings, seed, 0)
+        balancer.listed(0, scope, [])
+        [wake] = balancer.out
+        assert type(wake) is WakeAt
+        balancer.out.clear()
+        balancer.woken(wake.at, wake.token)
+        assert balancer.out == [Subscribe()]
+        pauses.append(wake.at)
+    assert least <= min(pauses) < max(pauses) <= most
+    assert max(pauses) - min(pauses) > (most - least) // 2  # balancers part
+
+
+@pytest.mark.parametrize("what", ["head only", "half an object", "trickle", "an empty line each 2 s"])
+def test_a_watch_that_tells_nothing_whole_is_opened_anew_in_time(rig, what):
+    rig = rig()
+    sock = rig.accept(rig.discovery)
+    rig.read(sock)
+    sock.sendall(CHUNKS)
+    if what == "half an object":
+        tell(sock, b'{"generation": 9, "reset": true, "inst')
+    for _ in range(3):  # 3.15 s in all
+        if what == "trickle":
+            tell(sock, b" ")
+        elif what.startswith("an empty"):
+            tell(sock, b"\n")
+        rig.loop.round(0.01)
+        rig.skip(1.05)
+    alive = what.startswith("an empty")
+    if not alive:
+        rig.until(lambda: rig.counts["discovery.failed"] or None)
+        rig.skip(0.1)
+        assert b"since=7 " in rig.read(rig.accept(rig.discovery))
+    assert rig.counts["discovery.failed"] == (not alive)
+
+
+def test_where_lists_are_pushed_a_new_process_takes_nobody_in_before_it_knows_what_its_agent_has(rig):
+    rig = rig(settings=SETTINGS | {"discovery": "automatic"})
+    client = rig.ask()
+    for _ in range(5):
+        rig.loop.round(0.01)
+    assert not rig.counts["clients.connections"]
+    drain = instance("h0", at(rig.hosts[0]), state="terminating")
+    watched(rig, json.dumps(update(8, drain)).encode() + b"\n")
+    host, _ = rig.leg()
+    assert host.getsockname() == rig.hosts[1].getsockname()  # the configuration's list was older
+    host.sendall(reply(200))
+    assert rig.status(client) == 200
+
+
+@pytest.mark.parametrize("agent", ["silent", "refuses"])
+def test_an_agent_with_nothing_to_say_holds_nobody_up_for_long(rig, agent):
+    rig = rig(settings=SETTINGS | {"discovery": "automatic"})
+    client, sock = rig.ask(), rig.accept(rig.discovery)
+    if agent == "refuses":
+        sock.close()
+    else:
+        rig.skip(1.1)
+    rig.leg()[0].sendall(reply(200))
+    assert rig.status(client) == 200
