Signals are heard from the first moment; the end follows the settings' longest limit

- SIGTERM or SIGHUP while the program is imported or its configuration read ended the process by the signal (seen with the configuration in a pipe: BrokenPipe and status -15): hopsail/early.py keeps them for the loop.
- 3.5 and 3.6 s after SIGTERM rested on a longest limit of 3 s; SIGKILL comes at the settings' longest limit and 0.7 s, so with classes of 0.35 s answers were owed 2.5 s too long.
Now the longest limit and 0.5 or 0.6 s.
- One handler that raised lost the other signals read with it (Loop._hear).
- Where lists are pushed, a new process served by the configuration's list, which may be older than what its agent has, and that binds from its first moment: clients are taken in once it has been heard, after 1 s, or when the agent refuses.
Each test fails on the code before.

--- a/hopsail/__main__.py
+++ b/hopsail/__main__.py
@@ -1,5 +1,11 @@
 """Runs one balancer in the foreground until SIGTERM: `python -m hopsail`."""
 
+if __name__ == "__main__":
+    # Before all else is imported: a restart or a reload may be told to a process that has only begun.
+    from . import early
+
+    early.listen()
+
 import argparse
 import gc
 import os
@@ -9,7 +15,7 @@
 
 from . import config
 from .model import MS, SECOND
-from .net.clients import Listener
+from .net.clients import MUTE_TIME, Listener
 from .net.counters import Counters
 from .net.door import Door
 from .net.handover import SETTLE_TIME, Handover
@@ -18,17 +24,22 @@
 from .net.loop import Loop
 from .net.operator import Desk, Operator
 
-# After SIGTERM clients are served as before: the front deals out connections for up to 0.4 s more, and those
-# that are there go on being used. SIGKILL comes no sooner than the longest limit and 0.7 s after SIGTERM.
+# After SIGTERM clients are served as before: the front deals out connections for up to 0.4 s more, and
+# those that are there go on being used. SIGKILL comes no sooner than the settings' longest limit
+# (`config.longest`, 3 s at most) and 0.7 s after SIGTERM: a balancer that waited longer would be killed
+# with answers owed.
 ACCEPT_TIME = 650 * MS
-LAST_TIME = 3500 * MS  # after SIGTERM all is answered: SIGKILL comes 0.2 s later at the earliest
-END_TIME = 3600 * MS  # and the process ends, whoever has not read its answer yet
+ACCEPT_LAST = 400 * MS  # and the longest limit: clients are taken in for no longer
+LAST_TIME = 500 * MS  # and the longest limit: all is answered
+END_TIME = 600 * MS  # and the longest limit: the process ends, whoever has not read its answer yet
 SWEEP_EVERY = SECOND // 4
 # A new process waits so long for discovery before it says that it is ready: 6 s are the platform's patience.
 FRESH_WITHIN = 3 * SECOND
+# Where lists are pushed, what the agent has binds a new process from its first moment, and the
+# configuration's list may be older. An agent that is silent for so long, or refuses, has nothing to say.
+AGENT_WITHIN = SECOND
 OPEN_EVERY = 10 * MS  # looks whether it is ready
 DRAIN_EVERY = 50 * MS  # closes what has become idle while operators want no clients here
-MUTE_TIME = SECOND // 4  # for a new connection to say something meanwhile: the front asks for health
 COLLECT_EVERY = 40  # sweeps between collections: retrievals leave no rings behind, faults may
 
 
@@ -44,11 +55,13 @@
         self.door = Door(self.loop, self.counters, settings, Ids(self.handover.table(TABLE_BYTES)))
         self.listener = Listener(self.loop, self.counters, self.door, settings)
         self.operator, self.drains = None, None
-        # Until when discovery is waited for, if another process serves meanwhile.
-        self.replaces = None if self.handover.senior else self.loop.now() + FRESH_WITHIN
+        # Until when discovery is waited for before clients are taken in; another process may serve meanwhile.
+        alone = 0 if settings.settings.subscribe else AGENT_WITHIN
+        waits = alone if self.handover.senior else FRESH_WITHIN
+        self.fresh_by = self.loop.now() + waits
         if settings.operator is not None:
             self.operator = Operator(self.loop, self.counters, settings.operator, Desk(self).calls)
-        self.listener.hold(self.replaces is not None)
+        self.listener.hold(waits > 0)
         self.peers = None
         if settings.view is not None:
             from .peers.node import Peers  # only here: what is off costs nothing
@@ -90,14 +103,18 @@
         self.counters.print(why, open=self.door.open, clients=clients, hosts=hosts)
 
     def ready(self):
-        """Whether this process can serve, and as well as one that it replaces, which knows today's list."""
-        known = self.replaces is None or self.door.discovery.fresh or self.loop.now() > self.replaces
-        return self.door.ready() and known
+        """Whether this process can serve, and knows as much as one that it replaces, or as its agent."""
+        return self.door.ready() and self._knows()
+
+    def _knows(self):
+        discovery = self.door.discovery
+        in_vain = self.handover.senior and discovery.tried
+        return discovery.fresh or in_vain or self.loop.now() >= self.fresh_by
 
     def _open(self):
         """A process that replaces another one takes clients in when it is ready, not before."""
         if self.listener.held and self.door.ends is None:
-            if self.ready():
+            if self.ready() or self.handover.senior and self._knows():
                 self.listener.hold(False)
             else:
                 self.loop.at(self.loop.now() + OPEN_EVERY, self._open)
@@ -176,13 +193,16 @@
         if self.peers is not None:
             self.peers.leave()
         now = self.loop.now()
-        self.door.stop(self.listener.clients, now + LAST_TIME)
+        longest = self.config.longest
+        self.door.stop(self.listener.clients, now + longest + LAST_TIME)
         if self.config.listener is not None and self.handover.succeeded:
             # The next process takes in from the same socket: nobody new for this one, and nobody to keep.
             self.listener.hold(True)
             self.listener.draining = True
-        self.loop.at(now + ACCEPT_TIME, self._shut)
-        self.loop.at(now + END_TIME, self.loop.stop)
+        elif self.listener.held and self.config.listener is None:
+            self.listener.hold(False)  # those that have connected before it was ready are owed an answer, too
+        self.loop.at(now + min(ACCEPT_TIME, longest + ACCEPT_LAST), self._shut)
+        self.loop.at(now + longest + END_TIME, self.loop.stop)
 
     def _shut(self):
         """All that has come is answered; then the end."""
--- a/hopsail/config.py
+++ b/hopsail/config.py
@@ -23,6 +23,7 @@
 ASKED_ONCE = 8  # of the descriptors one in so many for connections that were answered once and stay
 PROGRAM_MEMORY = 24  # MB that the program itself takes, with its tables
 RETRIEVAL_MEMORY = 0.2  # MB that one retrieval may hold: body, answer and their copies in buffers
+LONGEST_LIMIT = 3 * SECOND  # for which the platform waits at most, and what holds where no limit is stated
 FLOW_PART = 0.4  # of the memory beside the program is for long bodies on their way through
 
 
@@ -48,6 +49,7 @@
     flow_bytes: int  # that all long bodies may hold together
     idle_time: int  # ns
     dial_time: int  # ns
+    longest: int  # ns, the longest hard limit of a track: the platform ends a process that much after SIGTERM
     operator: tuple[str, int] | None  # the operators' door, where there is one
     listener: int | None  # descriptor of the clients' listening socket, where the platform holds it
     log_json: bool  # log lines are objects of JSON, not text
@@ -82,6 +84,7 @@
         most_open = values.value("limits.maxOpen", int, "30000")
         idle_time = values.time("limits.idleCloseUs", "10000000")
         dial_time = values.time("limits.dialTimeoutUs", "250000")
+        hard = [values.time(f"tracks.{i}.hardLimitUs", "3000000") for i in range(len(decoded.tracks))]
     except SettingsFault as fault:
         raise ConfigFault(f"settings: {fault}") from None
     decoded = replace(decoded, storms=storms(tree, decoded))
@@ -108,6 +111,7 @@
         flow_bytes=int(FLOW_PART * memory * 1_000_000),
         idle_time=max(SECOND, idle_time),
         dial_time=max(MS, dial_time),
+        longest=min(LONGEST_LIMIT, max(hard, default=LONGEST_LIMIT)),
         operator=place(tree, "operator", least=0) if "operator" in tree else None,
         listener=inherited(environment),
         log_json=word(tree, "log", {"plain": False, "json": True}, "plain"),
--- a/hopsail/net/loop.py
+++ b/hopsail/net/loop.py
@@ -8,6 +8,7 @@
 from itertools import count
 from time import monotonic_ns, time_ns
 
+from .. import early
 from .log import fault, say
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
@@ -17,10 +18,10 @@
 
 
 class Timer:
-    __slots__ = ("act", "loop")
+    __slots__ = ("act", "loop", "when")
 
-    def __init__(self, loop, act):
-        self.loop, self.act = loop, act
+    def __init__(self, loop, when, act):
+        self.loop, self.when, self.act = loop, when, act
 
     def cancel(self):
         if self.act is not None:
@@ -41,7 +42,7 @@
         return monotonic_ns() + self.offset
 
     def at(self, when: int, act) -> Timer:
-        timer = Timer(self, act)
+        timer = Timer(self, when, act)
         heappush(self.timers, (when, next(self.serial), timer))
         return timer
 
@@ -69,11 +70,13 @@
             self.watch(self.heard, READ, self._hear)
         self.signals[number] = act
         signal.signal(number, lambda *_: None)
+        if early.take(number):  # it came while the program was starting
+            self.soon(act)
 
     def _hear(self, _):
         for number in os.read(self.heard, 64):
             if number in self.signals:
-                self.signals[number]()
+                self._call(self.signals[number], ())  # a fault in one must not lose those read with it
 
     def stop(self):
         self.running = False
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -423,3 +423,93 @@
     new.sendall(again(1))
     rig.leg()[0].sendall(reply(200))
     assert b"Connection: close" in rig.read(new) and rig.ended(old)
+
+
+# The start and the end.
+
+
+ENDINGS = [(0.35, 0.85, 0.95), (1.2, 1.7, 1.8), (3, 3.5, 3.6), (8, 3.5, 3.6)]  # seconds
+
+
+@pytest.mark.parametrize("limit, last, end", ENDINGS)
+def test_the_end_follows_the_settings_longest_limit(rig, limit, last, end):
+    rig = rig(settings=short(limit))
+    client = rig.ask(X_Expires_In="60")
+    host, _ = rig.leg()
+    os.kill(os.getpid(), signal.SIGTERM)
+    rig.until(lambda: rig.node.door.ends)
+    start = rig.node.door.ends - int(last * SECOND)
+    while rig.node.door.open and rig.loop.now() < start + 5 * SECOND:
+        rig.skip(0.02)
+        for sock in rig.waiting(*rig.hosts, rig.origin):
+            assert rig.read(sock)  # each of them hangs
+    took = (rig.loop.now() - start) / SECOND
+    assert took <= last + 0.08 and rig.status(client) == 503
+    # One that sends on, on a connection that it has, does not hold the process up either.
+    while rig.loop.running and rig.loop.now() < start + 5 * SECOND:
+        rig.skip(0.02)
+    assert (rig.loop.now() - start) / SECOND <= end + 0.08
+    host.close()
+
+
+def test_what_the_module_holds_is_answered_when_the_end_comes_sooner(rig):
+    slow = [track | {"promisedTimeUs": 20_000_000} for track in SETTINGS["tracks"]]
+    rig = rig(hosts=1, settings=short(20, slow))
+    first = rig.ask(X_Expires_In="20")
+    host, _ = rig.leg()
+    host.sendall(reply(404))
+    rig.read(rig.accept(rig.origin))
+    waits = rig.ask(X_Expires_In="20")
+    rig.until(lambda: rig.counts["taken.reads"] == 2)
+    rig.node.stop()
+    rig.skip(3.51)
+    rig.loop.round(0)
+    assert rig.status(waits) == 503 and rig.status(first) == 503
+
+
+def test_a_fault_in_one_signals_handler_loses_no_other(rig, capsys):
+    rig = rig()
+    rig.loop.signals[signal.SIGHUP] = lambda: 1 / 0
+    os.kill(os.getpid(), signal.SIGHUP)
+    os.kill(os.getpid(), signal.SIGTERM)
+    rig.until(lambda: rig.node.door.ends)
+    assert "ZeroDivisionError" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize("numbers", [[signal.SIGTERM], [signal.SIGHUP, signal.SIGTERM], [signal.SIGTERM] * 3])
+def test_signals_before_the_loop_hears_them_end_no_process_by_themselves(rig, numbers):
+    rig = rig()  # writes the configuration
+    fifo = rig.path.with_suffix(".fifo")
+    os.mkfifo(fifo)
+    environment = os.environ | {"NODE_CONFIG": str(fifo)}
+    process = subprocess.Popen([sys.executable, "-m", "hopsail"], stderr=subprocess.PIPE, env=environment)
+    try:
+        with open(fifo, "wb") as config:  # waits until the process reads it: it has only begun
+            for number in numbers:
+                process.send_signal(number)
+            time.sleep(0.1)
+            config.write(rig.path.read_bytes())
+        if signal.SIGHUP in numbers:  # it is read once more, as the signal says
+            assert b"listens on" in process.stderr.readline()
+            with open(fifo, "wb") as config:
+                config.write(rig.path.read_bytes())
+        said = process.communicate(timeout=20)[1].decode()
+        assert process.returncode == 0 and "stop: 0 retrievals" in said and '"why": "end"' in said
+    finally:
+        process.kill()
+        process.wait()
+
+
+def test_a_reload_while_the_process_ends_changes_no_more_than_it_may(rig):
+    rig = rig()
+    client = rig.ask()
+    host, _ = rig.leg()
+    os.kill(os.getpid(), signal.SIGTERM)
+    os.kill(os.getpid(), signal.SIGHUP)
+    os.kill(os.getpid(), signal.SIGTERM)
+    rig.until(lambda: rig.counts["configuration.taken"] or None)
+    ends = rig.node.door.ends
+    host.sendall(reply(200))
+    assert rig.status(client) == 200 and ends == rig.node.door.ends
+    rig.skip(0.7)
+    rig.until(lambda: not rig.loop.running)
