A leg waits until its kept connection has rested, in place of another connection

Lines: Pool._reuse. Now a leg waits on its connection for the rest of 6 ms (late answers were 1.1 to 3.1 ms late), takes the last used of those that have rested, and is taken back like one that dials. Tests that waited for the rest are as they were again.

--- a/hopsail/load/scripted.py
+++ b/hopsail/load/scripted.py
@@ -9,7 +9,6 @@
 
 from ..__main__ import Node
 from ..model import SECOND
-from ..net.hosts import REST_TIME
 
 SETTINGS = {
     "balancers": 1,
@@ -159,13 +158,8 @@
         host, _ = self.leg()
         host.sendall(reply(200))
         assert self.status(client) == 200
-        self.rest()
         return client, host
 
-    def rest(self):
-        """Hosts' connections have rested for so long that they may carry the next leg."""
-        self.skip(REST_TIME / SECOND)
-
     def status(self, client):
         return int((self.read(client) or b"HTTP/1.1 0").split()[1])
 
--- a/hopsail/net/hosts.py
+++ b/hopsail/net/hosts.py
@@ -10,8 +10,8 @@
 REUSE_PART = 0.8  # of the time after which hosts close idle connections: closed under a leg, one resets it
 # A host may send a second answer some milliseconds after the first (1 to 3 ms were measured). On a connection
 # that carries the next leg by then it would pass for that leg's answer, and nothing in it tells: until it can
-# have come, a connection is not used again.
-REST_TIME = 20 * MS
+# have come, nothing is written. The leg waits: another connection costs as long, and hosts hold only so many.
+REST_TIME = 6 * MS
 # For an answer of no stated length to be whole: most short ones are within a piece or two, and a long one's
 # first bytes are timed. After that it is passed on, though it may yet break off with no second try.
 SHORT_TIME = 50 * MS
@@ -28,20 +28,29 @@
         self.barred = False  # its host must get nothing new: what breaks off half-written is not sent again
         self.fed = False  # all of the request has been written to it, at least to its buffer
         self.stood = 0, loop.now()  # bytes gone out, and since when it has been so many
-        self.dial_timer, self.short_timer = None, None
+        self.dial_timer, self.short_timer, self.rest_timer = None, None, None
         super().__init__(loop, sock, dialing=True)
 
     def carry(self, leg, request):
         self.leg, self.request, self.sent, self.fed = leg, request, False, request.flow is None
         self.barred = False
-        if not self.dialing:
+        rested = self.since + REST_TIME
+        if self.used and self.loop.now() < rested:
+            self.rest_timer = self.loop.at(rested, self._begin)
+        elif not self.dialing:
             self._begin()
 
+    @property
+    def waits(self):
+        """Nothing of its leg has been written, since it is not up yet or has yet to rest."""
+        return self.dialing or self.rest_timer is not None
+
     def connected(self):
         self.dial_timer.cancel()
         self._begin()
 
     def _begin(self):
+        self.rest_timer = None
         left = self.leg.sent + self.leg.limit - self.loop.now()
         self.write(encode_request(self.request, self.host, max(MS, left)))
         if self.open and not self.fed:
@@ -61,8 +70,8 @@
             self.pool.written(self.leg)
 
     def received(self, data):
-        if self.leg is None and self.reader.flow is None:
-            self.close()  # nothing was asked: what comes now would pass for the next leg's answer
+        if (self.leg is None or self.waits) and self.reader.flow is None:
+            self._end()  # nothing was asked: what comes now would pass for the next leg's answer
             return
         try:
             answer = self.reader.feed(data)
@@ -151,7 +160,7 @@
         return Outcome.TIMED_OUT if self.sent else Outcome.NO_CONNECTION
 
     def released(self):
-        for timer in (self.dial_timer, self.short_timer):
+        for timer in (self.dial_timer, self.short_timer, self.rest_timer):
             if timer is not None:
                 timer.cancel()
         self.loop.soon(self.reader.forget)
@@ -221,7 +230,10 @@
 
     def _reuse(self, name):
         now = self.loop.now()
-        for connection in [c for c in reversed(self.idle.get(name, ())) if now - c.since >= REST_TIME]:
+        idle = self.idle.get(name, [])
+        rested = [c for c in idle if now - c.since >= REST_TIME]
+        # The last used of those that have rested; else the one that will have rested first.
+        for connection in rested[::-1] + idle[len(rested) :]:
             if now - connection.since <= self.reuse_time:
                 connection.ready(READ)  # the host may have closed it: then it is gone now
                 if connection.open:
@@ -311,7 +323,7 @@
                 continue
             # One being written has begun before; broken off, it would be dialed for anew, after the drain.
             connection.barred = True
-            if connection.dialing:
+            if connection.waits:
                 self.never_send(leg)
 
     def close(self):
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -221,19 +221,65 @@
     host.sendall(reply(200, b"first"))
     assert rig.read(client).endswith(b"first")
     client.sendall(again(1))  # at once: the second answer is still on its way
-    other, _ = rig.leg()
+    rig.until(lambda: rig.counts["legs.sent"] == 2)
+    [(connection, _)] = rig.node.door.pool.busy.values()
+    assert connection.waits and not connection.unsent  # no other is dialed: hosts hold only so many
     host.sendall(reply(200, b"first"))
-    rig.skip(0.003)
+    other, request = rig.leg()
+    assert b"n1" in request and rig.ended(host)
     other.sendall(reply(200, b"second"))
-    assert rig.read(client).endswith(b"second") and rig.ended(host)
-    assert rig.counts["hosts.dialed"] == 2
+    assert rig.read(client).endswith(b"second") and rig.counts["hosts.dialed"] == 2
+
+
+@pytest.mark.parametrize("what", ["drains", "client leaves", "limit"])
+def test_a_leg_whose_connection_has_yet_to_rest_is_not_written_once_it_must_not_be(rig, what, monkeypatch):
+    monkeypatch.setattr("hopsail.net.hosts.REST_TIME", 3 * SECOND)
+    rig = rig(hosts=1)
+    sock = watched(rig)
+    client = rig.ask()
+    host, _ = rig.leg()
+    host.sendall(reply(200))
+    assert rig.status(client) == 200
+    client.sendall(again(1))
+    rig.until(lambda: rig.counts["legs.sent"] == 2)
+    if what == "drains":
+        tell(sock, json.dumps(update(8, instance("h0", at(rig.hosts[0]), state="terminating"))).encode())
+        rig.read(rig.accept(rig.origin))
+    elif what == "client leaves":
+        client.close()
+        rig.until(lambda: rig.counts["answered.left"] or None)
+    else:
+        rig.skip(2)
+        rig.until(lambda: rig.counts["legs.no_connection"] or None)
+    rig.skip(3)
+    assert rig.ended(host)
+    client.close()
+
+
+def test_of_kept_connections_the_last_used_that_has_rested_goes_first(rig):
+    rig = rig(hosts=1)
+    clients = [rig.ask(f"/read/{i}") for i in range(3)]
+    hosts = [rig.leg() for _ in range(3)]
+    order = []
+    for host, request in hosts:
+        host.sendall(reply(200))
+        assert rig.status(clients[[b"/%d " % j in request for j in range(3)].index(True)]) == 200
+        rig.skip(0.1)
+        order.append(host)
+    [name] = rig.node.door.pool.idle
+    pool = rig.node.door.pool
+    last, middle = pool._reuse(name), pool._reuse(name)
+    assert last.sock.getpeername() == order[2].getsockname() and last.since > middle.since
+    pool.rest(middle)  # has only just been used
+    assert pool._reuse(name).since < middle.since and pool._reuse(name) is middle
 
 
 def test_a_connection_that_has_rested_carries_the_next_leg(rig):
     rig = rig(hosts=1)
     client, host = rig.served()
-    rig.skip(REST_TIME / SECOND)
     client.sendall(again(1))
+    rig.until(lambda: rig.counts["legs.sent"] == 2)
+    rig.skip(REST_TIME / SECOND)
     assert b"n1" in rig.read(host) and rig.counts["hosts.dialed"] == 1
     host.sendall(reply(200))
     assert rig.status(client) == 200
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -116,7 +116,6 @@
     assert body_of(client.got) == LONG and rig.counts["answered.handled"] == 1
     assert rig.node.door.open == 0 and rig.node.door.flows.count == 0
     # Both connections are used again.
-    rig.rest()
     client.sock.sendall(message("GET /read/k HTTP/1.1", **ASK | {"X_Trace_Id": "t9"}))
     assert b"t9" in rig.read(sock)
     sock.sendall(reply(200, b"again"))
@@ -291,7 +290,6 @@
     rig.until(lambda: rig.node.door.figures.counts[2, "relayed"] or None)
     origin.sock.sendall(reply(200, b"kept"))
     assert rig.read(client.sock).endswith(b"kept") and rig.node.door.flows.count == 0
-    rig.rest()
     client.sock.sendall(message("PUT /once/k HTTP/1.1", b"v", **ASK | {"X_Trace_Id": "t9"}))
     assert b"t9" in rig.read(origin.sock)
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -116,7 +116,6 @@
     head, _, got = rig.read(client).partition(b"\r\n\r\n")
     assert head.startswith(b"HTTP/1.1 200 OK") and b"Content-Type: a/b" in head and got == body
     # The connection is used again, by the client and towards the host.
-    rig.rest()
     client.sendall(message("GET /read/k%201 HTTP/1.1", X_Trace_Id="t2", X_Customer="acme", X_Expires_In="1"))
     assert b"X-Trace-Id: t2" in rig.read(host)
     host.sendall(reply(200, b"again"))
@@ -237,7 +236,6 @@
     rig.read(origin)
     BREAKS[what](origin)
     if again := what == "turned away":  # known not to have run
-        origin = rig.accept(rig.origin)  # at once, on another connection: that one has yet to rest
         assert rig.read(origin).startswith(b"PUT /once/k1 ")
         origin.sendall(reply(200))
     assert rig.status(client) == (200 if again else 502) and rig.counts["legs.sent"] == 1 + again
@@ -555,7 +553,6 @@
     assert rig.status(client) == 200
     gc.collect()
     for i in range(20):
-        rig.rest()
         client.sendall(NEXT.replace(b"-Id: t", b"-Id: u%d" % i))
         rig.read(host)
         host.sendall(reply(200))
@@ -740,7 +737,6 @@
     other.sendall(reply(200, b"late"))
     # Told to go elsewhere now, clients may find that another balancer is only just coming back.
     assert b"Connection: close" not in rig.read(late)
-    rig.rest()
     late.sendall(NEXT)
     rig.read(other)
     other.sendall(reply(200, b"kept"))
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -298,7 +298,6 @@
         assert status_of(rig, HEALTH) == 200
     host.sendall(reply(200))
     assert b"Connection: close" in rig.read(busy)
-    rig.rest()
     kept.sendall(ask_again(1))  # one that was there goes on using its connection, and is told to go
     rig.read(host)
     host.sendall(reply(200))
