--- a/hopsail/__main__.py
+++ b/hopsail/__main__.py
@@ -47,7 +47,7 @@
     """One balancer: its parts, and its way from start to end."""
 
     def __init__(self, environment: Mapping[str, str]):
-        self.environment, self.config = environment, config.read(environment)
+        self.environment, self.config = environment, config.read(environment, run=True)
         self.loop, self.sweeps, settings = Loop(), 0, self.config
         form(settings.log_json, settings.name)
         self.counters = Counters(settings.name)
@@ -172,7 +172,7 @@
         """Takes the file's new configuration over, or, when it cannot be used, stays with the old one."""
         self.counters.add("configuration.asked")
         try:
-            new = config.read(self.environment, again=True)
+            new = config.read(self.environment, again=True, run=True)
         except config.ConfigFault as fault:
             say("reload", f"the old configuration stays: {fault}")
             return
--- a/hopsail/config.py
+++ b/hopsail/config.py
@@ -4,6 +4,7 @@
 import os
 import resource
 import socket
+import sys
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from importlib.util import find_spec
@@ -57,10 +58,12 @@
     view: Any = None  # rules of the fleet's own view (`peers.rules.Rules`), None = off
 
 
-def read(environment: Mapping[str, str], again: bool = False) -> Config:
+def read(environment: Mapping[str, str], again: bool = False, run: bool = False) -> Config:
     """The configuration from NODE_CONFIG's file; NODE_NAME, NODE_LISTEN and NODE_DISCOVERY come first.
 
-    `again`, upon SIGHUP, the file's discovery does: the variable is as old as the process."""
+    `again`, upon SIGHUP, the file's discovery does: the variable is as old as the process. In a `run` a key
+    of our own that holds what it cannot is left off, and said: the platform may have a key of that name,
+    which must neither end the program nor turn anything on. `--check` refuses it, as it does any other."""
     path = environment.get("NODE_CONFIG")
     if not path:
         raise ConfigFault("NODE_CONFIG is not set: it names the configuration file")
@@ -87,7 +90,8 @@
         hard = [values.time(f"tracks.{i}.hardLimitUs", "3000000") for i in range(len(decoded.tracks))]
     except SettingsFault as fault:
         raise ConfigFault(f"settings: {fault}") from None
-    decoded = replace(decoded, storms=storms(tree, decoded))
+    own = left_off if run else lambda make: make()
+    decoded = replace(decoded, storms=own(lambda: storms(tree, decoded)))
     names = Names(words(settings, "failureDomains"), words(settings, "kinds"), decoded.origin_kind)
     limits = part(tree, "limits", dict, {})
     sockets = whole(limits, "sockets", DEFAULT_SOCKETS, LEAST_SOCKETS)
@@ -114,9 +118,9 @@
         longest=min(LONGEST_LIMIT, max(hard, default=LONGEST_LIMIT)),
         operator=place(tree, "operator", least=0) if "operator" in tree else None,
         listener=inherited(environment),
-        log_json=word(tree, "log", {"plain": False, "json": True}, "plain"),
+        log_json=bool(own(lambda: word(tree, "log", {"plain": False, "json": True}, "plain"))),
         folder=environment.get("TMPDIR") if "operator" in tree else None,
-        view=view(tree, environment),
+        view=own(lambda: view(tree, environment)),
     )
 
 
@@ -160,6 +164,15 @@
     return known[value]
 
 
+def left_off(make):
+    """What `make()` makes, None where the key that it reads is somebody else's or at fault."""
+    try:
+        return make()
+    except ConfigFault as fault:
+        print(f"hopsail: configuration: left off: {fault}", file=sys.stderr)
+        return None
+
+
 def storms(tree, decoded):
     """The rules of storm control, None where it is off or left out."""
     found = part(tree, "storms", dict, {})
--- a/hopsail/settings.py
+++ b/hopsail/settings.py
@@ -8,7 +8,8 @@
 REPEATS = {"repeatable": Repeat.PURE, "by_key": Repeat.RECEIPTED, "once": Repeat.EFFECTFUL}
 TRUTH = {"true": True, "false": False}
 WEIGHTS = {word: word for word in ("none", "nominal", "rough", "live")}
-VIA = {word: word for word in ("none", "answers")}  # reports in probes are of no use: none are sent
+# Reports that come with probes only are none here, since no probe is sent: no reason not to start.
+VIA = {"none": "none", "answers": "answers", "probe": "none"}
 
 
 def positive(text):
@@ -77,12 +78,13 @@
         raise SettingsFault(
             f"feedback.columns holds no load ({','.join(columns)!r}), with feedback.via answers"
         )
-    if via == "none" and columns:
+    if value("feedback.via", str, "none") == "none" and columns:
         raise SettingsFault(f"feedback.columns holds {','.join(columns)!r}, but feedback.via none")
     zones, own = pairs.listed("failureDomains"), value("myZone", int, "0")
     if not 0 <= own < max(1, len(zones)):
         raise SettingsFault(f"myZone holds {own}: failureDomains has {len(zones)}")
-    if value("penalties.crossZone", float, "0") >= DEAR and not ("myZone" in pairs.pairs and len(zones) > 1):
+    # With one zone there is none to cross to, whatever it would cost: that is no mix.
+    if value("penalties.crossZone", float, "0") >= DEAR and not ("myZone" in pairs.pairs and zones):
         raise SettingsFault("myZone or failureDomains is missing, which a dear penalties.crossZone needs")
 
 
