A client that left before its request was read is not sent for; the door shuts when all are in

Held from now on: a request whose client left while it waited is not sent on 0.3 s later. Followed through Client.received: a request that waited in the listener's queue (held, no room, a starved loop) was handed to the door, and its leg written, in the same callback that read it, before the client's end could be read.

--- a/hopsail/net/clients.py
+++ b/hopsail/net/clients.py
@@ -75,6 +75,10 @@
             self.write(CONTINUE)
         if request is not None and self.reader.more:
             self._refuse(400)  # several at once: the protocol has one at a time
+        elif request is not None and self.over():
+            # It waited unread, in the listener's queue or here, and its client has left meanwhile.
+            self.listener.counters.add("taken.left")
+            self.close()
         elif request is not None:
             self.request, self.asked = request, self.asked + 1
             self.leaving = self.leaving or not request.keep
@@ -167,6 +171,15 @@
             self.close()
         return not self.open
 
+    def over(self):
+        """Whether the other side has ended right behind what has been read."""
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+
     def hung_up(self):
         """Whether the other side has ended, though not all it sent has been read: nothing else tells while a
         body that waits for its turn is left to the system."""
@@ -324,12 +337,15 @@
             client.close()
 
     def shut(self):
-        """Ends taking in, after all that has connected; answers end their connections, idle ones go."""
+        """Ends taking in, after all that has connected; answers end their connections, idle ones go. To be
+        called again until nobody is left."""
         self.stopping = True
         if self.sock is not None:
             if not self.held:
                 self._take_in(most=BACKLOG)
-            self._close_door()
+            # With no room for all that have connected it is tried again: a closed door would end the rest.
+            if self.held or not self.paused:
+                self._close_door()
         self.let_idle_go(MUTE_TIME)
 
     def let_idle_go(self, mute_for=0):
--- a/hopsail/net/door.py
+++ b/hopsail/net/door.py
@@ -124,8 +124,9 @@
             client.answer(refusal.answer)
             return
         self.counters.add("taken.writes" if retrieval.write else "taken.reads")
-        if self.open >= self.config.most_open:
-            # What is beyond the memory is turned away before the module, as the settings' own limit says.
+        if self.open >= self.config.most_open or self.ends is not None and self.loop.now() >= self.ends - MS:
+            # What is beyond the memory is turned away before the module, as the settings' own limit says; and
+            # what comes so late that no answer could be waited for: an effect must not begin then.
             self._count(retrieval.mark, "bounced")
             client.answer(Answer(503))
             return
