--- a/hopsail/net/door.py
+++ b/hopsail/net/door.py
@@ -168,6 +168,8 @@
         """The process ends: what is in hand, or comes now, is answered by then."""
         self.ends = ends
         for client in clients:
+            if client.passing is not None:
+                self._cut_short(client, ends)  # one that never ends was to be cut when it is too late now
             if (retrieval := client.retrieval) is not None and retrieval.ends > ends:
                 retrieval.ends = ends
                 for leg in retrieval.legs:
@@ -313,12 +315,16 @@
         if answer.flow is None:
             self._count(retrieval.mark, word)
         else:
-            client.passing = exchange = retrieval.mark  # answered, and counted, once all has gone out
+            client.passing = retrieval.mark  # it is answered, and counted, once all has gone out
             self.open += 1
             ends = retrieval.ends + GRACE
-            self.loop.at(min(ends, self.ends or ends), lambda: client.too_short(exchange))
+            self._cut_short(client, min(ends, self.ends or ends))
         client.answer(answer)
 
+    def _cut_short(self, client, at):
+        exchange = client.passing
+        self.loop.at(at, lambda: client.too_short(exchange))
+
     def _count(self, exchange, word):
         self.counters.add("answered." + word)
         self.figures.answered(exchange.track, word)
