--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -350,9 +350,7 @@
         if origin is None or origin.state is not State.READY:
             return False
         # Writes and reads each have a line and take turns: neither may starve the other.
-        # Behind those of equal benefit that may wait for long, a short promise is broken by waiting alone.
-        rank = not self._within_share(r), r.again, -r.track.benefit, r.track.promised
-        line = self.queues[r.write]
+        line, rank = self.queues[r.write], (not self._within_share(r), r.again, -r.track.benefit)
         if not line and self._room(origin):
             return True
         ahead = sum(entry[0] <= rank for entry in line) + 1
