The origin's limit follows the shortest promised time that is common

Lines: _learn's target at the origin, 0.6 of each leg's own promise: schedule-reads (500 ms) let the one queue grow to 300 ms, at which every setpoint-read is late. Now 0.6 of the shortest promise that has a twentieth of the retrievals (tables.Promises).

--- a/hopsail/decide.py
+++ b/hopsail/decide.py
@@ -16,7 +16,7 @@
 from .model import Bounce, Close, Fetch, Hold, Leg, Mean, Outcome, Repeat, Scope, Scrap, Send
 from .model import State, Steps, Subscribe, Sum, Tokens, WakeAt
 from .storms import Control
-from .tables import Asking, Counts, Latest, Paces, Ring, Shares, Sites, Sizes, digests, places
+from .tables import Asking, Counts, Latest, Paces, Promises, Ring, Shares, Sites, Sizes, digests, places
 
 POINTS = 96  # ring points of a cache of common size: keeps shares within about a tenth of each other
 DEAR = 0.05  # price of crossing zones from which each zone has homes of its own: a key then misses in each
@@ -40,7 +40,8 @@
 LOAD_LEAST, LOAD_MOST = 0.1, 3.0  # bounds of a zone's load
 ON_TIME = 0.17  # of the promised time: an answer inside it shows that the host has room
 ON_TIME_MOST = 0.4  # of the promised time, where the work itself takes long
-ORIGIN_ON_TIME = 0.6  # the same at the origin, which is slow by nature
+ORIGIN_ON_TIME = 0.6  # the same at the origin, which is slow by nature, and of the shortest promise, for all
+PROMISE_LEAST = 0.05  # of all retrievals, for a promise to count there: a rare one must not close the origin
 CROWDED = 1.7  # times the fleet's best mean time: a short queue and no crowd
 BASE_RISE = 1.0002  # for each answer: about a hundredth a second, to follow a slow change of the work
 BASE_COUNT = 40  # answers that the mean time is taken over, however few a second: chance evens out
@@ -118,6 +119,7 @@
         # Two rings where crossing zones is dear, this balancer's own zone first; else all are on the first.
         self.rings, self.sites, self.unit = (self.ring(), self.ring()), Sites(), 1.0
         self.counts = Counts(HALVING, now)
+        self.promises = Promises(SPAN, now)
         self.near = 1.0  # part of the keys that is at home in the own zone
         self.good, self.bad, self.sent = Sum(SPAN, now), Sum(SPAN, now), Sum(settings.fall_time, now)
         # A host's table of connections is soon full of idle ones that keep other balancers out.
@@ -212,6 +214,7 @@
 
     def arrived(self, now, r):
         self.now = now
+        self.promises.add(now, r.track.promised)
         r.patience = now + int(HOLD_PART * min(r.track.promised, r.ends - now))
         r.flow = self._write(r) if r.write else self._read(r)
         if self.storms:
@@ -548,7 +551,7 @@
         took, due = now - leg.sent, leg.retrieval.track.promised
         if outcome is not Outcome.FULL:  # quick, yet the slowest of all: a pace by it would flood the origin
             host.time.add(now, took)
-        target = due * ORIGIN_ON_TIME
+        target = self.promises.shortest(now, PROMISE_LEAST) * ORIGIN_ON_TIME
         if host.is_cache:
             # Crowded hosts do less and stay crowded, long before answers are late: the best mean time tells.
             if outcome is Outcome.HANDLED or outcome is Outcome.TIMED_OUT:
--- a/hopsail/tables.py
+++ b/hopsail/tables.py
@@ -7,7 +7,7 @@
 from itertools import islice
 from struct import unpack
 
-from .model import MS, SECOND, Mean, Tokens
+from .model import MS, SECOND, Mean, Sum, Tokens
 
 LONGEST = 900  # half-lives after which counting starts anew: new counts double each time, and floats end
 
@@ -74,6 +74,24 @@
         return int(min(self.first * 2 ** (self.failures - 1), self.most) * (0.5 + chance / 2))
 
 
+class Promises:
+    """How often each promised time has been asked for of late; decides nothing."""
+
+    def __init__(self, half, now):
+        self.half, self.all, self.each = half, Sum(half, now), {}  # by promised time, ns
+
+    def add(self, now, promised):
+        self.all.add(now)
+        if promised not in self.each:
+            self.each[promised] = Sum(self.half, now)
+        self.each[promised].add(now)
+
+    def shortest(self, now, least):
+        """The shortest that has `least` of all, in ns; the longest of all when none has."""
+        bound = least * self.all.read(now)
+        return min((p for p, many in self.each.items() if many.read(now) >= bound), default=max(self.each))
+
+
 class Sites:
     """What the ready caches are in all and by site, kept as they come and go; decides nothing."""
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -4,7 +4,7 @@
 from helpers import EFFECTFUL, ORIGIN, PURE, RECEIPTED, ZONED, Bench, entry, names, sent
 
 from hopsail.model import MS, SECOND, Bounce, Outcome, Repeat, Report, Scope, Scrap, State, Subscribe, Track
-from hopsail.tables import Counts
+from hopsail.tables import Counts, Promises
 
 HANDLED, MISS, ERROR, RESET = Outcome.HANDLED, Outcome.MISS, Outcome.ERROR, Outcome.RESET
 
@@ -348,6 +348,37 @@
     assert told and not sent(told)
 
 
+@pytest.mark.parametrize(
+    "short, grows",
+    [
+        (0, True),  # nobody has a shorter promise: answers within 0.6 of this one show room
+        (25, False),  # a quarter has: a line tuned to the others would break all of theirs
+        (2, True),  # so rare that the origin must not be closed for it
+    ],
+)
+def test_the_origins_line_is_as_short_as_the_shortest_common_promise(short, grows):
+    bench = Bench(0)  # all reads go to the origin
+    origin, long, quick = bench.balancer.origin, Track(promised=SECOND), Track(promised=300 * MS)
+    for i in range(100):
+        bench.now += 10 * MS
+        bench.balancer.promises.add(bench.now, (quick if i % 100 < short else long).promised)
+    origin.limit = 4.0
+    legs = [leg for i in range(4) for leg in sent(bench.ask(i + 1, long)[1])]
+    bench.end(legs[0], HANDLED, after=400 * MS)
+    assert (origin.limit > 4) is grows and (origin.limit < 4) is not grows
+
+
+def test_the_shortest_promise_is_one_that_has_its_part_and_old_ones_are_forgotten():
+    promises = Promises(SECOND, 0)
+    for at in range(100):
+        promises.add(at, 300 if at % 10 else 100)
+    assert promises.shortest(100, 0.05) == 100 and promises.shortest(100, 0.2) == 300
+    assert promises.shortest(100, 2) == 300  # none has as much: the longest
+    for at in range(100):
+        promises.add(60 * SECOND + at, 300)
+    assert promises.shortest(60 * SECOND + 100, 0.05) == 300
+
+
 @pytest.mark.parametrize("age, low, high", [(0, 0.1, 0.5), (4, 0.45, 0.85), (9, 0.98, 1)])
 def test_cold_part_grows_to_the_whole(age, low, high):
     warm, bench = not_hot(Bench(6)), not_hot(Bench(6))
