--- a/hopsail/__main__.py
+++ b/hopsail/__main__.py
@@ -112,7 +112,7 @@
         return discovery.fresh or in_vain or self.loop.now() >= self.fresh_by
 
     def _open(self):
-        """Takes clients in once it knows enough; one that replaces another process, once it can serve, too."""
+        """Takes clients in once it knows enough; one that replaces another, once it can serve, too."""
         if self.listener.held and self.door.ends is None:
             if self._knows() and (self.handover.senior or self.door.ready()):
                 self.listener.hold(False)
