A host is told no more time for a long request than its client gave

Cause: until the body is whole the retrieval ends after LONGEST, and the leg's limit, taken then, was told to the host: up to 600 s (both rows of the new test). Told is now the least of the leg's limit, the retrieval's end and the time given. Found by reading.

--- a/hopsail/net/hosts.py
+++ b/hopsail/net/hosts.py
@@ -51,7 +51,12 @@
 
     def _begin(self):
         self.rest_timer = None
-        left = self.leg.sent + self.leg.limit - self.loop.now()
+        retrieval = self.leg.retrieval
+        # Its end is known once its body is whole; until then the host is told no more than the client gave:
+        # it would go on working for one whose time is over.
+        left = min(self.leg.sent + self.leg.limit, retrieval.ends) - self.loop.now()
+        if retrieval.long:
+            left = min(left, retrieval.mark.lasts)
         self.write(encode_request(self.request, self.host, max(MS, left)))
         if self.open and not self.fed:
             self.request.flow.attach(self)
--- a/tests/test_flow.py
+++ b/tests/test_flow.py
@@ -229,6 +229,19 @@
     assert client.over and rig.counts["answered.scrapped"] == 1
 
 
+@pytest.mark.parametrize("sent", [100_000, len(LONG)])
+def test_a_host_is_told_no_more_time_for_a_long_request_than_its_client_gave(rig, sent):
+    rig = rig(hosts=1)
+    head, body = put(LONG)
+    client = Side(rig, rig.client(), head + body[:sent])
+    for _ in range(20):
+        client.turn()
+        rig.loop.round(0)
+    host = Side(rig, rig.accept(rig.origin))
+    play(rig, [client, host], lambda: b"\r\n\r\n" in host.got)
+    assert 0 < float(host.got.split(b"X-Expires-In: ")[1].split()[0]) <= 3
+
+
 def test_a_client_that_leaves_ends_the_long_answer(rig):
     rig = rig(hosts=1)
     client = rig.ask()
