A leg that comes up late is not written once receipts of an earlier one are forgotten

Cause: the module judges the window (`_may_repeat`) when it decides; HostConnection._begin writes when the connection has come up or has rested, up to the dialing time (0.25 s by the settings) later. With a short window and late connections an effect could run twice. Now such a leg is taken back as never sent and the module decides anew: 502, or 503 where all hosts drop repeats. Excluded: legs after a drain (call_off), after the client's time (the leg's timer), after its client left (never_send); each has its test.

--- a/hopsail/model.py
+++ b/hopsail/model.py
@@ -156,6 +156,14 @@
     flow: Any = None
     hold: Any = None
 
+    def forgotten(self, leg, now):
+        """Whether receipts of a leg before `leg` that may have run can be dropped by their hosts at `now`, ns:
+        begun from here on, `leg` might have its effect twice."""
+        if self.track.repeat is not Repeat.RECEIPTED:
+            return False
+        ran = (one.sent for one in self.legs if one is not leg and one.outcome not in NEVER_RAN)
+        return now - min(ran, default=now) >= max(1, self.track.remembered)
+
     def legs_left(self, most):
         """How many more it may have of so many."""
         return 0 if self.spent else max(0, most - len(self.legs))
--- a/hopsail/net/hosts.py
+++ b/hopsail/net/hosts.py
@@ -52,6 +52,11 @@
     def _begin(self):
         self.rest_timer = None
         retrieval = self.leg.retrieval
+        if retrieval.forgotten(self.leg, self.loop.now()):
+            # Decided on in time, but its connection came up, or had rested, too late: written now, what may
+            # have run would run once more. Taken back, the module decides anew.
+            self.loop.soon(self.pool.never_send, self.leg)
+            return
         # Its end is known once its body is whole; until then the host is told no more than the client gave:
         # it would go on working for one whose time is over.
         left = min(self.leg.sent + self.leg.limit, retrieval.ends) - self.loop.now()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -14,7 +14,7 @@
 from hopsail.load.scripted import SETTINGS, at, instance, listener, message, reply, reset, stuck, update
 from hopsail.model import MS, SECOND, Scope, Settings, State, Subscribe, WakeAt
 from hopsail.net.discovery import ListFault, Names, Objects
-from hopsail.net.hosts import REST_TIME
+from hopsail.net.hosts import REST_TIME, HostConnection
 
 HEADERS = {"X_Customer": "acme", "X_Expires_In": "2.000"}
 CHUNKS = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -320,6 +320,31 @@
     assert rig.status(client) == 200
 
 
+@pytest.mark.parametrize("group", ["all", "cell"])
+@pytest.mark.parametrize("late", [True, False])
+def test_a_leg_whose_connection_comes_up_late_is_not_written_once_receipts_are_forgotten(
+    rig, monkeypatch, group, late
+):
+    tracks = [track | {"group": group, "keyTtlUs": 400000} for track in SETTINGS["tracks"]]
+    rig = rig(settings=SETTINGS | {"tracks": tracks})
+    client = rig.ask("/note/k1", "PUT", b"v", Idempotency_Key="i1")
+    first = rig.accept(rig.origin)
+    rig.read(first)
+    held, ready = [True], HostConnection.ready
+    monkeypatch.setattr(HostConnection, "ready", lambda self, mask: held[0] and self.dialing or ready(self, mask))
+    rig.skip(0.3)
+    reset(first)  # it may have run
+    second = rig.accept(rig.origin)  # decided on within the window
+    rig.skip(0.15 if late else 0.05)
+    held[0] = False
+    if not late:
+        assert rig.read(second).startswith(b"PUT /note/k1 ")
+        second.sendall(reply(200))
+    # What may have run is bounced only where all hosts drop its repeats.
+    assert rig.status(client) == (200 if not late else 503 if group == "all" else 502)
+    assert rig.counts["legs.sent"] == 2 and rig.counts["legs.never_sent"] == late
+
+
 def test_a_leg_that_its_own_limit_would_end_sooner_is_not_prolonged_by_the_end(rig):
     rig = rig()
     client = rig.ask(X_Expires_In="60")
