--- a/hopsail/model.py
+++ b/hopsail/model.py
@@ -157,8 +157,8 @@
     hold: Any = None
 
     def forgotten(self, leg, now):
-        """Whether receipts of a leg before `leg` that may have run can be dropped by their hosts at `now`, ns:
-        begun from here on, `leg` might have its effect twice."""
+        """Whether receipts of a leg before `leg` that may have run can be forgotten by their hosts at `now`,
+        ns: begun from here on, `leg` might have its effect twice."""
         if self.track.repeat is not Repeat.RECEIPTED:
             return False
         ran = (one.sent for one in self.legs if one is not leg and one.outcome not in NEVER_RAN)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -331,7 +331,8 @@
     first = rig.accept(rig.origin)
     rig.read(first)
     held, ready = [True], HostConnection.ready
-    monkeypatch.setattr(HostConnection, "ready", lambda self, mask: held[0] and self.dialing or ready(self, mask))
+    late_up = lambda self, mask: held[0] and self.dialing or ready(self, mask)  # noqa: E731
+    monkeypatch.setattr(HostConnection, "ready", late_up)
     rig.skip(0.3)
     reset(first)  # it may have run
     second = rig.accept(rig.origin)  # decided on within the window
