After a pause, lists and clients that left are dealt with before hosts and new requests

Cause: events came in the system's order. Only the operators' door had its events first. Now each socket has a rank: lists and orders, then clients, then all else. Three tests pause the loop and fail without the mend. Excluded: requests read together with their client's end (peeked for), timers (they come after events).

--- a/hopsail/net/clients.py
+++ b/hopsail/net/clients.py
@@ -5,7 +5,7 @@
 from ..model import MS, SECOND
 from .flow import Flow
 from .log import say
-from .loop import READ
+from .loop import NEXT, READ
 from .messages import CONTINUE, MOST_BODY, MOST_LONG, Answer, MessageFault, RequestReader, encode_answer
 from .stream import SHORT, Stream, listening
 
@@ -29,6 +29,8 @@
 class Client(Stream):
     """One client's connection: reads a request, hands it to the door, writes the answer, and again."""
 
+    rank = NEXT
+
     def __init__(self, loop, sock, listener):
         self.listener, self.reader = listener, RequestReader(self._flowing)
         self.upload, self.download = None, None  # the flows of a long body in hand
--- a/hopsail/net/discovery.py
+++ b/hopsail/net/discovery.py
@@ -8,6 +8,7 @@
 from ..standing import number
 from ..model import MS, SECOND, Listing, Scope, State
 from .log import say
+from .loop import FIRST
 from .messages import authority
 from .stream import Stream, dial
 
@@ -145,6 +146,8 @@
 class Watch(Stream):
     """One call that stays open and brings JSON objects; its end, however it comes, is a failure."""
 
+    rank = FIRST
+
     def __init__(self, loop, sock, discovery):
         self.discovery, self.parser, self.objects = discovery, httptools.HttpResponseParser(self), Objects()
         self.timer, self.heard, self.silent = None, loop.now(), False
--- a/hopsail/net/loop.py
+++ b/hopsail/net/loop.py
@@ -12,6 +12,10 @@
 from .log import fault, say
 
 READ, WRITE = selectors.EVENT_READ, selectors.EVENT_WRITE
+# In what order a round's events are dealt with. After a pause of the process one round has all that came in
+# it: a host that comes up, or a new request, must not be acted on before the drain, the order or the client's
+# leave that came with it, long before.
+FIRST, NEXT, LAST = range(3)
 LONGEST_WAIT = 60.0  # seconds in one select
 LATE = 30_000_000  # ns behind a timer: more than work in hand explains, answers are in danger
 SPARE_TIMERS = 1000  # called-off timers on the heap before it is cleaned
@@ -34,7 +38,7 @@
         self.selector = selectors.DefaultSelector()
         self.timers, self.serial, self.cancelled = [], count(), 0
         self.turns, self.running, self.signals = deque(), True, {}
-        self.urgent = set()  # sockets whose events come first in a round
+        self.ranks = {}  # sockets whose events do not come last in a round
         # Steps like the monotonic clock but reads as Unix time, in which the list tells starts.
         self.offset = time_ns() - monotonic_ns()
 
@@ -50,17 +54,17 @@
         """Acts after what is being done now: a callback never runs inside the call that causes it."""
         self.turns.append((act, args))
 
-    def watch(self, sock, events, act, urgent=False):
+    def watch(self, sock, events, act, rank=LAST):
         self.selector.register(sock, events, act)
-        if urgent:
-            self.urgent.add(sock)
+        if rank != LAST:
+            self.ranks[sock] = rank
 
     def change(self, sock, events, act):
         self.selector.modify(sock, events, act)
 
     def unwatch(self, sock):
         self.selector.unregister(sock)
-        self.urgent.discard(sock)
+        self.ranks.pop(sock, None)
 
     def on_signal(self, number, act):
         if not self.signals:
@@ -98,8 +102,7 @@
     def round(self, longest):
         """All that is due now, after a wait of `longest` seconds at most for something to be."""
         events = self.selector.select(min(longest, self._wait()))
-        if self.urgent:
-            events.sort(key=lambda event: event[0].fileobj not in self.urgent)
+        events.sort(key=lambda event: self.ranks.get(event[0].fileobj, LAST))
         for key, mask in events:
             self._call(key.data, (mask,))
         now = self.now()
--- a/hopsail/net/operator.py
+++ b/hopsail/net/operator.py
@@ -6,7 +6,7 @@
 import socket
 
 from ..model import SECOND
-from .loop import READ
+from .loop import FIRST, READ
 from .stream import Stream, listening
 
 BACKLOG = 64  # connections that the system holds until they are taken in
@@ -20,7 +20,7 @@
 
 
 class Caller(Stream):
-    urgent = True
+    rank = FIRST
 
     def __init__(self, loop, sock, operator):
         self.operator, self.line, self.asked = operator, bytearray(), False
@@ -62,7 +62,7 @@
         self.loop, self.counters, self.calls, self.callers = loop, counters, calls, {}
         self.sock = listening(address, BACKLOG)
         self.address = self.sock.getsockname()
-        loop.watch(self.sock, READ, self._take_in, urgent=True)
+        loop.watch(self.sock, READ, self._take_in, FIRST)
 
     def _take_in(self, _mask):
         for _ in range(MOST_CALLERS):
--- a/hopsail/net/stream.py
+++ b/hopsail/net/stream.py
@@ -4,7 +4,7 @@
 import socket
 
 from .log import fault
-from .loop import READ, WRITE
+from .loop import LAST, READ, WRITE
 
 CHUNK = 64 * 1024  # bytes read at one event: one busy connection must not hold up the others
 UP_SOON = (0, errno.EINPROGRESS)
@@ -17,7 +17,7 @@
 
     `close` is the one place where the socket is given back. `ended` is never called from inside `write`."""
 
-    urgent = False  # its events come before others' in a round
+    rank = LAST  # of its events in a round
 
     def __init__(self, loop, sock, dialing=False):
         self.loop, self.sock, self.dialing = loop, sock, dialing
@@ -29,7 +29,7 @@
         self.finished = False
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        loop.watch(sock, WRITE if dialing else READ, self.ready, self.urgent)
+        loop.watch(sock, WRITE if dialing else READ, self.ready, self.rank)
 
     def connected(self): ...
 
@@ -117,7 +117,7 @@
         if not events:
             self.loop.unwatch(self.sock)
         elif not watched:
-            self.loop.watch(self.sock, events, self.ready, self.urgent)
+            self.loop.watch(self.sock, events, self.ready, self.rank)
         elif events != watched:
             self.loop.change(self.sock, events, self.ready)
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -451,6 +451,61 @@
         return None
 
 
+# A pause of the process: what came in it is dealt with in one round.
+
+
+def pause(rig, *acts):
+    """Does one after the other while the loop stands still; the system then tells of them in this order."""
+    while rig.loop.selector.select(0):
+        rig.loop.round(0)
+    for act in acts:
+        act()
+        time.sleep(0.02)
+    rig.loop.round(0)
+
+
+def test_after_a_pause_what_the_list_tells_comes_before_a_request_that_came_sooner(rig):
+    rig = rig()
+    sock = watched(rig)
+    client = rig.client()
+    rig.until(lambda: rig.node.listener.clients or None)
+    drains = [instance(f"h{i}", at(host), state="terminating") for i, host in enumerate(rig.hosts)]
+    told = json.dumps(update(8, *drains)).encode() + b"\n"
+    pause(rig, lambda: client.sendall(again(1)), lambda: tell(sock, told))
+    assert rig.counts["taken.reads"] == rig.counts["discovery.updates"] == 1
+    assert rig.read(rig.accept(rig.origin)).startswith(b"GET /read/k1 ")
+    assert not list(rig.waiting(*rig.hosts)) and rig.counts["legs.sent"] == 1
+
+
+def test_after_a_pause_a_client_that_left_is_known_before_the_fetch_it_waited_for(rig):
+    rig = rig(hosts=1)
+    rig.ask()
+    host, _ = rig.leg()
+    host.sendall(reply(404))
+    origin = rig.accept(rig.origin)
+    rig.read(origin)
+    waits = rig.ask()
+    rig.until(lambda: rig.counts["taken.reads"] == 2)
+    pause(rig, lambda: origin.sendall(reply(200)), waits.close)
+    assert rig.counts["answered.left"] == rig.counts["answered.handled"] == 1 and rig.counts["legs.sent"] == 2
+
+
+def test_after_a_pause_a_client_that_left_is_known_before_the_connection_it_waited_for(rig, monkeypatch):
+    held, ready = [True], HostConnection.ready
+    late_up = lambda self, mask: held[0] and self.dialing or ready(self, mask)  # noqa: E731
+    monkeypatch.setattr(HostConnection, "ready", late_up)
+    rig = rig(hosts=1)
+    client = rig.ask()
+    host = rig.accept(*rig.hosts)
+    for _ in range(3):  # up, and told of first from here on
+        rig.loop.round(0)
+    held[0] = False
+    client.close()
+    time.sleep(0.02)
+    rig.loop.round(0)
+    assert rig.counts["answered.left"] == 1 and rig.read(host) == b""
+
+
 # Clients.
 
 
