--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -44,6 +44,18 @@
     return sock
 
 
+def held_up(monkeypatch):
+    """While its one entry is true, connections to hosts do not come up."""
+    held, ready = [True], HostConnection.ready
+
+    def wait(self, mask):
+        if not (held[0] and self.dialing):
+            ready(self, mask)
+
+    monkeypatch.setattr(HostConnection, "ready", wait)
+    return held
+
+
 # Discovery.
 
 
@@ -330,9 +342,7 @@
     client = rig.ask("/note/k1", "PUT", b"v", Idempotency_Key="i1")
     first = rig.accept(rig.origin)
     rig.read(first)
-    held, ready = [True], HostConnection.ready
-    late_up = lambda self, mask: held[0] and self.dialing or ready(self, mask)  # noqa: E731
-    monkeypatch.setattr(HostConnection, "ready", late_up)
+    held = held_up(monkeypatch)
     rig.skip(0.3)
     reset(first)  # it may have run
     second = rig.accept(rig.origin)  # decided on within the window
@@ -491,9 +501,7 @@
 
 
 def test_after_a_pause_a_client_that_left_is_known_before_the_connection_it_waited_for(rig, monkeypatch):
-    held, ready = [True], HostConnection.ready
-    late_up = lambda self, mask: held[0] and self.dialing or ready(self, mask)  # noqa: E731
-    monkeypatch.setattr(HostConnection, "ready", late_up)
+    held = held_up(monkeypatch)
     rig = rig(hosts=1)
     client = rig.ask()
     host = rig.accept(*rig.hosts)
