--- a/hopsail/load/scripted.py
+++ b/hopsail/load/scripted.py
@@ -166,6 +166,15 @@
         assert self.status(client) == 200
         return client, host
 
+    def missed(self, **headers):
+        """A client whose read a host lacked, the host's side, and the origin's, which was asked next."""
+        client = self.ask(**headers)
+        host, _ = self.leg()
+        host.sendall(reply(404))
+        origin = self.accept(self.origin)
+        self.read(origin)
+        return client, host, origin
+
     def status(self, client):
         return int((self.read(client) or b"HTTP/1.1 0").split()[1])
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -489,11 +489,7 @@
 
 def test_after_a_pause_a_client_that_left_is_known_before_the_fetch_it_waited_for(rig):
     rig = rig(hosts=1)
-    rig.ask()
-    host, _ = rig.leg()
-    host.sendall(reply(404))
-    origin = rig.accept(rig.origin)
-    rig.read(origin)
+    _, _, origin = rig.missed()
     waits = rig.ask()
     rig.until(lambda: rig.counts["taken.reads"] == 2)
     pause(rig, lambda: origin.sendall(reply(200)), waits.close)
@@ -519,11 +515,7 @@
 
 def test_nothing_is_sent_for_a_client_that_left_while_its_key_was_being_fetched(rig):
     rig = rig(hosts=1)
-    first = rig.ask()
-    host, _ = rig.leg()
-    host.sendall(reply(404))
-    origin = rig.accept(rig.origin)
-    rig.read(origin)
+    first, _, origin = rig.missed()
     waits = rig.ask()
     rig.until(lambda: rig.counts["taken.reads"] == 2)
     waits.close()
@@ -700,10 +692,7 @@
 def test_what_the_module_holds_is_answered_when_the_end_comes_sooner(rig):
     slow = [track | {"promisedTimeUs": 20_000_000} for track in SETTINGS["tracks"]]
     rig = rig(hosts=1, settings=short(20, slow))
-    first = rig.ask(X_Expires_In="20")
-    host, _ = rig.leg()
-    host.sendall(reply(404))
-    rig.read(rig.accept(rig.origin))
+    first, _, _ = rig.missed(X_Expires_In="20")
     waits = rig.ask(X_Expires_In="20")
     rig.until(lambda: rig.counts["taken.reads"] == 2)
     rig.node.stop()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -541,11 +541,7 @@
 
 def test_retrievals_leave_nothing_for_the_collector(rig):
     rig = rig(hosts=1)
-    client = rig.ask()
-    host, _ = rig.leg()
-    host.sendall(reply(404))
-    origin = rig.accept(rig.origin)
-    rig.read(origin)
+    client, host, origin = rig.missed()
     origin.sendall(reply(200))
     assert rig.status(client) == 200
     gc.collect()
