--- a/hopsail/controlplane/kept_reader.py
+++ b/hopsail/controlplane/kept_reader.py
@@ -11,7 +11,8 @@
 from ..feed.topics import Topic
 from ..hosts.instance import InstanceError, Phase, parse_address
 from ..net.log import say
-from ..prompts.kept import KeptChange, KeptIndex
+from ..prompts.kept import KeptIndex
+from ..prompts.kept_events import KeptChange
 from .parts import part_of_service
 
 MILLISECOND = 1_000_000
--- a/hopsail/prompts/kept.py
+++ b/hopsail/prompts/kept.py
@@ -10,9 +10,11 @@
 
 from collections import OrderedDict
 from collections.abc import Iterable, Sequence
-from typing import NamedTuple
 
 from ..model import SECOND
+from .expectations import Expectation, Expectations
+from .kept_entries import MOST_FEEDS, KeptEntries
+from .kept_events import AppliedEvents, KeptChange, read_event, read_retained
 from .prefix import Part
 
 LEAST_TOKENS = 256  # a smaller part is not worth an entry
@@ -20,51 +22,9 @@
 EXPECTATION_NS = 20 * SECOND  # an expectation that nothing confirms lapses
 EXPECTED_SHARE = 4  # expectations are at most one for so many entries
 MOST_SOURCES = 16_384
-TOKEN_BITS = 32  # an entry packs the life, the feeds that tell it and its tokens into one integer
-MOST_TOKENS = (1 << TOKEN_BITS) - 1
-MOST_FEEDS = 16  # that tell entries at a time
-AMOUNT_BITS = TOKEN_BITS + MOST_FEEDS  # of an entry without its life: tokens, and a bit for each feed
-AMOUNT_MASK = (1 << AMOUNT_BITS) - 1
-FEEDS_MASK = AMOUNT_MASK ^ MOST_TOKENS
 HASH_MASK = (1 << 60) - 1  # as many bits as fit the smallest integer object
 
 
-class KeptEvent(NamedTuple):
-    """One event of a source: a part grew (+) or shrank (-) to so many tokens kept now."""
-
-    number: int
-    sign: str
-    salt: str
-    identifier: str
-    tokens: int
-    model: str
-
-
-class KeptChange(NamedTuple):
-    """What an event has changed: tokens of the part that the source keeps now, None for too few to track."""
-
-    salt: str
-    identifier: str
-    tokens: int | None
-    grown: bool  # by its sign: the source has read or taken more of the part
-
-
-class AppliedEvents(NamedTuple):
-    """What came of one answer's events, in their order; `unreadable` of them had not the form of one."""
-
-    changes: list[KeptChange]
-    unreadable: int
-
-
-class RetainedPart(NamedTuple):
-    """One entry of a source's whole list."""
-
-    salt: str
-    identifier: str
-    tokens: int
-    model: str
-
-
 class Source:
     """What is known of one host or store beside its entries."""
 
@@ -78,14 +38,6 @@
         self.needs_list = True
 
 
-class Expectation(NamedTuple):
-    """A part that a source should keep since it has read it."""
-
-    life: int
-    tokens: int
-    until: int  # ns
-
-
 class KeptIndex:
     """Which sources keep which parts: at most `max_entries` pairs of a part and a source.
 
@@ -94,24 +46,19 @@
     """
 
     def __init__(self, max_entries: int, least_tokens: int = LEAST_TOKENS, max_sources: int = MOST_SOURCES):
-        self.max_entries = max_entries
         self.least_tokens = least_tokens
         self.max_sources = max_sources
         self._lives = 0
         self._sources: OrderedDict[str, Source] = OrderedDict()  # the least recently heard of first
         self._feeds: dict[str, int] = {}  # bit of each feed that tells entries
         self._names: dict[int, str] = {}  # of sources, by the life of their entries
-        # A part that one source keeps, as most are, has one packed integer; others amounts by life.
-        self._kept: OrderedDict[int, int | dict[int, int]] = OrderedDict()
-        self._size = 0
-        self._expected: OrderedDict[tuple[int, str], Expectation] = OrderedDict()
-        self._max_expected = max(1, max_entries // EXPECTED_SHARE)
-        self._expecting: dict[int, set[str]] = {}  # sources with an expectation, by part
+        self._entries = KeptEntries(max_entries, self._names)
+        self._expectations = Expectations(max(1, max_entries // EXPECTED_SHARE))
         self._latest = 0  # ns
 
     def __len__(self) -> int:
         """Pairs of a part and a source, also those of lives that are over and not yet replaced."""
-        return self._size
+        return len(self._entries)
 
     def apply_events(
         self, host: str, incarnation: int, next_token: int, missing: bool, events: Iterable[Sequence]
@@ -129,7 +76,7 @@
         if missing:
             source.needs_list = True
         for values in events:
-            event = _read_event(values)
+            event = read_event(values)
             if event is None:
                 source.needs_list = True
                 unreadable += 1
@@ -150,7 +97,7 @@
         source.next_token = next_token
         source.needs_list = False
         for values in retained:
-            part = _read_retained(values)
+            part = read_retained(values)
             if part is not None:
                 self._set(host, source, _hash(part.salt, part.identifier), part.tokens)
 
@@ -171,37 +118,24 @@
 
         Expectations stay. ValueError when there are more feeds than can be told apart."""
         bit = self._feed_bit(feed)
-        source = self._source(host)
-        life, key = source.entries_life, _hash(salt, identifier)
+        life, key = self._source(host).entries_life, _hash(salt, identifier)
         if tokens < self.least_tokens:
-            self._remove(life, key)
-            return
-        feeds = self._amount(life, key) >> TOKEN_BITS | bit
-        self._put(life, key, feeds << TOKEN_BITS | min(tokens, MOST_TOKENS))
-        self._shrink()
+            self._entries.remove(life, key)
+        else:
+            self._entries.set(life, key, tokens, bit)
 
     def retract(self, feed: str, host: str, salt: str, identifier: str) -> None:
         """The feed does not tell of the entry any more, which goes unless another feed still does."""
         source = self._sources.get(host)
         bit = self._feeds.get(feed)
         if source is not None and bit is not None:
-            self._retract(source.entries_life, _hash(salt, identifier), bit)
+            self._entries.retract(source.entries_life, _hash(salt, identifier), bit)
 
     def forget_feed(self, feed: str) -> None:
         """Drops a feed, with the entries that only it told."""
         bit = self._feeds.pop(feed, None)
-        if bit is None:
-            return
-        mark = bit << TOKEN_BITS
-        for key, kept in list(self._kept.items()):
-            if isinstance(kept, dict):
-                for life in list(kept):
-                    self._retract(life, key, bit)
-            elif kept & FEEDS_MASK == mark:
-                del self._kept[key]
-                self._size -= 1
-            elif kept & mark:
-                self._kept[key] = kept ^ mark
+        if bit is not None:
+            self._entries.retract_all(bit)
 
     def forget_host(self, host: str) -> None:
         """Drops a source that has gone."""
@@ -232,21 +166,21 @@
         source = self._source(host)
         for part in parts:
             if part.tokens >= self.least_tokens:
-                self._expect_part(host, source, _hash(salt, part.identifier), part.tokens, lasting_ns)
+                expectation = Expectation(source.life, part.tokens, self._latest + lasting_ns)
+                self._expectations.set(_hash(salt, part.identifier), host, expectation)
 
     def holders(self, salt: str, identifier: str, now: int | None = None) -> dict[str, int]:
         """Tokens of the part by source that keeps it or should. `now` is in ns, by default that of the last
         `expect`."""
         key = _hash(salt, identifier)
-        found = {host: self._expected_tokens(host, key, now) for host in self._expecting.get(key, ())}
-        kept = self._touch(key)
-        for host, tokens in self._reported(kept):
+        found = {host: self._expected_tokens(host, key, now) for host in self._expectations.hosts(key)}
+        for host, tokens in self._entries.holders(key):
             found[host] = max(tokens, found.get(host, 0))
         return {host: tokens for host, tokens in found.items() if tokens}
 
     def reported_holders(self, salt: str, identifier: str) -> dict[str, int]:
         """As `holders`, without those that are only expected to keep the part."""
-        return dict(self._reported(self._touch(_hash(salt, identifier))))
+        return dict(self._entries.holders(_hash(salt, identifier)))
 
     def keeps(self, host: str, salt: str, part: Part, now: int) -> bool:
         """Whether the source is reported to keep the whole part, or expected to at `now` (ns)."""
@@ -254,13 +188,9 @@
         source = self._sources.get(host)
         if source is None:
             return part.tokens <= 0
-        tokens = 0
-        if key in self._kept:
-            self._kept.move_to_end(key)
-            tokens = self._amount(source.entries_life, key) & MOST_TOKENS
-        if tokens >= part.tokens:
+        if self._entries.tokens(source.entries_life, key) >= part.tokens:
             return True
-        expectation = self._expected.get((key, host))
+        expectation = self._expectations.get(key, host)
         return expectation is not None and expectation.until > now and expectation.life == source.life
 
     def kept_prefix(self, host: str, salt: str, parts: Iterable[Part], now: int | None = None) -> int:
@@ -328,7 +258,7 @@
         source.next_token = event.number
         key = _hash(event.salt, event.identifier)
         if event.sign == "-":
-            self._drop_expectation((key, host))
+            self._expectations.drop(key, host)
         self._set(host, source, key, event.tokens)
         tokens = event.tokens if event.tokens >= self.least_tokens else None
         return KeptChange(event.salt, event.identifier, tokens, event.sign == "+")
@@ -336,110 +266,20 @@
     def _set(self, host, source, key, tokens):
         """Notes what the source keeps of a part now."""
         if tokens < self.least_tokens:
-            self._remove(source.entries_life, key)
-            return
-        self._drop_expectation((key, host))
-        self._put(source.entries_life, key, min(tokens, MOST_TOKENS))
-        self._shrink()
-
-    def _shrink(self):
-        while self._size > self.max_entries:
-            _, kept = self._kept.popitem(last=False)
-            self._size -= len(kept) if isinstance(kept, dict) else 1
-
-    def _retract(self, life, key, bit):
-        """Takes the feed's bit off an entry; without feeds it goes, unless none had told it."""
-        amount = self._amount(life, key)
-        feeds = amount >> TOKEN_BITS
-        if not feeds & bit:
+            self._entries.remove(source.entries_life, key)
             return
-        if feeds == bit:
-            self._remove(life, key)
-        else:
-            self._put(life, key, amount ^ bit << TOKEN_BITS)
-
-    def _put(self, life, key, amount):
-        kept = self._kept.get(key)
-        if kept is None:
-            self._kept[key] = life << AMOUNT_BITS | amount
-            self._size += 1
-            return
-        self._kept.move_to_end(key)
-        if not isinstance(kept, dict):
-            other, other_amount = _unpack(kept)
-            if other == life or other not in self._names:
-                self._kept[key] = life << AMOUNT_BITS | amount
-                return
-            kept = self._kept[key] = {other: other_amount}
-        self._size += life not in kept
-        kept[life] = amount
-        if len(kept) > 2 * len(self._sources):
-            self._drop_over(kept)
-
-    def _drop_over(self, kept):
-        """Takes out what lives that are over have kept."""
-        for life in [life for life in kept if life not in self._names]:
-            del kept[life]
-            self._size -= 1
-
-    def _remove(self, life, key):
-        kept = self._kept.get(key)
-        if isinstance(kept, dict):
-            self._size -= kept.pop(life, None) is not None
-            if not kept:
-                del self._kept[key]
-        elif kept is not None and _unpack(kept)[0] == life:
-            del self._kept[key]
-            self._size -= 1
-
-    def _touch(self, key):
-        """What is kept of a part, which becomes the latest touched; entries of lives that are over go."""
-        kept = self._kept.get(key)
-        if kept is None:
-            return {}
-        self._kept.move_to_end(key)
-        if isinstance(kept, dict):
-            self._drop_over(kept)
-        return kept
-
-    def _amount(self, life, key):
-        """Tokens, and bits of the feeds that tell them, of one entry; 0 when there is none."""
-        kept = self._kept.get(key)
-        if kept is None:
-            return 0
-        if isinstance(kept, dict):
-            return kept.get(life, 0)
-        return kept & AMOUNT_MASK if kept >> AMOUNT_BITS == life else 0
-
-    def _reported(self, kept):
-        """Pairs of a source and its tokens out of what is kept of one part."""
-        pairs = kept.items() if isinstance(kept, dict) else (_unpack(kept),)
-        for life, amount in pairs:
-            host = self._names.get(life)
-            if host is not None:
-                yield host, amount & MOST_TOKENS
+        self._expectations.drop(key, host)
+        self._entries.set(source.entries_life, key, tokens)
 
     def _tokens(self, host, key, now):
         source = self._sources.get(host)
         if source is None:
             return 0
-        tokens = self._amount(source.entries_life, key) & MOST_TOKENS
-        if tokens:
-            self._kept.move_to_end(key)
+        tokens = self._entries.tokens(source.entries_life, key)
         return max(tokens, self._expected_tokens(host, key, now))
 
-    def _expect_part(self, host, source, key, tokens, lasting_ns):
-        pair = (key, host)
-        if pair in self._expected:
-            self._expected.move_to_end(pair)
-        else:
-            self._expecting.setdefault(key, set()).add(host)
-        self._expected[pair] = Expectation(source.life, tokens, self._latest + lasting_ns)
-        if len(self._expected) > self._max_expected:
-            self._drop_expectation(next(iter(self._expected)))
-
     def _expected_tokens(self, host, key, now):
-        expectation = self._expected.get((key, host))
+        expectation = self._expectations.get(key, host)
         if expectation is None:
             return 0
         source = self._sources.get(host)
@@ -448,40 +288,6 @@
             return 0
         return expectation.tokens
 
-    def _drop_expectation(self, pair):
-        if self._expected.pop(pair, None) is None:
-            return
-        key, host = pair
-        hosts = self._expecting[key]
-        hosts.discard(host)
-        if not hosts:
-            del self._expecting[key]
-
 
-def _hash(salt, identifier):
+def _hash(salt: str, identifier: str) -> int:
     return hash((salt, identifier)) & HASH_MASK
-
-
-def _unpack(kept):
-    return kept >> AMOUNT_BITS, kept & AMOUNT_MASK
-
-
-def _read_event(values):
-    """The event, None when it has not the form of one."""
-    if not isinstance(values, (list, tuple)) or len(values) != len(KeptEvent._fields):
-        return None
-    event = KeptEvent(*values)
-    proper = type(event.number) is int and event.sign in ("+", "-") and _is_part(event)
-    return event if proper else None
-
-
-def _read_retained(values):
-    if not isinstance(values, (list, tuple)) or len(values) != len(RetainedPart._fields):
-        return None
-    part = RetainedPart(*values)
-    return part if _is_part(part) else None
-
-
-def _is_part(value):
-    texts = isinstance(value.salt, str) and isinstance(value.identifier, str)
-    return texts and type(value.tokens) is int and value.tokens >= 0
--- a/tests/test_prompts.py
+++ b/tests/test_prompts.py
@@ -7,7 +7,9 @@
 
 from hopsail.model import SECOND
 from hopsail.prompts.affinity import routing_key, shared_prefix
-from hopsail.prompts.kept import EXPECTATION_NS, MOST_FEEDS, KeptChange, KeptIndex
+from hopsail.prompts.kept import EXPECTATION_NS, KeptIndex
+from hopsail.prompts.kept_entries import MOST_FEEDS
+from hopsail.prompts.kept_events import KeptChange
 from hopsail.prompts.prefix import MOST_PARTS, Part, TokenCount, parse_prefix, parse_token_count
 from hopsail.prompts.salt import LONGEST, cache_salt
 
@@ -205,11 +207,11 @@
         known.expect(host, SALT, [Part(identifier, 300)], now)
         known.apply_events(host, random.randrange(3), now, False, [event(now, "+", identifier, 300)])
         assert len(known) <= 40 and len(known._sources) == len(known._names) <= 5
-    assert len(known._expected) <= 10 and len(known._expecting) <= 10
+    assert len(known._expectations.pairs) <= 10 and len(known._expectations.by_part) <= 10
 
 
 def recount(known):
-    return sum(len(kept) if isinstance(kept, dict) else 1 for kept in known._kept.values())
+    return sum(len(kept) if isinstance(kept, dict) else 1 for kept in known._entries.parts.values())
 
 
 def test_the_index_agrees_with_a_plain_one_over_drawn_reports():
