What may have run is decided in one place; a refusal without id, a late order and a late start are no longer trusted

What follows from an attempt's end was spread over the attempt, the connection and the forwarding. It is now a set of pure functions in dataplane/execution.py, from the kind of request, what was written, what the host said and what the client has, to: may it have run, may it be repeated, what is the client told.

Shown by tests that failed before, and mended: - An answer without Hopsail-Attempt-Id on a connection that had carried an earlier request was taken for this request's: with Hopsail-Not-Executed a request that may not be repeated went to a second host. On such a connection it ends the attempt now, and nothing that it says counts. - One-shot calls bear no id, and orders to hosts shared connections with reports: a second answer to a report (200) was taken for the order's "holds already". The request's bytes are made when they are written. - A request of which the system took no byte counted as one that may have run. - After a late timer a host could still be asked past the deadline, if the one before had not come up.

Ruled out, with tests: a second answer in the same read, while idle, and after the next request was written; an answer before the body is out (the connection ends, none of the next request's bytes follow); 1xx unasked and several; bodies of 204 and 304; two lengths, length and chunks, bare line feeds in chunks, extensions.

The host's stand-in of test_dataplane_forward.py counts the bytes taken, as the stream does; no assertion there has changed.

--- a/hopsail/dataplane/attempt.py
+++ b/hopsail/dataplane/attempt.py
@@ -1,24 +1,10 @@
 """One attempt of a request at one host: what comes back, told as one of a few outcomes."""
 
-from enum import Enum, auto
 from typing import Protocol
 
 from ..http.client import ClientConnection, Failure
 from ..http.message import ResponseHead
-
-ATTEMPT_ID = "hopsail-attempt-id"
-SEAL = "hopsail-server-seal"
-NOT_EXECUTED = "hopsail-not-executed"
-MISDIRECTED = 421
-
-
-class Outcome(Enum):
-    """How an attempt ended."""
-
-    COMPLETE = auto()  # the host's whole answer has come
-    NOT_SENT = auto()  # nothing was written: it can't have run
-    DECLINED = auto()  # the host says that it did not run it
-    BROKEN = auto()  # it may have run
+from .execution import ATTEMPT_ID, Outcome, declines, outcome_of
 
 
 class Owner(Protocol):
@@ -44,18 +30,19 @@
     @property
     def written(self) -> bool:
         """Whether bytes of the request may have reached the host."""
-        return self.connection is not None and self.connection.written_at is not None
+        return self.connection is not None and self.connection.request_taken > 0
 
     @property
     def declined(self) -> bool:
         """Whether the host's answer states that the request was not run."""
-        response = self.response
-        if response is None:
-            return False
-        return response.status == MISDIRECTED or response.header(NOT_EXECUTED) is not None
+        return declines(self.response)
 
     def head(self, head: ResponseHead) -> bool:
-        if head.header(ATTEMPT_ID) not in (self.identifier, None):
+        told = head.header(ATTEMPT_ID)
+        if told is None and self.connection is not None and self.connection.used:
+            self.break_off()  # it may be one to an earlier request: neither its body nor its word counts
+            return False
+        if told not in (self.identifier, None):
             return False  # a surplus answer to an earlier request
         self.response = head
         if not self.declined:
@@ -67,13 +54,11 @@
             self.owner.answer_data(self, data)
 
     def complete(self) -> None:
-        self._end(Outcome.DECLINED if self.declined else Outcome.COMPLETE)
+        self._end(outcome_of(True, self.response, whole=True))
 
     def failed(self, failure: Failure) -> None:
-        if self.declined:
-            self._end(Outcome.DECLINED)
-        else:
-            self._end(Outcome.NOT_SENT if failure is Failure.NOT_SENT else Outcome.BROKEN)
+        written = failure is not Failure.NOT_SENT
+        self._end(outcome_of(written, self.response, whole=False))
 
     def abandon(self) -> None:
         """Gives the attempt up; closing its connection tells the host."""
--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -1,13 +1,26 @@
 """One client's request on its way: attempts at hosts, and the one answer that the client gets."""
 
 from enum import Enum, auto
+from functools import partial
 
 from ..http.client import Failure
 from ..http.message import ResponseHead, encode_request, end_to_end, whole_number
 from ..http.server import Exchange
 from ..routing.admission import Verdict
-from .attempt import ATTEMPT_ID, NOT_EXECUTED, SEAL, Attempt, Outcome
+from .attempt import Attempt
 from .events import Event, EventError, EventSplitter
+from .execution import (
+    ATTEMPT_ID,
+    NOT_EXECUTED,
+    Begun,
+    Outcome,
+    Told,
+    decide,
+    kind_of,
+    passes,
+    told_at_deadline,
+    told_at_end,
+)
 from .prompt import Prompt, read_prompt
 
 MILLISECOND = 1_000_000
@@ -20,7 +33,6 @@
     "hopsail-target-instance hopsail-tenant hopsail-deadline-ms expect-version cache-salt kv-fetch kv-save "
     "priority authorization".split()
 )
-PROMISES = frozenset((408, 421, 429, 503))  # statuses that promise that a request has not run
 
 
 class Refusal(Enum):
@@ -41,11 +53,7 @@
         self.deadline = deadline  # ns, the earlier of the client's and the route's
         self.prompt: Prompt = read_prompt(self.request)
         self.identifier = self.request.header(ATTEMPT_ID) or ""
-        self.streaming = route["RouteKind"] == "streaming"
-        self.repeatable = route["RouteKind"] == "idempotent" or (
-            self.streaming and route.get("Resumable", False)
-        )
-        self.resuming = self.streaming and self.repeatable
+        self.kind = kind_of(route)
         self.attempt: Attempt | None = None
         self.excluded: set[str] = set()
         self.sent = self.dials = 0
@@ -86,6 +94,8 @@
 
     def _try(self) -> None:
         plane = self.plane
+        if plane.loop.now() >= self.deadline:
+            return  # its timer is due
         placed = plane.place(self)
         if placed is None:
             self._give_up(Refusal.NO_HOST)
@@ -97,15 +107,16 @@
         if connection is None:
             plane.loop.soon(attempt.failed, Failure.NOT_SENT)
         else:
-            connection.carry(self._encoded(placed), attempt)
+            connection.carry(partial(self._encoded, placed), attempt)
         plane.attempt_began(self, attempt)
 
     def _encoded(self, placed) -> bytes:
+        """The request's bytes, made when they are written: the host is told the time that is left then."""
         left = max(1, (self.deadline - self.plane.loop.now()) // MILLISECOND)
         headers = [
             (name, value) for name, value in end_to_end(self.request.headers) if name not in OWN_HEADERS
         ]
-        if self.resuming and self.last_event is not None:
+        if self.kind.resumable and self.last_event is not None:
             headers = [(name, value) for name, value in headers if name != LAST_EVENT_ID]
             headers.append((LAST_EVENT_ID, str(self.last_event)))
         headers.append(("hopsail-deadline-ms", str(left)))
@@ -123,51 +134,40 @@
         self.plane.attempt_over(self, attempt, outcome)
         if attempt.written:
             self.sent += 1
-        if outcome is Outcome.COMPLETE:
-            self._completed(attempt)
-        elif outcome is Outcome.NOT_SENT:
-            self._not_sent(attempt)
-        elif outcome is Outcome.DECLINED:
-            self._declined(attempt)
+        passed = attempt is self.passing
+        decision = decide(self.kind, outcome, passed, self.begun, self.may_have_run)
+        self.may_have_run = decision.may_have_run
+        if decision.told is Told.ANSWER:
+            self._completed()
+            return
+        self.excluded.add(attempt.host.identifier)
+        if outcome is Outcome.NOT_SENT:
+            self._not_sent()
+        elif decision.may_repeat and self._may_try_again():
+            self._try()
         else:
-            self._broken(attempt)
+            self._give_up(Refusal.DECLINED)
 
-    def _completed(self, attempt: Attempt) -> None:
-        if attempt is not self.passing:
-            self._broken(attempt)
-            return
+    @property
+    def begun(self) -> Begun:
+        """What the client has of its answer."""
+        if not self.exchange.started:
+            return Begun.NOTHING
+        return Begun.PART if self.splitter is None else Begun.EVENTS
+
+    def _completed(self) -> None:
         if self.splitter is not None:
             self._send_events(self.splitter.end())
         self._end()
         self.exchange.finish()
 
-    def _not_sent(self, attempt: Attempt) -> None:
+    def _not_sent(self) -> None:
         self.dials += 1
-        self.excluded.add(attempt.host.identifier)
         if self.dials < MOST_DIALS:
             self._try()
         else:
             self._give_up(Refusal.NO_CONNECTION)
 
-    def _declined(self, attempt: Attempt) -> None:
-        self.excluded.add(attempt.host.identifier)
-        if self._may_try_again():
-            self._try()
-        else:
-            self._give_up(Refusal.DECLINED)
-
-    def _broken(self, attempt: Attempt) -> None:
-        self.may_have_run = True
-        self.excluded.add(attempt.host.identifier)
-        resumable = self.splitter is not None or not self.exchange.started
-        if self.repeatable and resumable and self._may_try_again():
-            self._try()
-        elif self.exchange.started:
-            self._end()
-            self.exchange.abort()
-        else:
-            self._answer(502)
-
     def _may_try_again(self) -> bool:
         if self.sent >= self.route.get("MaxTries", 1):
             return False
@@ -179,25 +179,16 @@
 
     # What a host answers.
 
-    def _passes(self, response: ResponseHead) -> bool:
-        """Whether the answer is one that may be given to the client as it is."""
-        if 200 <= response.status < 300:
-            sealed = response.header(SEAL) is not None and response.header(ATTEMPT_ID) is not None
-            return sealed and not _encoded_body(response)
-        if response.status in PROMISES:
-            return False  # it may have run: that promise can't be passed on
-        return True
-
     def answer_began(self, attempt: Attempt, head: ResponseHead) -> None:
         """A host's answer has begun, and the host does not decline."""
-        if attempt is not self.attempt or not self._passes(head):
+        if attempt is not self.attempt or not passes(head):
             return
         is_events = head.status == 200 and (head.header("content-type") or "").startswith(EVENT_STREAM)
         if self.exchange.started and not is_events:
             return  # it can't go on where the first host's events ended
         self.plane.first_byte(self, attempt)
         self.passing = attempt
-        if self.resuming and is_events:
+        if self.kind.resumable and is_events:
             self.splitter = EventSplitter()  # what an earlier host left unfinished is told anew
         if self.exchange.started:
             return
@@ -245,32 +236,30 @@
 
     def _give_up(self, refusal: Refusal) -> None:
         """No further attempt: the client is told at once."""
-        if self.exchange.started:
-            self._end()
-            self.exchange.abort()
-        elif self.may_have_run:
-            self._answer(502)  # no promise is true of it
-        else:
+        told = told_at_end(self.begun, self.may_have_run)
+        if told is Told.REFUSED:
             self.plane.refused(self, refusal)
             self._refuse()
+        else:
+            self._tell(told)
+
+    def _tell(self, told: Told) -> None:
+        """Ends a request that no promise is true of."""
+        self._end()
+        if told is Told.CUT:
+            self.exchange.abort()
+        else:
+            self.exchange.respond(502 if told is Told.UNKNOWN else 504)
 
     def _refuse(self) -> None:
         self._end()
         after = self.plane.retry_after(self)
         self.exchange.respond(503, headers=[("retry-after", f"{after:.3f}"), (NOT_EXECUTED, "1")])
 
-    def _answer(self, status: int) -> None:
-        self._end()
-        self.exchange.respond(status)
-
     def _deadline_passed(self) -> None:
         self.timer = None
         self._abandon_attempt()
-        self._end()
-        if self.exchange.started:
-            self.exchange.abort()
-        else:
-            self.exchange.respond(504)
+        self._tell(told_at_deadline(self.begun))
 
     def _client_gone(self) -> None:
         self._abandon_attempt()
@@ -288,7 +277,3 @@
             self.timer.cancel()
             self.timer = None
         self.plane.forwarding_ended(self)
-
-
-def _encoded_body(response: ResponseHead) -> bool:
-    return response.header("content-encoding") not in (None, "identity")
--- a/hopsail/dataplane/plane.py
+++ b/hopsail/dataplane/plane.py
@@ -15,8 +15,9 @@
 from ..routing.outcomes import Failure
 from ..routing.retries import RetryBudget
 from ..rpc.channel import Channel
-from .attempt import Attempt, Outcome
+from .attempt import Attempt
 from .controls import ControlLinks
+from .execution import Outcome
 from .forward import Forwarding, Refusal
 from .gates import WAIT_SHARE, Gates
 from .placement import Placed, Placement
--- a/hopsail/http/client.py
+++ b/hopsail/http/client.py
@@ -17,6 +17,8 @@
 IDLE_PER_ADDRESS = 32
 MOST_BODY = 32 << 20  # bytes of a one-shot answer
 MOST_HEAD = 64 << 10
+REPEATABLE_METHODS = frozenset(("GET", "HEAD"))  # of one-shot calls
+RESET_AT_CLOSE = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # struct linger: on, 0 s
 
 
 class Failure(Enum):
@@ -46,8 +48,9 @@
     def __init__(self, loop, sock, address, pool: "ConnectionPool"):
         self.address, self.pool = address, pool
         self.listener: Listener | None = None
-        self.request: bytes | None = None  # to be written once the connection is up
-        self.written_at: int | None = None  # ns; from then on the call may have run
+        self.request: bytes | Callable[[], bytes] | None = None  # to be written once the connection is up
+        self.written_at: int | None = None  # ns
+        self.taken_before = 0  # `gone_out` when the request was written
         self.used = False
         self.idle_since = 0
         self.keep_until = 0
@@ -56,22 +59,28 @@
         super().__init__(loop, sock, dialing=True)
         self.timer = loop.at(loop.now() + CONNECT_TIME, self._not_up)
 
-    def carry(self, data: bytes, listener: Listener) -> None:
-        """Sends a request's bytes as soon as the connection is up."""
-        self.listener, self.request = listener, data
+    def carry(self, request: bytes | Callable[[], bytes], listener: Listener) -> None:
+        """Sends a request as soon as the connection is up: its bytes, or what gives them at that moment."""
+        self.listener, self.request = listener, request
         self.written_at, self.until_close = None, False
         self.parser = httptools.HttpResponseParser(self)
         self.status, self.headers, self.head_bytes = 0, [], 0
         self.whole = self.skipping = self.keep_alive = self.head_read = False
-        self.bodiless = data.startswith(b"HEAD ")  # its answer ends with the head, whatever length is stated
         if not self.dialing:
             self._write_request()
 
     def _write_request(self):
-        data, self.request = self.request, None
-        self.written_at = self.loop.now()
+        request, self.request = self.request, None
+        data = request if isinstance(request, bytes) else request()
+        self.bodiless = data.startswith(b"HEAD ")  # its answer ends with the head, whatever length is stated
+        self.written_at, self.taken_before = self.loop.now(), self.gone_out
         self.write(data)
 
+    @property
+    def request_taken(self) -> int:
+        """Bytes of the request that the system has taken: with the first of them, it may run."""
+        return 0 if self.written_at is None else self.gone_out - self.taken_before
+
     def connected(self):
         self.timer.cancel()
         if self.request is not None:
@@ -153,7 +162,7 @@
             self.listener = None
             listener.complete()
             return
-        self._report(Failure.NOT_SENT if self.written_at is None else Failure.BROKEN)
+        self._report(Failure.BROKEN if self.request_taken else Failure.NOT_SENT)
 
     def _fail(self, failure: Failure):
         self.close()
@@ -169,6 +178,12 @@
         self.listener = None
         self.close()
 
+    def reset(self) -> None:
+        """The same, and what the host has not had yet is not to reach it later."""
+        if self.open:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+        self.abandon()
+
     def released(self):
         self.timer.cancel()
         self.pool.gone(self)
@@ -183,10 +198,12 @@
         self.connections: dict[ClientConnection, None] = {}
         self.dialed = self.reused = 0
 
-    def take(self, address) -> ClientConnection | None:
-        """A connection that is idle or on its way up; None when none can be had now."""
+    def take(self, address, fresh: bool = False) -> ClientConnection | None:
+        """A connection that is idle or on its way up; None when none can be had now.
+
+        `fresh`: one that has carried nothing before, on which no answer to an earlier call can come."""
         now = self.loop.now()
-        idle = self.idle.get(address, [])
+        idle = [] if fresh else self.idle.get(address, [])
         while idle:
             connection = idle.pop()
             if now > connection.keep_until:
@@ -263,8 +280,8 @@
 class _Call:
     """A one-shot call: collects the answer."""
 
-    def __init__(self, client: "HttpClient", done: Callable[[Response | None], None]):
-        self.client, self.done = client, done
+    def __init__(self, repeatable: bool, done: Callable[[Response | None], None]):
+        self.repeatable, self.done = repeatable, done
         self.response_head: ResponseHead | None = None
         self.data = bytearray()
         self.connection: ClientConnection | None = None
@@ -288,8 +305,10 @@
 
     def give_up(self):
         """Too late or too long."""
-        if self.connection is not None:
+        if self.connection is not None and self.repeatable:
             self.connection.abandon()
+        elif self.connection is not None:
+            self.connection.reset()
         self._end(None)
 
     def _end(self, response: Response | None):
@@ -302,7 +321,10 @@
 
 
 class HttpClient:
-    """One-shot calls with whole answers; `done(None)` when there is none in time."""
+    """One-shot calls with whole answers; `done(None)` when there is none in time.
+
+    The answer to a call bears no id. One that may not be repeated goes on a connection of its own, where no
+    late answer to an earlier call can pass for its own, and is not left on its way when it is given up."""
 
     def __init__(self, loop, pool: ConnectionPool | None = None):
         self.loop, self.pool = loop, pool or ConnectionPool(loop)
@@ -318,8 +340,9 @@
         done: Callable[[Response | None], None] = lambda response: None,
     ) -> None:
         """`timeout` in ns. `done` is called once, never from inside this call."""
-        call = _Call(self, done)
-        connection = self.pool.take(address)
+        repeatable = method in REPEATABLE_METHODS
+        call = _Call(repeatable, done)
+        connection = self.pool.take(address, fresh=not repeatable)
         if connection is None:
             self.loop.soon(call.failed, Failure.NOT_SENT)
             return
--- a/tests/test_dataplane_forward.py
+++ b/tests/test_dataplane_forward.py
@@ -10,8 +10,8 @@
 import pytest
 
 from hopsail.configuration.process import parse_settings
-from hopsail.dataplane.attempt import Outcome
 from hopsail.dataplane.events import MOST_EVENT, EventError, EventSplitter
+from hopsail.dataplane.execution import Outcome
 from hopsail.dataplane.forward import MOST_DIALS, MOST_UNSENT, Forwarding, Refusal
 from hopsail.dataplane.placement import Placed
 from hopsail.dataplane.plane import DataPlane
@@ -139,11 +139,16 @@
         self.until_close = self.used = self.paused = self.finished = False
         self.open = self.dialing = True
         self.unsent, self.sent = bytearray(), bytearray()
+        self.gone_out = self.taken_before = 0
+        self.takes: int | None = None  # bytes that the system takes of the request; None: all
         self.timer = Timer(0, None)
 
     def write(self, data):
         assert self.open
-        self.sent += data
+        taken = data[: self.takes]
+        self.sent += taken
+        self.gone_out += len(taken)
+        self.unsent += data[len(taken) :]
 
     def pause(self, paused):
         self.paused = paused
@@ -190,7 +195,7 @@
 class Pool:
     def __init__(self, loop):
         self.loop, self.connections, self.made = loop, {}, []
-        self.manners = deque()  # of the next connections; "up" without one
+        self.manners = deque()  # of the next connections; "up" without one, a number: bytes taken
         self.rested, self.dialed, self.reused = [], 0, 0
 
     def take(self, address):
@@ -200,7 +205,9 @@
         connection = HostSide(self, address)
         self.connections[connection] = None
         self.made.append(connection)
-        if manner == "up":
+        if isinstance(manner, int):
+            connection.takes = manner
+        if manner == "up" or isinstance(manner, int):
             self.loop.soon(connection.up)
         elif manner == "refused":
             self.loop.soon(connection.refuses)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -259,6 +259,13 @@
     "folded line": request("/a", "X: a\r\n b"),
     "space before the colon": request("/a", "X : a"),
     "space in the target": request("/a b"),
+    "chunk size in bare line feeds": in_chunks(b"5\nhello\n0\n\n"),
+    "two equal lengths": request("/a", *["Content-Length: 5"] * 2, method="POST", body=b"hello"),
+    "a list of lengths": request("/a", "Content-Length: 5, 5", method="POST", body=b"hello"),
+    "space after a length's sign": request("/a", "Content-Length: - 5", method="POST", body=b"hello"),
+    "chunked twice": request(
+        "/a", "Transfer-Encoding: chunked", "Transfer-Encoding: identity", method="POST", body=b"0\r\n\r\n"
+    ),
     "unknown method": request("/a", method="BREW"),
     "no HTTP": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
     "tunnel": request("h.example:443", method="CONNECT"),
@@ -276,6 +283,13 @@
     assert not service.exchanges and service.refused == [400]
 
 
+def test_extensions_of_chunks_are_no_part_of_the_body(runner):
+    service = Service(runner, echo)
+    client = service.client(in_chunks(b"5;a=b;c\r\nhello\r\n0;x=y\r\n\r\n") + request("/2"))
+    client.receives(b"/a hello", b"/2 ")
+    assert [one.body for one in service.requests] == [b"hello", b""]
+
+
 def test_requests_before_a_malformed_one_get_their_own_answers_first(runner):
     service = Service(runner)
     client = service.client(request("/1") + request("/2") + b"no request\r\n\r\n")
@@ -855,6 +869,19 @@
     assert call.heard[0].header("x") is None
 
 
+def test_interim_answers_that_nobody_asked_for_and_several_are_passed_over(runner):
+    host = Host(runner)
+    call, peer = host.call("mine")
+    interim = b"HTTP/1.1 103 Early Hints\r\nHopsail-Attempt-Id: other\r\nHopsail-Not-Executed: 1\r\n\r\n"
+    peer.send(interim + b"HTTP/1.1 100 Continue\r\n\r\n" + interim)
+    runner.settle()
+    assert not call.heard and call.end is None
+    peer.send(answer_for(b"mine"))
+    assert host.ended(call) == "complete" and call.statuses == [200]
+    assert call.heard[0].header("hopsail-not-executed") is None
+    assert host.pool.idle
+
+
 def test_an_interim_answer_alone_is_broken(runner):
     host = Host(runner)
     call, peer = host.call()
@@ -960,6 +987,69 @@
     assert not call.heard and not call.data
 
 
+def test_a_second_answer_that_comes_after_the_next_request_was_written_is_skipped(runner):
+    host = Host(runner)
+    call, peer = host.call("first")
+    peer.send(answer_for(b"first"))
+    assert host.ended(call) == "complete"
+    again, none = host.call("second")
+    assert none is None and again.connection is call.connection
+    peer.send(answer_for(b"first", b"again"))
+    runner.settle()
+    assert again.end is None and not again.heard
+    peer.send(answer_for(b"second", b"right"))
+    assert host.ended(again) == "complete" and again.data == b"right"
+    assert call.data == b"hello" and call.statuses == [200]
+
+
+@pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified"])
+@pytest.mark.parametrize("together", [True, False])
+def test_a_body_where_none_may_be_belongs_to_no_request(runner, status, together):
+    host = Host(runner)
+    call, peer = host.call()
+    head = b"HTTP/1.1 " + status + b"\r\nContent-Length: 5\r\n\r\n"
+    peer.send(head + b"hello" if together else head)
+    assert host.ended(call) == "complete" and not call.data
+    if not together:
+        peer.send(b"hello")
+        runner.until(lambda: not host.pool.connections, "the end of the connection")
+    assert not host.pool.connections
+
+
+def test_an_answer_before_the_body_is_out_ends_the_connection(runner):
+    host = Host(runner)
+    call = Call()
+    call.connection = host.pool.take(host.address)
+    body = b"b" * (32 << 20)  # more than the system's buffers take
+    call.connection.carry(encode_request("POST", "/a", [("host", "h")], body), call)
+    peer = host.accepted()
+    peer.receives(b"\r\n\r\n")
+    peer.send(SIZED)
+    assert host.ended(call) == "complete" and call.data == b"hello"
+    assert not host.pool.connections
+    again = Call()
+    other = host.pool.take(host.address)
+    other.carry(encode_request("GET", "/other", [("host", "h")], b""), again)
+    host.accepted().receives(b"GET /other")
+    rest = peer.ends().partition(b"\r\n\r\n")[2]
+    assert len(rest) < len(body) and not rest.strip(b"b")
+
+
+def test_a_body_that_is_out_but_not_read_is_followed_by_the_next_request(runner):
+    host = Host(runner)
+    call = Call()
+    call.connection = host.pool.take(host.address)
+    call.connection.carry(encode_request("POST", "/a", [("host", "h")], b"b" * 20_000), call)
+    peer = host.accepted()
+    runner.until(lambda: call.connection.request_taken > 20_000, "the body")
+    peer.send(SIZED)
+    assert host.ended(call) == "complete"
+    again, none = host.call()
+    assert none is None and again.connection is call.connection
+    peer.receives(b"GET /a")
+    assert peer.got.partition(b"\r\n\r\n")[2].startswith(b"b" * 20_000 + b"GET /a")
+
+
 def test_the_answer_to_head_ends_with_its_head(runner):
     host = Host(runner)
     call, peer = host.call(method="HEAD")
@@ -1134,6 +1224,71 @@
     assert done == [None] and not client.pool.connections
 
 
+def test_a_call_that_may_not_be_repeated_shares_its_connection_with_no_earlier_one(runner):
+    """Answers to one-shot calls bear no id: a second answer to the report would be taken for the order's."""
+    host = Host(runner)
+    client = HttpClient(runner.loop, host.pool)
+    done = []
+    client.call(host.address, "GET", "/-/report", done=done.append)
+    peer = host.accepted()
+    peer.receives(b"\r\n\r\n").send(SIZED)
+    runner.until(lambda: done, "the report")
+    client.call(host.address, "POST", "/-/order", body=b"{}", done=done.append)
+    other = host.accepted()
+    peer.send(SIZED)
+    runner.settle()
+    assert len(done) == 1
+    other.receives(b"POST /-/order").send(b"HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n")
+    runner.until(lambda: len(done) == 2, "the order's answer")
+    assert done[1].status == 409
+    client.call(host.address, "GET", "/-/report", done=done.append)
+    other.receives(b"GET /-/report")  # what may be repeated goes on any
+
+
+@pytest.mark.parametrize(("method", "reset"), [("POST", True), ("PUT", True), ("GET", False)])
+def test_a_call_that_may_not_be_repeated_is_given_up_with_a_reset(runner, method, reset):
+    """What a cut holds up of it must not reach the host later."""
+    host = Host(runner)
+    client = HttpClient(runner.loop, host.pool)
+    done = []
+    client.call(host.address, method, "/-/order", timeout=500 * MILLISECOND, done=done.append)
+    peer = host.accepted()
+    peer.receives(b"\r\n\r\n")
+    runner.forward(501 * MILLISECOND)
+    assert done == [None] and not host.pool.connections
+    peer.ends()
+    assert peer.reset == reset
+
+
+def test_what_no_byte_was_written_of_is_told_as_not_sent(runner, monkeypatch):
+    host = Host(runner)
+    call = Call()
+    call.connection = host.pool.take(host.address)
+    monkeypatch.setattr(type(call.connection), "_flush", lambda connection: None)
+    call.connection.carry(encode_request("POST", "/a", [], b"x"), call)
+    peer = host.accepted()
+    runner.settle()
+    assert call.connection.written_at is not None and not call.connection.request_taken
+    peer.close()
+    assert host.ended(call) is Failure.NOT_SENT
+
+
+def test_a_request_is_made_when_its_connection_is_up(runner):
+    host = Host(runner)
+    call, made = Call(), []
+
+    def encode():
+        made.append(call.connection.dialing)
+        return encode_request("HEAD", "/a", [("host", "h")], b"")
+
+    call.connection = host.pool.take(host.address)
+    call.connection.carry(encode, call)
+    assert not made
+    peer = host.accepted()
+    peer.receives(b"HEAD /a").send(SIZED[:-5])
+    assert host.ended(call) == "complete" and made == [False]
+
+
 # Messages
 
 
