--- a/tests/test_controlplane_rollouts.py
+++ b/tests/test_controlplane_rollouts.py
@@ -44,6 +44,7 @@
 
     def __init__(self, name: str = "core-1", part: FakePart | None = None):
         self.now, self.look, self.orders = 1_000_000_000, None, []
+        self.targets_named = []
         self.loop = SimpleNamespace(now=lambda: self.now)
         self.settings = SimpleNamespace(
             node_name=name,
@@ -70,6 +71,7 @@
         self.look = act
 
     def _call(self, address, method, path, headers, body, timeout, done) -> None:
+        self.targets_named.append(dict(headers).get("hopsail-target-instance"))
         if method == "POST":
             self.orders.append((self.now, json.loads(body)))
             done(Response(202, [], b""))
@@ -100,6 +102,14 @@
     assert (order["Owner"], order["FenceToken"]) == (duty.owner, duty.fence)
 
 
+def test_orders_and_reports_name_the_host_that_they_are_for(plane):
+    """Its address may have passed to another host, or the same one may have started anew."""
+    plane.name(2)
+    plane.run(4000 * MS)
+    assert len(plane.targets_named) > len(plane.orders) > 0
+    assert set(plane.targets_named) == {"i-1"}
+
+
 def test_nothing_is_ordered_while_all_hosts_hold_the_target(plane):
     plane.host = plane.listed(2)
     plane.name(2)
