--- a/tests/test_dataplane_forward.py
+++ b/tests/test_dataplane_forward.py
@@ -238,13 +238,17 @@
         self.hosts = [HostState(f"i-{number}", ("10.0.0.1", 8000 + number)) for number in range(hosts)]
         self.under_way, self.outcomes, self.refusals = [], [], []
         self.first_bytes = self.asked = 0
-        self.ended = []
+        self.ended, self.left = [], []
+        self.verdict = Verdict.ADMIT
 
     def pick_service(self, route):
         return route["Service"]
 
     def offer(self, forwarding):
-        return Verdict.ADMIT
+        return self.verdict
+
+    def left_gate(self, forwarding):
+        self.left.append(forwarding)
 
     def place(self, forwarding):
         for host in self.hosts:
@@ -291,6 +295,8 @@
     def __init__(self, kind=MUTATING, headers=(), tenant=None, body=b"hello", method="POST", **more):
         self.plane = Plane(more.pop("hosts", 9), more.pop("allowed", True))
         self.loop, self.pool = self.plane.loop, self.plane.pool
+        if more.pop("queued", False):
+            self.plane.verdict = Verdict.QUEUE
         self.pool.manners.extend(more.pop("manners", ()))
         version = more.pop("version", "1.1")
         self.client = ClientSide(self.loop)
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -44,8 +44,8 @@
 def says(data, in_order=None, reused=False):
     """The host says this; then, unless `in_order` is None, the connection ends: in order or with a reset."""
 
-    def act(journey):
-        host = journey.host()
+    def act(journey, number=0):
+        host = journey.host(number)
         host.used = reused
         if data:
             host.says(data)
@@ -275,6 +275,52 @@
     assert kind_of({"RouteKind": "mutating", "Resumable": True}) is RequestKind.MUTATING
 
 
+# A client that leaves, and hosts in one try
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_nothing_is_written_for_a_client_that_left_while_its_connection_came_up(kind):
+    journey = Journey(KINDS[kind], manners=["silent"])
+    journey.exchange.client_gone()
+    host = journey.host()
+    assert not host.open and not host.sent
+    journey.loop.forward(4 * SECOND)
+    assert len(journey.pool.made) == 1 and journey.plane.outcomes == [None]
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_nothing_is_sent_for_a_client_that_left_before_its_turn(kind):
+    journey = Journey(KINDS[kind], queued=True)
+    assert not journey.pool.made
+    journey.exchange.client_gone()
+    journey.forwarding.admitted()
+    journey.loop.forward(4 * SECOND)
+    assert not journey.pool.made and journey.plane.left == [journey.forwarding]
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_the_second_hosts_work_ends_when_its_client_leaves(kind):
+    journey = Journey(KINDS[kind])
+    journey.host().says(SHED)
+    assert journey.host(1).open
+    journey.exchange.client_gone()
+    assert not journey.host(1).open
+    journey.loop.forward(4 * SECOND)
+    assert journey.sent == 2
+
+
+@pytest.mark.parametrize("tries", [1, 2, 3])
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("act", [says(SHED), says(b"", False), says(SOME_EVENTS, False)])
+def test_no_more_hosts_are_sent_a_request_than_its_route_allows(act, kind, tries):
+    journey = Journey(KINDS[kind], MaxTries=tries)
+    for number in range(8):
+        if number < len(journey.pool.made):
+            act(journey, number)
+    assert journey.over() in (502, 503, "cut")
+    assert journey.sent <= tries and journey.plane.budget.spent == journey.sent - 1
+
+
 # The time that a host is told
 
 
