A host whose address another one has is passed over; its quick refusals drew the requests

A 421 that names another instance in Hopsail-Instance-Id shows that the one wanted has ended for good, as each start is a new instance: it is paused for the longest time at once, then probed by one request. A 421 without that header, or by the host itself (another version of the weights), stays a sign of health.

--- a/hopsail/dataplane/attempt.py
+++ b/hopsail/dataplane/attempt.py
@@ -4,7 +4,7 @@
 
 from ..http.client import ClientConnection, Failure
 from ..http.message import ResponseHead
-from .execution import ATTEMPT_ID, Outcome, declines, outcome_of
+from .execution import ATTEMPT_ID, Outcome, declines, is_replaced, outcome_of
 
 
 class Owner(Protocol):
@@ -37,6 +37,11 @@
         """Whether the host's answer states that the request was not run."""
         return declines(self.response)
 
+    @property
+    def is_replaced(self) -> bool:
+        """Whether another instance has answered at the host's address."""
+        return is_replaced(self.response, self.host.identifier)
+
     def head(self, head: ResponseHead) -> bool:
         told = head.header(ATTEMPT_ID)
         if told is None and self.connection is not None and self.connection.used:
--- a/hopsail/dataplane/execution.py
+++ b/hopsail/dataplane/execution.py
@@ -11,6 +11,7 @@
 ATTEMPT_ID = "hopsail-attempt-id"
 SEAL = "hopsail-server-seal"
 NOT_EXECUTED = "hopsail-not-executed"
+INSTANCE_ID = "hopsail-instance-id"
 MISDIRECTED = 421
 PROMISES = frozenset((408, 421, 429, 503))  # statuses that promise that a request has not run
 
@@ -83,6 +84,13 @@
     return head is not None and (head.status == MISDIRECTED or head.header(NOT_EXECUTED) is not None)
 
 
+def is_replaced(head: ResponseHead | None, instance: str) -> bool:
+    """Whether an answer shows that another instance has the address of the one that was named."""
+    if head is None or head.status != MISDIRECTED:
+        return False
+    return head.header(INSTANCE_ID) not in (None, instance)
+
+
 def passes(head: ResponseHead) -> bool:
     """Whether an answer of a host that does not decline may be given to the client as it is."""
     if 200 <= head.status < 300:
--- a/hopsail/dataplane/plane.py
+++ b/hopsail/dataplane/plane.py
@@ -255,7 +255,9 @@
         host.in_flight_work = max(0.0, host.in_flight_work - attempt.work) if host.in_flight else 0.0
         self.counters.add(f"attempts.{outcome.name.lower() if outcome else 'abandoned'}")
         now, health = self.loop.now(), self._health(forwarding)
-        if outcome in (Outcome.COMPLETE, Outcome.DECLINED):
+        if attempt.is_replaced:
+            health.failed(now, host.identifier, Failure.REPLACED)
+        elif outcome in (Outcome.COMPLETE, Outcome.DECLINED):
             health.succeeded(now, host.identifier)
         elif outcome is Outcome.NOT_SENT or (outcome is Outcome.BROKEN and attempt.response is None):
             health.failed(now, host.identifier, Failure.CONNECTION, attempt.sent_at)
--- a/hopsail/routing/outcomes.py
+++ b/hopsail/routing/outcomes.py
@@ -18,10 +18,11 @@
 
 
 class Failure(Enum):
-    """How a request failed without an answer of its host."""
+    """How a request failed without an answer of the host that it was for."""
 
     CONNECTION = "connection"  # refused, reset, or closed
     SILENCE = "silence"  # nothing came for longer than it should have
+    REPLACED = "replaced"  # another instance answers at its address: it has ended for good
 
 
 class Evidence:
@@ -64,6 +65,9 @@
         evidence = self._current(now, host) or self._begin(host)
         sent = now if sent is None else sent
         evidence.last_failure = now
+        if failure is Failure.REPLACED:
+            self._pause(now, evidence, self.longest_pause_ns)
+            return
         if failure is Failure.SILENCE and not evidence.failures:
             evidence.silences += 1
             if evidence.silences < SILENCES:
@@ -118,8 +122,8 @@
         evidence = self._evidence[host] = Evidence()
         return evidence
 
-    def _pause(self, now, evidence):
-        longer = self.first_pause_ns << min(evidence.failures, 16)
+    def _pause(self, now, evidence, least_ns=0):
+        longer = max(least_ns, self.first_pause_ns << min(evidence.failures, 16))
         evidence.failures += 1
         evidence.silences = 0
         evidence.pause_began = now
