Simulation of the whole control side: seeded schedules, invariants on every step, shortest schedules

The programs' own code (ControlPlane with its parts, storage records, feeds, roll-outs, membership, and DataPlane with its links and views) runs on one simulated clock, network and disk, with operators that send again and hosts that take orders. Schedules are lists of typed steps, drawn first and played later, so that a failing one can be shortened. Faults: cuts both ways and one way, kills, loss of power, wiped disks, slow, full and stalled disks, freezes inside of a callback with stale readings of the clock, steps of the time of day, replacements, the whole control side down, messages lost, doubled and late.

--- /dev/null
+++ b/tests/simulation/doors.py
@@ -0,0 +1,203 @@
+"""What programs get in place of sockets: servers, channels, clients and datagrams on the simulated network.
+
+Bodies are encoded and decoded as on a real wire."""
+
+from collections.abc import Callable
+from itertools import count
+
+from hopsail.http.message import Request, Response
+from hopsail.rpc.errors import Timeout
+from hopsail.rpc.structs import decode, encode
+
+
+class SimulatedRpcServer:
+    """In place of `RpcServer`."""
+
+    def __init__(self, loop, address, fleet: str, *more):
+        self.machine, self.methods = loop.machine, {}
+        self.machine.rpc = self
+
+    def register(self, method: str, argument_class, handler) -> None:
+        self.methods[method] = argument_class, handler
+
+    def close(self) -> None:
+        self.machine.rpc = None
+
+    def take(self, method: str, body: bytes, respond) -> None:
+        """A call has come."""
+        argument_class, handler = self.methods[method]
+        handler(decode(argument_class, body), respond, None)
+
+
+class SimulatedRespond:
+    """The way back to a caller; the caller's end is not noticed."""
+
+    closed = False
+
+    def __init__(self, machine, channel: "SimulatedChannel", seqid: int):
+        self.machine, self.channel, self.seqid = machine, channel, seqid
+
+    def on_closed(self, callback: Callable[[], None]) -> None:
+        """A caller that has gone is noticed by its next call."""
+
+    def __call__(self, reply) -> None:
+        data, channel = encode(reply), self.channel
+
+        def deliver() -> None:
+            channel.machine.have(lambda: channel.replied(self.seqid, data), channel.life)
+
+        self.machine.world.network.send(self.machine.host, channel.machine.host, deliver)
+
+
+class SimulatedChannel:
+    """In place of `Channel`."""
+
+    connected = True
+
+    def __init__(self, loop, address, fleet: str, counts=None):
+        self.loop, self.address = loop, tuple(address)
+        self.machine, self.life = loop.machine, loop.life
+        self._seqids, self._calls = count(1), {}
+        self._closed = False
+
+    def call(self, method: str, argument, reply_class, done, timeout: int) -> None:
+        seqid, body = next(self._seqids), encode(argument)
+        timer = self.loop.at(self.loop.now() + timeout, lambda: self._finish(seqid, None, Timeout(method)))
+        self._calls[seqid] = reply_class, done, timer
+        self._send(method, body, seqid)
+
+    def send(self, method: str, argument) -> None:
+        self._send(method, encode(argument), 0)
+
+    def close(self) -> None:
+        self._closed = True
+
+    def replied(self, seqid: int, data: bytes) -> None:
+        """An answer has come; a second one, or a late one, is dropped."""
+        if seqid in self._calls:
+            self._finish(seqid, decode(self._calls[seqid][0], data), None)
+
+    def _finish(self, seqid: int, reply, error) -> None:
+        call = self._calls.pop(seqid, None)
+        if call is not None:
+            call[2].cancel()
+            call[1](reply, error)
+
+    def _send(self, method: str, body: bytes, seqid: int) -> None:
+        world, machine = self.machine.world, self.machine
+
+        def deliver() -> None:
+            other = world.machine_at(self.address[0])
+            if other is None:
+                return
+
+            def take() -> None:
+                if other.rpc is not None:
+                    other.rpc.take(method, body, SimulatedRespond(other, self, seqid) if seqid else None)
+
+            other.have(take)
+
+        world.network.send(machine.host, self.address[0], deliver)
+
+
+class SimulatedExchange:
+    """The answer to a call from outside; `told(status, body)` when it has arrived."""
+
+    def __init__(self, machine, caller: str, told: Callable[[int, bytes], None]):
+        self.machine, self.caller, self.told = machine, caller, told
+        self.ended = False
+
+    def respond(self, status: int, body: bytes = b"", headers=()) -> None:
+        if self.ended:
+            return
+        self.ended = True
+        self.machine.world.checker.answered(self, status)
+        self.machine.world.network.send(self.machine.host, self.caller, lambda: self.told(status, body))
+
+    def on_gone(self, callback) -> None:
+        """Callers stay."""
+
+
+class SimulatedHttpServer:
+    """In place of `HttpServer`."""
+
+    busy = 0
+
+    def __init__(self, loop, address, handle, *more):
+        self.machine, self.handle = loop.machine, handle
+        self.machine.doors[tuple(address)[1]] = self
+
+    def drain(self) -> None:
+        """Answers go on."""
+
+    def close_idle(self) -> None:
+        """No connection is kept."""
+
+    def close(self) -> None:
+        self.machine.doors = {port: door for port, door in self.machine.doors.items() if door is not self}
+
+
+class SimulatedHttpClient:
+    """In place of `HttpClient`: calls hosts and the platform."""
+
+    def __init__(self, loop, *more):
+        self.loop, self.machine = loop, loop.machine
+
+    def call(self, address, method, target, headers=(), body=b"", timeout=0, done=lambda response: None):
+        world, machine, life = self.machine.world, self.machine, self.loop.life
+        over: list[bool] = []
+
+        def finish(response: Response | None) -> None:
+            if not over:
+                over.append(True)
+                done(response)
+
+        def reach() -> None:
+            status, answer = world.outside.call(tuple(address), target, body)
+            if status:
+                response = Response(status, [], answer)
+                world.network.send(
+                    address[0], machine.host, lambda: machine.have(lambda: finish(response), life)
+                )
+
+        world.outside.called(machine, tuple(address), target, body)
+        self.loop.at(self.loop.now() + timeout, lambda: finish(None))
+        world.network.send(machine.host, address[0], reach)
+
+
+class SimulatedSocket:
+    """In place of the membership's UDP socket."""
+
+    def __init__(self, loop, address):
+        self.machine, self.watcher = loop.machine, lambda mask: None
+        self.received: list[bytes] = []
+        self.machine.socket = self
+
+    def sendto(self, data: bytes, address) -> None:
+        world, host = self.machine.world, tuple(address)[0]
+
+        def deliver() -> None:
+            other = world.machine_at(host)
+            if other is not None and other.socket is not None:
+                other.have(lambda: other.socket.take(data))
+
+        world.network.send(self.machine.host, host, deliver)
+
+    def take(self, data: bytes) -> None:
+        """A datagram has come."""
+        self.received.append(data)
+        self.watcher(1)
+
+    def recvfrom(self, size: int):
+        if not self.received:
+            raise BlockingIOError
+        return self.received.pop(0)[:size], None
+
+    def close(self) -> None:
+        self.machine.socket = None
+
+
+def request_of(method: str, path: str, base: int | None, body: bytes) -> Request:
+    """An operator's call."""
+    headers = [] if base is None else [("if-match", str(base))]
+    return Request(method, path, headers, body)
--- /dev/null
+++ b/tests/simulation/steps.py
@@ -0,0 +1,144 @@
+"""The steps of a schedule: typed, drawn first and played later, so that any of them can be left out.
+
+`at` is in ms from the beginning of the schedule. A fault ends by itself after its time (`lasts`, ms). `who`
+names a machine of the control side when the step is played: a seat's number, or -1 - N for the leader of
+part N at that moment. A step that would lose more machines than may be lost at once does nothing."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class Step:
+    """Something that happens at a time."""
+
+    at: int
+
+
+@dataclass(frozen=True)
+class Changes(Step):
+    """Operators change the configuration: `rivals` under one number, each sent to `copies` at once.
+
+    `back`: how many acknowledged revisions before the newest one the change builds on."""
+
+    rivals: int = 1
+    copies: int = 1
+    patch: bool = False
+    back: int = 0
+
+
+@dataclass(frozen=True)
+class Resend(Step):
+    """An operator sends an acknowledged change again, the newest or one `back` before it."""
+
+    back: int = 0
+
+
+@dataclass(frozen=True)
+class NameWeights(Step):
+    """An operator names new weights of a model."""
+
+    model: int = 0
+
+
+@dataclass(frozen=True)
+class ReadBack(Step):
+    """An operator reads at every process."""
+
+
+@dataclass(frozen=True)
+class LoseAnswers(Step):
+    """The next answers to operators are lost on their way."""
+
+    count: int = 1
+
+
+@dataclass(frozen=True)
+class Kill(Step):
+    """A process ends at once; `power`: its machine loses power; `wipe`: its disk is lost with it."""
+
+    who: int
+    power: bool
+    wipe: bool
+    lasts: int
+
+
+@dataclass(frozen=True)
+class Freeze(Step):
+    """A process is stopped, inside of what it does, after so many readings of its clock."""
+
+    who: int
+    stale_reads: int
+    lasts: int
+
+
+@dataclass(frozen=True)
+class CutOff(Step):
+    """A machine's messages are lost; `scope`: all, core, edge or hosts, the others that it cannot reach."""
+
+    who: int
+    scope: str
+    outward: bool
+    inward: bool
+    lasts: int
+
+
+@dataclass(frozen=True)
+class DiskTrouble(Step):
+    """A disk is slow (`delay` in ms), full or stalled."""
+
+    who: int
+    condition: str
+    delay: int
+    lasts: int
+
+
+@dataclass(frozen=True)
+class StepClock(Step):
+    """A machine's time of day is set by so many ms; it shows when a process starts."""
+
+    who: int
+    by: int
+
+
+@dataclass(frozen=True)
+class Replace(Step):
+    """A machine is replaced by another at a new address, with an empty disk.
+
+    `planned`: the new one starts first, and the old one gets SIGTERM after `gap` ms. Else the old one is lost
+    at once, and the new one starts after `gap`."""
+
+    who: int
+    planned: bool
+    gap: int
+
+
+@dataclass(frozen=True)
+class CoreDown(Step):
+    """All control processes end at once, by a kill or a loss of power; `wiped` seats lose their disks."""
+
+    power: bool
+    wiped: tuple[int, ...]
+    lasts: int
+
+
+@dataclass(frozen=True)
+class RestartEdge(Step):
+    """A data plane ends, and begins anew after a while."""
+
+    edge: int
+    lasts: int
+
+
+@dataclass(frozen=True)
+class Tamper(Step):
+    """One message after this moment, the so-manieth, is lost, doubled or late."""
+
+    number: int
+    how: str
+
+
+@dataclass(frozen=True)
+class RoughNetwork(Step):
+    """For a while messages are lost, doubled and late by chance."""
+
+    lasts: int
--- /dev/null
+++ b/tests/simulation/world.py
@@ -0,0 +1,403 @@
+"""The simulated world: control processes, data planes, hosts and operators, and what befalls them."""
+
+from dataclasses import dataclass
+from random import Random
+
+from .clock import MILLISECOND, SECOND, Clock
+from .disk import USUAL_DELAY, WORKING
+from .invariants import AVAILABLE_WITHIN, UNFINISHED, Checker, Invariant
+from .machines import CONTROL_PORT, FLEET_PORT, FRONT_PORT, READY_PORT, Machine
+from .network import CALM, Cut, Network
+from .operators import HOST as OPERATOR, Operators
+from .outside import PLATFORM, Outside
+
+SYNC = 4 * SECOND  # for which a machine counts as lost after it is back
+LENIENT_SYNC = 25 * SECOND  # for which one that was replaced does, where the world is not strict
+GRACE = 8 * SECOND  # after SIGTERM
+LOOK_EVERY = 500 * MILLISECOND
+BEGIN_WITHIN = 10 * SECOND
+END_WITHIN = 25 * SECOND
+FAULTS_END_WITHIN = 30 * SECOND
+
+
+@dataclass(frozen=True)
+class WorldRules:
+    """How a world is made. Not `strict`: what waits for changes of the programs is not enforced."""
+
+    losses: int = 1
+    edges: int = 2
+    fence_checked: bool = True
+    strict: bool = False
+
+    @property
+    def enforced(self) -> frozenset[Invariant]:
+        """The invariants that are checked."""
+        return frozenset(Invariant) if self.strict else frozenset(Invariant) - UNFINISHED
+
+
+class Seat:
+    """One of the machines that the control side is to have."""
+
+    def __init__(self, machine: Machine):
+        self.machine = machine
+        self.lost = 0  # troubles that it is in now
+        self.back_at = -(1 << 60)
+
+
+class World:
+    """Everything that there is in one play; `run` lets time pass."""
+
+    def __init__(self, seed: int, rules: WorldRules):
+        self.rules = rules
+        self.random = Random(seed)
+        self.clock = Clock()
+        self.kinds = {OPERATOR: "operator"}
+        self.network = Network(self.clock, Random(self.random.random()), self._kind_of)
+        self.checker = Checker(self, rules.enforced)
+        self.outside = Outside(self)
+        self.operators = Operators(self, Random(self.random.random()))
+        self.machines: dict[str, Machine] = {}
+        self.network_mended_at = self.trouble_at = -(1 << 60)
+        self.began_at = 0
+        self._numbers = 0
+        self.seats = [Seat(self._new_machine("core")) for _ in range(2 * rules.losses + 1)]
+        self.leaving: list[Machine] = []
+        self.edges = [self._new_machine("edge") for _ in range(rules.edges)]
+
+    def _kind_of(self, host: str) -> str:
+        return self.kinds.get(host, "hosts")
+
+    def _new_machine(self, kind: str) -> Machine:
+        self._numbers += 1
+        host = f"10.0.0.{self._numbers}"
+        self.kinds[host] = kind
+        machine = Machine(self, host, f"{kind}-{self._numbers}", kind, Random(self.random.random()))
+        self.machines[host] = machine
+        return machine
+
+    def settings_of(self, machine: Machine, bootstrap: bool) -> str:
+        """The text of a machine's settings file at its start."""
+        seeds = ",".join(f"{seat.machine.host}:{CONTROL_PORT}" for seat in self.seats[:3])
+        lines = [
+            f"NodeName={machine.name}",
+            f"Ip={machine.host}",
+            "Zone=z1",
+            f"PortRange={FLEET_PORT},{FLEET_PORT + 15}",
+            f"SeedNodes={seeds}",
+            f"Bootstrap={'true' if bootstrap else 'false'}",
+            f"FaultBudget.MachineLosses={self.rules.losses}",
+            f"Bounds.FenceChecked={'true' if self.rules.fence_checked else 'false'}",
+            "CloudApi.Address={}:{}".format(*PLATFORM),
+        ]
+        if machine.kind == "core":
+            lines += [f"Listen.ControlPlane={machine.host}:{CONTROL_PORT}", "DataPath=/tmp"]
+        else:
+            lines += [
+                f"Listen.Frontend={machine.host}:{FRONT_PORT}",
+                f"Listen.Readiness={machine.host}:{READY_PORT}",
+            ]
+        return "\n".join(lines)
+
+    # Who is there.
+
+    @property
+    def played_ms(self) -> int:
+        """Since the schedule began."""
+        return (self.clock.now - self.began_at) // MILLISECOND
+
+    @property
+    def core(self) -> list[Machine]:
+        """The machines in the seats, running or not."""
+        return [seat.machine for seat in self.seats]
+
+    def listed_core(self) -> list[Machine]:
+        """The operator's list."""
+        return self.core + [machine for machine in self.leaving if machine.runs]
+
+    def machine_at(self, host: str) -> Machine | None:
+        """The machine with an address."""
+        return self.machines.get(host)
+
+    def leader(self, part: int) -> Machine | None:
+        """Who leads a part, by the latest term."""
+        found = [
+            (machine.program.parts[part].replica.term, machine)
+            for machine in self.machines.values()
+            if machine.kind == "core" and machine.runs and machine.program.parts[part].leads
+        ]
+        return max(found, key=lambda one: one[0])[1] if found else None
+
+    def seat_of(self, who: int) -> Seat:
+        """The seat that a step names."""
+        if who < 0:
+            leader = self.leader(-1 - who)
+            for seat in self.seats:
+                if seat.machine is leader:
+                    return seat
+        return self.seats[abs(who) % len(self.seats)]
+
+    # Time.
+
+    def run(self, duration: int) -> None:
+        """Lets time pass."""
+        end = self.clock.now + duration
+        while self.clock.next_time <= end:
+            self._step()
+        self.clock.now = end
+
+    def run_until(self, condition, most: int) -> bool:
+        """Lets time pass until the condition holds, looked at from time to time; False when it does not."""
+        end = self.clock.now + most
+        while not condition():
+            if self.clock.now >= end:
+                return False
+            self.run(100 * MILLISECOND)
+        return True
+
+    def _step(self) -> None:
+        event = self.clock.pop()
+        if event.machine is None:
+            event.act()
+        else:
+            event.machine.have(event.act, event.life)
+
+    # The beginning.
+
+    def begin(self) -> None:
+        """Starts everything, and has a first configuration."""
+        for machine in self.core:
+            delay = self.random.randint(0, 300) * MILLISECOND
+            self.clock.at(self.clock.now + delay, lambda machine=machine: machine.start(bootstrap=True))
+        for machine in self.edges:
+            self.clock.at(self.clock.now + self.random.randint(0, 300) * MILLISECOND, machine.start)
+        self.run(400 * MILLISECOND)
+        self.operators.change(0)
+        if not self.run_until(self._has_begun, BEGIN_WITHIN):
+            raise AssertionError("the world does not begin")
+        self.began_at = self.clock.now
+        self.clock.at(self.clock.now + LOOK_EVERY, self._look)
+
+    def _has_begun(self) -> bool:
+        return not self.operators.pending and all(edge.program.ready for edge in self.edges)
+
+    def _look(self) -> None:
+        """Whether a proper change waits although nothing has happened for long."""
+        self.clock.at(self.clock.now + LOOK_EVERY, self._look)
+        quiet = self.clock.now - self.trouble_at >= AVAILABLE_WITHIN and self.network.weather == CALM
+        if not quiet:
+            return
+        for change in self.operators.pending:
+            waits = self.clock.now - change.began
+            if waits >= AVAILABLE_WITHIN and change.base == self.checker.newest:
+                lost = sum(self.is_lost(seat) for seat in self.seats)
+                self.checker.fail(
+                    Invariant.AVAILABLE, f"{change} waits for {waits // SECOND} s, {lost} machines are lost"
+                )
+
+    # Losses.
+
+    def is_lost(self, seat: Seat) -> bool:
+        """Whether a machine counts as lost: in trouble, or back for a short time."""
+        return seat.lost > 0 or self.clock.now < seat.back_at + SYNC
+
+    def may_lose(self, seat: Seat) -> bool:
+        """Whether a machine may be lost now beside those that are."""
+        others = sum(self.is_lost(other) for other in self.seats if other is not seat)
+        settles = not self.rules.strict and self.clock.now < seat.back_at  # its predecessor still votes
+        return others < self.rules.losses and not seat.lost and not settles
+
+    def lose(self, seat: Seat) -> None:
+        """A machine is lost from now on."""
+        seat.lost += 1
+        self._trouble(seat.machine)
+
+    def regain(self, seat: Seat) -> None:
+        """A machine is back."""
+        seat.lost -= 1
+        seat.back_at = self.clock.now
+        self._trouble(seat.machine)
+
+    def _trouble(self, machine: Machine) -> None:
+        self.trouble_at = machine.trouble_at = self.clock.now
+
+    def after(self, milliseconds: int, act) -> None:
+        """Has something done later."""
+        self.clock.at(self.clock.now + milliseconds * MILLISECOND, act)
+
+    # What befalls machines; each ends by itself.
+
+    def kill(self, seat: Seat, power: bool, wipe: bool, lasts: int) -> None:
+        """A machine's process ends, and begins anew later."""
+        machine = seat.machine
+        self.lose(seat)
+        machine.kill(power)
+        if wipe:
+            machine.disk.wipe()
+        self.after(lasts, lambda: self._again(seat, machine))
+
+    def _again(self, seat: Seat, machine: Machine) -> None:
+        if seat.machine is machine:
+            machine.start()
+        self.regain(seat)
+
+    def freeze(self, seat: Seat, stale_reads: int, lasts: int) -> None:
+        """A machine's process stands still."""
+        machine = seat.machine
+        self.lose(seat)
+        machine.freeze(stale_reads)
+
+        def thaw() -> None:
+            machine.thaw()
+            self.regain(seat)
+
+        self.after(lasts, thaw)
+
+    def cut_off(self, seat: Seat, scope: str, outward: bool, inward: bool, lasts: int) -> None:
+        """A machine is cut off from others."""
+        host = seat.machine.host
+        self.lose(seat)
+        self.network.cuts.append(Cut(host, scope, outward, inward))
+
+        def mend() -> None:
+            self.network.mend(host)
+            self.network_mended_at = self.clock.now
+            self.regain(seat)
+
+        self.after(lasts, mend)
+
+    def trouble_disk(self, seat: Seat, condition: str, delay: int, lasts: int) -> None:
+        """A machine's disk is not what it should be."""
+        machine = seat.machine
+        self.lose(seat)
+        machine.disk.set(condition, delay * MILLISECOND)
+
+        def mend() -> None:
+            machine.disk.set(WORKING, USUAL_DELAY)
+            self.regain(seat)
+
+        self.after(lasts, mend)
+
+    def replace(self, seat: Seat, planned: bool, gap: int) -> None:
+        """A new machine takes the place of another one."""
+        old, new = seat.machine, self._new_machine("core")
+        self.lose(seat)
+
+        def arrive() -> None:
+            seat.machine = new
+            new.start()
+            self.regain(seat)
+            if not self.rules.strict:
+                seat.back_at += LENIENT_SYNC - SYNC
+
+        def leave() -> None:
+            self.trouble_at = self.clock.now
+            old.stop_in_order()
+            life = old.life
+            self.after(GRACE // MILLISECOND, lambda: old.ended(life))
+
+        if planned:
+            self.leaving.append(old)
+            arrive()
+            self.after(gap, leave)
+        else:
+            old.kill(power=True)
+            old.disk.wipe()
+            self.after(gap, arrive)
+
+    def core_down(self, power: bool, wiped: list[Seat], lasts: int) -> None:
+        """All control processes end at once."""
+        for machine in self.leaving:
+            machine.kill(power)
+        for seat in self.seats:
+            self.kill(seat, power, seat in wiped, lasts)
+
+    def restart_edge(self, number: int, lasts: int) -> None:
+        """A data plane ends, and begins anew later."""
+        machine = self.edges[number % len(self.edges)]
+        machine.kill(power=False)
+        self.after(lasts, machine.start)
+
+    # The end.
+
+    def heal(self) -> None:
+        """Ends all faults."""
+        self.network.mend()
+        self.network.weather = CALM
+        self.network.tampered.clear()
+        self.operators.lost_answers = 0
+        self.network_mended_at = self.trouble_at = self.clock.now
+        for machine in self.machines.values():
+            machine.disk.set(WORKING, USUAL_DELAY)
+            machine.thaw()
+        for machine in self.core + self.edges:
+            machine.start()
+
+    def check_end(self) -> None:
+        """All is healed: everybody catches up in time, and what was acknowledged is read back everywhere."""
+        self.run_until(self._faults_are_over, FAULTS_END_WITHIN)
+        self.heal()
+        if not self.run_until(lambda: not self.operators.pending, END_WITHIN):
+            self.checker.fail(Invariant.RECOVERS, f"no clear answer to {self.operators.pending[0]}")
+        last = self.operators.change()[0]
+        if not self.run_until(lambda: not self._what_lacks(last), END_WITHIN):
+            self.checker.fail(Invariant.RECOVERS, self._what_lacks(last))
+        self._read_everywhere()
+
+    def _faults_are_over(self) -> bool:
+        return not any(seat.lost for seat in self.seats) and not any(one.runs for one in self.leaving)
+
+    def _what_lacks(self, last) -> str:
+        """Why it is not over; empty when it is."""
+        if last.status != 200:
+            return f"{last} is answered {last.status}"
+        if not all(naming.done for naming in self.operators.namings):
+            return "weights are not named"
+        return self._lacking_member() or self._lacking_edge() or self._lacking_host()
+
+    def _lacking_member(self) -> str:
+        hosts = {machine.host for machine in self.core}
+        for number in range(len(self.core[0].program.parts)):
+            leader = self.leader(number)
+            if leader is None:
+                return f"part {number} is not led"
+            replica = leader.program.parts[number].replica
+            voters = {identity.rpartition(":")[0] for identity in replica.voters}
+            if voters != hosts:
+                return f"part {number} has the voters {sorted(voters)}, not {sorted(hosts)}"
+            for machine in self.core:
+                other = machine.program.parts[number].replica
+                if other.recovering or other.applied_index < replica.commit_index:
+                    return f"{machine.name} lacks entries of part {number}"
+        return ""
+
+    def _lacking_edge(self) -> str:
+        for machine in self.edges:
+            view = machine.program.view
+            if not machine.program.ready or view.table.revision != self.checker.newest:
+                return f"{machine.name} has not {self.checker.newest}"
+            for model, revision in self.checker.named.items():
+                if view.targets[model].revision < revision if model in view.targets else True:
+                    return f"{machine.name} does not know {model} {revision}"
+        return ""
+
+    def _lacking_host(self) -> str:
+        for host in self.outside.hosts.values():
+            if host.revision < self.checker.named.get(host.model, 0):
+                return f"{host.identifier} holds {host.revision}"
+        return ""
+
+    def _read_everywhere(self) -> None:
+        bodies: list[bytes] = []
+        waiting = list(self.core)
+        while waiting:
+            machine = waiting.pop()
+            before = len(bodies)
+            for _ in range(20):
+                self.operators.read(machine, lambda revision, body: bodies.append(body))
+                if self.run_until(lambda before=before: len(bodies) > before, SECOND):
+                    break
+            else:
+                self.checker.fail(Invariant.RECOVERS, f"{machine.name} answers no read")
+        if len(set(bodies)) != 1:
+            self.checker.fail(Invariant.KEPT, f"{bodies} are read")
+        self.checker.at_end(bodies[0])
