A data plane that ends takes a request only if it can be answered within the grace

Cause: on SIGTERM the front only told clients to close.

Change: - dataplane/stopping.py decides from the time that is left, the deadline, and the longest that such requests have lately taken (routing/durations.py, by route and size; twice that for streams, which can't be taken back once begun). In the first 3 s all are taken that may fit. - What is refused gets 503 with Hopsail-Not-Executed, Retry-After 0 and Connection: close. That goes also for those that wait at the gate, for a place that comes too late, and for a second attempt; a stream that has begun is taken up at another host however late. - 0.6 s before the kill: 503 for what was never written, 502 for what a host works on, a cut only for what has begun, 503 for what is half read. - The server shuts in order: it takes in the listener's queue, reads what has come on idle connections before it closes them, gives new ones 250 ms to say something, and lets answers out that the system has not taken. Half-read requests keep it busy.

The stand-ins of two existing tests got the new methods; what they assert is unchanged.

--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -33,6 +33,7 @@
     "hopsail-target-instance hopsail-tenant hopsail-deadline-ms expect-version cache-salt kv-fetch kv-save "
     "priority authorization".split()
 )
+ELSEWHERE_AT_ONCE = 0.0  # s, retry-after of a process that ends: others take what it does not
 
 
 class Refusal(Enum):
@@ -42,6 +43,7 @@
     DECLINED = auto()
     NO_CONNECTION = auto()
     OVERLOAD = auto()
+    ENDING = auto()  # the process ends before the request could
 
 
 class Forwarding:
@@ -69,6 +71,9 @@
 
     def start(self) -> None:
         """Chooses the service by the route's weights and makes the first attempt when there is a place."""
+        if not self.plane.may_begin(self):
+            self._give_up(Refusal.ENDING)
+            return
         self.service = self.plane.pick_service(self.route)
         self.plane.budget.request(self.plane.loop.now(), self.service)
         verdict = self.plane.offer(self)
@@ -90,12 +95,20 @@
         if not self.ended:
             self._give_up(Refusal.OVERLOAD)
 
+    def refuse_if_late(self) -> None:
+        """Gives up the wait at the gate when the process ends before the request could."""
+        if not self.has_place and not self.ended and not self.plane.may_begin(self):
+            self._give_up(Refusal.ENDING)
+
     # Attempts.
 
     def _try(self) -> None:
         plane = self.plane
         if plane.loop.now() >= self.deadline:
             return  # its timer is due
+        if not self.exchange.started and not plane.may_begin(self):
+            self._give_up(Refusal.ENDING)
+            return
         placed = plane.place(self)
         if placed is None:
             self._give_up(Refusal.NO_HOST)
@@ -239,7 +252,7 @@
         told = told_at_end(self.begun, self.may_have_run)
         if told is Told.REFUSED:
             self.plane.refused(self, refusal)
-            self._refuse()
+            self._refuse(refusal)
         else:
             self._tell(told)
 
@@ -251,9 +264,9 @@
         else:
             self.exchange.respond(502 if told is Told.UNKNOWN else 504)
 
-    def _refuse(self) -> None:
+    def _refuse(self, refusal: Refusal) -> None:
         self._end()
-        after = self.plane.retry_after(self)
+        after = ELSEWHERE_AT_ONCE if refusal is Refusal.ENDING else self.plane.retry_after(self)
         self.exchange.respond(503, headers=[("retry-after", f"{after:.3f}"), (NOT_EXECUTED, "1")])
 
     def _deadline_passed(self) -> None:
@@ -261,6 +274,13 @@
         self._abandon_attempt()
         self._tell(told_at_deadline(self.begun))
 
+    def process_ends(self) -> None:
+        """The process ends now: an answer that has not begun is still one, and a promise where it holds."""
+        attempt = self.attempt
+        self.may_have_run |= attempt is not None and attempt.written
+        self._abandon_attempt()
+        self._give_up(Refusal.ENDING)
+
     def _client_gone(self) -> None:
         self._abandon_attempt()
         self._end()
--- a/hopsail/dataplane/plane.py
+++ b/hopsail/dataplane/plane.py
@@ -12,22 +12,22 @@
 from ..net.log import say
 from ..process import FLEET, MILLISECOND, Program
 from ..routing.admission import Verdict
+from ..routing.durations import RecentDurations
 from ..routing.outcomes import Failure
 from ..routing.retries import RetryBudget
 from ..rpc.channel import Channel
 from .attempt import Attempt
 from .controls import ControlLinks
-from .execution import Outcome
-from .forward import Forwarding, Refusal
+from .execution import NOT_EXECUTED, Outcome
+from .forward import ELSEWHERE_AT_ONCE, Forwarding, Refusal
 from .gates import WAIT_SHARE, Gates
 from .placement import Placed, Placement
+from .stopping import Ending
 from .view import FleetView
 
 ROLE = "dataplane"
 READY_PATH = "/-/readyz"
 TICK_MS = 200
-ENTRY_MISSES_MS = 3000  # the entry sends new connections for that long after a process is not ready
-GRACE_MARGIN_MS = 700  # before the platform kills
 BEARER = "bearer "
 TENANT_RANKS = 2  # a tenant's priority comes before the route's, of which there are so many
 LEAST_RETRY_AFTER, MOST_RETRY_AFTER = 0.05, 0.25  # s, where the hosts are there but can't take more
@@ -60,6 +60,8 @@
         self.in_flight: dict[Forwarding, None] = {}
         self.channels: dict[tuple[str, int], Channel] = {}
         self.controls = ControlLinks(self.loop, settings.machine_losses, self._follow, self._left)
+        self.durations = RecentDurations(self.loop.now())  # of attempts, by route and size
+        self.ending: Ending | None = None
         self.was_ready = False
         self.began = self.loop.now()  # ns
 
@@ -80,19 +82,11 @@
 
     def stop(self) -> None:
         """Not ready from now on; what is under way is ended in order."""
-        self.front.drain()
         self.membership.leave()
-        self.stop_at = self.loop.now()
-        self._end_when_idle()
-
-    def _end_when_idle(self) -> None:
-        waited = (self.loop.now() - self.stop_at) // MILLISECOND
-        longest = self.settings.bounds.grace_s * 1000 - GRACE_MARGIN_MS
-        if waited >= longest or (waited >= ENTRY_MISSES_MS and not self.in_flight and not self.front.busy):
-            self.front.close()
-            self.finish()
-        else:
-            self.after(50, self._end_when_idle)
+        refusal = [("retry-after", f"{ELSEWHERE_AT_ONCE:.3f}"), (NOT_EXECUTED, "1")]
+        grace_ms = self.settings.bounds.grace_s * 1000
+        self.ending = Ending(self.loop, self.front, self.in_flight, grace_ms, refusal, self.finish)
+        self.ending.step()
 
     def _tick(self) -> None:
         self.after(TICK_MS, self._tick)
@@ -220,6 +214,17 @@
         elif forwarding.service is not None:
             self.gates.withdraw(forwarding.service, forwarding)
 
+    def may_begin(self, forwarding: Forwarding) -> bool:
+        """Whether a request may go to a host now: not when this process ends before it could be answered."""
+        if self.ending is None:
+            return True
+        now, route = self.loop.now(), forwarding.route
+        lately = self.durations.longest(now, route["Name"], int(forwarding.prompt.size))
+        streaming = route["RouteKind"] == "streaming"
+        return self.ending.times.may_begin(
+            now, forwarding.exchange.began, forwarding.deadline, lately, streaming
+        )
+
     def place(self, forwarding: Forwarding) -> Placed | None:
         """A host for the next attempt."""
         now = self.loop.now()
@@ -255,6 +260,9 @@
         host.in_flight_work = max(0.0, host.in_flight_work - attempt.work) if host.in_flight else 0.0
         self.counters.add(f"attempts.{outcome.name.lower() if outcome else 'abandoned'}")
         now, health = self.loop.now(), self._health(forwarding)
+        if attempt.written:
+            size = int(forwarding.prompt.size)
+            self.durations.add(now, forwarding.route["Name"], size, now - attempt.sent_at)
         if attempt.is_replaced:
             health.failed(now, host.identifier, Failure.REPLACED)
         elif outcome in (Outcome.COMPLETE, Outcome.DECLINED):
--- a/hopsail/http/server.py
+++ b/hopsail/http/server.py
@@ -17,6 +17,7 @@
 ACCEPTED_AT_ONCE = 64  # in one round of the loop
 PIPELINED = 8  # requests read ahead on a connection
 LINGER_TIME = 500 * MILLISECOND  # a refused client gets to read its answer before the socket goes
+FIRST_WORD_MS = 250  # for a client whose connection has just been accepted when the server shuts
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 BODILESS = frozenset((204, 304))  # statuses whose answers end with the head (RFC 9112, section 6.3)
 RESET_AT_CLOSE = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # struct linger: on, 0 s
@@ -146,6 +147,8 @@
         self.timer = None
         self.lingering = False
         self.refusal: int | None = None  # status for what can't be read; it follows the answers still due
+        self.refusal_headers: Headers = []
+        self.used = False  # a request has come on it
         self._begin_message()
         super().__init__(loop, sock)
         self._wait(server.limits.idle_timeout_ms, self._idle)
@@ -250,6 +253,7 @@
         while self.exchange is None and self.waiting and self.open:
             request = self.waiting.popleft()
             self._stop_timer()
+            self.used = True
             exchange = self.exchange = Exchange(self, request)
             try:
                 self.server.handle(request, exchange)
@@ -313,6 +317,32 @@
         self.timer = None
         self._refuse(408)
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request is under way or half read, or an answer is not out yet."""
+        return bool(self.exchange is not None or self.waiting or self.unsent or self.reading)
+
+    def leave(self):
+        """Ends the connection if it is idle, once what has come on it is read."""
+        if self.lingering:
+            return
+        if not self.busy:
+            self.ready(READ)  # unread bytes would turn the end into a reset
+        if not self.open or self.lingering or self.exchange is not None or self.waiting or self.reading:
+            return
+        if self.unsent:
+            self._finish()
+        elif self.used:
+            self.close()
+        else:
+            self._wait(FIRST_WORD_MS, self._idle)
+
+    def refuse_half_read(self, status: int, headers: Headers):
+        """Answers a request whose rest has not come yet."""
+        if self.reading and self.exchange is None and not self.waiting and not self.lingering:
+            self.refusal_headers = headers
+            self._refuse(status)
+
     def _refuse(self, status: int):
         """Answers a message that can't be read, after those before it, and ends the connection."""
         self.server.refused(status)
@@ -322,7 +352,8 @@
             self._write_refusal()
 
     def _write_refusal(self):
-        self.write(encode_head(status_line(self.refusal), [("content-length", "0"), ("connection", "close")]))
+        headers = [*self.refusal_headers, ("content-length", "0"), ("connection", "close")]
+        self.write(encode_head(status_line(self.refusal), headers))
         self._finish()
 
     def _finish(self):
@@ -385,14 +416,15 @@
         self.loop, self.handle, self.limits = loop, handle, limits or ServerLimits()
         self.refused = refused
         self.draining = False
+        self.listening = True
         self.connections: dict[ServerConnection, None] = {}
         self.sock = listening(address, BACKLOG)
         loop.watch(self.sock, READ, self._accept)
 
     @property
     def busy(self) -> int:
-        """Connections with a request under way, or an answer that is not out yet."""
-        return sum(bool(c.exchange is not None or c.waiting or c.unsent) for c in self.connections)
+        """Connections with a request under way or half read, or an answer that is not out yet."""
+        return sum(connection.busy for connection in self.connections)
 
     def drain(self) -> None:
         """Answers from now on tell clients to close."""
@@ -401,25 +433,49 @@
     def close_idle(self) -> None:
         """Ends the connections that have no request under way and none half read."""
         for connection in list(self.connections):
-            if connection.exchange is None and not connection.reading and not connection.waiting:
-                connection.close()
+            connection.leave()
+
+    def refuse_half_read(self, status: int, headers: Headers = ()) -> None:
+        """Answers the requests whose rest has not come yet, and ends their connections."""
+        for connection in list(self.connections):
+            connection.refuse_half_read(status, list(headers))
+
+    def shut(self) -> None:
+        """Takes in all that have connected, then no more; connections end as they become idle."""
+        self.drain()
+        self._stop_listening()
+        self.close_idle()
+
+    def _stop_listening(self) -> None:
+        if not self.listening:
+            return
+        while self._accept_some():
+            pass  # those in the system's queue would be reset
+        self.listening = False
+        self.loop.unwatch(self.sock)
+        self.sock.close()
 
     def _accept(self, _mask):
+        if self.listening:  # shut by an earlier event of the same round
+            self._accept_some()
+
+    def _accept_some(self) -> bool:
+        """Accepts a bounded number of connections; whether more may wait."""
         for _ in range(ACCEPTED_AT_ONCE):
             try:
                 sock, _ = self.sock.accept()
             except BlockingIOError:
-                return
+                return False
             except OSError as error:
                 say("server", f"cannot accept: {error.strerror}")
-                return
+                return False
             if len(self.connections) >= self.limits.connections:
                 sock.close()
                 continue
             self.connections[ServerConnection(self.loop, sock, self)] = None
+        return True
 
     def close(self) -> None:
-        self.loop.unwatch(self.sock)
-        self.sock.close()
+        self._stop_listening()
         for connection in list(self.connections):
             connection.close()
--- a/tests/test_dataplane_forward.py
+++ b/tests/test_dataplane_forward.py
@@ -235,6 +235,7 @@
         self.loop = Clock()
         self.pool = Pool(self.loop)
         self.budget, self.allowed = Budget(), allowed
+        self.in_time = True  # the process does not end before requests could
         self.hosts = [HostState(f"i-{number}", ("10.0.0.1", 8000 + number)) for number in range(hosts)]
         self.under_way, self.outcomes, self.refusals = [], [], []
         self.first_bytes = self.asked = 0
@@ -250,6 +251,9 @@
     def left_gate(self, forwarding):
         self.left.append(forwarding)
 
+    def may_begin(self, forwarding):
+        return self.in_time
+
     def place(self, forwarding):
         for host in self.hosts:
             if host.identifier not in forwarding.excluded:
@@ -1167,10 +1171,18 @@
     def __init__(self):
         self.busy, self.closed = 1, False
 
+    @property
+    def connections(self):
+        return range(self.busy)
+
     def drain(self): ...
 
     def leave(self): ...
 
+    def shut(self): ...
+
+    def refuse_half_read(self, status, headers=()): ...
+
     def close(self):
         self.closed = True
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -13,7 +13,7 @@
     HttpClient,
 )
 from hopsail.http.message import Request, encode_request, end_to_end, header_of
-from hopsail.http.server import LINGER_TIME, HttpServer, ServerLimits
+from hopsail.http.server import FIRST_WORD_MS, LINGER_TIME, HttpServer, ServerLimits
 from hopsail.net.loop import Loop
 from hopsail.net.stream import listening
 
@@ -634,6 +634,99 @@
     runner.until(lambda: client.read() or not service.server.busy, "the end of the answer")
 
 
+# The server: how it ends
+
+
+def test_a_server_that_shuts_serves_those_in_the_queue(runner):
+    service = Service(runner, echo)
+    clients = [service.client(request(f"/{number}")) for number in range(3)]  # none is accepted yet
+    service.server.shut()
+    for number, client in enumerate(clients):
+        got = client.ends()
+        assert f"/{number} ".encode() in got and b"connection: close" in got and not client.reset
+    runner.until(lambda: not service.server.connections, "the end of all connections")
+
+
+def test_after_a_server_has_shut_nobody_connects(runner):
+    service = Service(runner, echo)
+    service.server.shut()
+    with pytest.raises(ConnectionRefusedError):
+        service.client()
+    service.server.shut()
+    service.server.close()
+
+
+def test_a_client_that_has_just_connected_is_given_time_to_say_something(runner):
+    service = Service(runner, echo)
+    client, mute = service.client(), service.client()
+    service.server.shut()
+    runner.settle()
+    runner.forward((FIRST_WORD_MS - 50) * MILLISECOND)
+    assert b"/a " in client.send(request("/a")).ends() and not client.reset
+    assert not mute.quiet() and not mute.over
+    runner.forward(100 * MILLISECOND)
+    assert mute.ends() == b"" and not mute.reset
+
+
+def test_an_idle_client_is_let_go_in_order_when_a_server_shuts(runner):
+    service = Service(runner, echo)
+    idle = service.client(request("/a")).receives(b"/a ")
+    service.server.shut()
+    idle.ends()
+    assert not idle.reset and not service.server.connections
+
+
+def test_a_request_that_has_come_on_an_idle_connection_is_served_when_a_server_shuts(runner):
+    service = Service(runner, echo)
+    idle = service.client(request("/a")).receives(b"/a ")
+    idle.send(request("/b"))  # the server has not looked yet
+    service.server.shut()
+    got = idle.ends()
+    assert b"/b " in got and b"connection: close" in got and not idle.reset
+
+
+def test_an_answer_that_is_not_out_yet_is_not_lost_when_a_server_shuts(runner):
+    service = Service(runner)
+    client = service.client(request("/a"))
+    service.exchange().respond(200, b"x" * (16 << 20))
+    runner.settle()
+    service.server.shut()
+    assert client.ends().count(b"x") == 16 << 20 and not client.reset
+
+
+def test_a_request_under_way_is_answered_after_a_server_has_shut(runner):
+    service = Service(runner)
+    client = service.client(request("/a"))
+    exchange = service.exchange()
+    service.server.shut()
+    runner.settle()
+    exchange.respond(200, b"last")
+    got = client.ends()
+    assert got.endswith(b"last") and b"connection: close" in got and not client.reset
+
+
+def test_a_half_read_request_keeps_a_server_busy_and_can_be_refused(runner):
+    service = Service(runner, echo)
+    half = service.client(post("/b", b"hello")[:-2])
+    runner.until(lambda: service.server.busy == 1, "a half-read request")
+    service.server.shut()
+    assert service.server.busy == 1
+    service.server.refuse_half_read(503, [("retry-after", "0.000")])
+    got = half.ends()
+    assert got.startswith(b"HTTP/1.1 503 ") and b"retry-after: 0.000" in got and b"connection: close" in got
+    assert not service.exchanges and service.refused == [503] and not half.reset
+
+
+def test_only_half_read_requests_are_refused(runner):
+    service = Service(runner)
+    waiting, idle = service.client(request("/a")), service.client()
+    exchange = service.exchange()
+    service.server.refuse_half_read(503)
+    assert not idle.quiet() and not waiting.quiet() and not service.refused
+    exchange.respond(200, b"whole")
+    waiting.receives(b"whole")
+
+
 # The server: clients that leave
 
 
