--- a/hopsail/dataplane/plane.py
+++ b/hopsail/dataplane/plane.py
@@ -277,6 +277,8 @@
 
     def refused(self, forwarding: Forwarding, refusal: Refusal) -> None:
         self.counters.add(f"refused.{refusal.name.lower()}")
+        if refusal is Refusal.ENDING:
+            self.ending.has_refused()
 
     def retry_after(self, forwarding: Forwarding) -> float:
         """Seconds after which a refused client is to come back."""
--- a/hopsail/dataplane/stopping.py
+++ b/hopsail/dataplane/stopping.py
@@ -87,7 +87,7 @@
         self.loop, self.front, self.under_way = loop, front, under_way
         self.refusal_headers, self.finish = refusal_headers, finish
         self.times = LastTimes.of(loop.now(), grace_ms)
-        self.shut = False
+        self.late = self.shut = False
         front.drain()
 
     def step(self) -> None:
@@ -97,8 +97,7 @@
             self._end_answers()
         else:
             self._refuse_late()
-        idle = not self.under_way and not self.front.busy
-        if now >= self.times.answers_until or (idle and now >= self.times.entry_noticed):
+        if self._takes_no_more(now):
             self._shut()
         if now >= self.times.closed_by or (self.shut and not self.under_way and not self.front.connections):
             self.front.close()
@@ -106,6 +105,15 @@
         else:
             self.loop.at(now + STEP_MS * MILLISECOND, self.step)
 
+    def has_refused(self) -> None:
+        """A request came too late: a client that finds the listener closed is served elsewhere sooner."""
+        self.late = True
+
+    def _takes_no_more(self, now: int) -> bool:
+        if now < self.times.entry_noticed:
+            return now >= self.times.answers_until
+        return self.late or not (self.under_way or self.front.busy) or now >= self.times.answers_until
+
     def _refuse_late(self) -> None:
         """Those that wait for a place may by now be too late."""
         for one in list(self.under_way):
--- a/tests/test_dataplane_stopping.py
+++ b/tests/test_dataplane_stopping.py
@@ -353,6 +353,25 @@
     assert stage.front.closed_at is not None and stage.loop.stopped
 
 
+def test_a_process_that_refuses_what_comes_late_takes_no_new_connections(stage):
+    stage.front.connections = ["one"]
+    stage.busy_after_the_first_seconds().until(EARLY + SECOND)
+    assert stage.front.shut_at is None
+    assert is_refused(stage.ask("mutating-long"))
+    stage.until(EARLY + SECOND + 100 * MILLISECOND)
+    assert stage.front.shut_at is not None and not stage.loop.stopped
+
+
+def test_a_refusal_before_the_entry_has_noticed_does_not_shut_the_front(stage):
+    stage.front.busy, stage.front.connections = 1, ["one"]
+    stage.have_taken("mutating-long", 60 * SECOND).terminate()
+    assert is_refused(stage.ask("mutating-long"))
+    stage.until(EARLY - MILLISECOND)
+    assert stage.front.shut_at is None
+    stage.until(EARLY + 100 * MILLISECOND)
+    assert stage.front.shut_at is not None and not stage.loop.stopped
+
+
 def test_connections_that_were_in_the_queue_are_served_before_the_end(stage):
     stage.front.connections = ["one"]
     stage.terminate().until(EARLY + 100 * MILLISECOND)
