A control process ends when the others can go on without it, or when the grace is over

Ruled out: to refuse operators' calls from SIGTERM on (any process can pass them on; a refusal costs them a pause), to wait for polls (they always wait).

Change: controlplane/stopping.py. `Ending.may_end` is the one place that says whether the others can go on: now, that another leader is known of each part in which this process votes. Beyond that, the operator's connections end in order, forwarded commands are answered, and polls that wait are answered and out before the sockets close.

Small additions elsewhere: RpcServer.calls_in_flight, Publisher.release, OperatorCalls.refuse.

--- a/hopsail/controlplane/operator.py
+++ b/hopsail/controlplane/operator.py
@@ -51,6 +51,10 @@
         else:
             self._answer(exchange, _failure(ResultCode.CONTROL_NO_PATH, request.path))
 
+    def refuse(self, exchange: Exchange) -> None:
+        """Answers a call that can't be carried out before this process ends."""
+        self._answer(exchange, None)
+
     def _change(self, request: Request, exchange: Exchange, kind: CommandKind, parse) -> None:
         try:
             base = _base_revision(request)
--- a/hopsail/controlplane/plane.py
+++ b/hopsail/controlplane/plane.py
@@ -16,7 +16,8 @@
 from ..feed.publisher import Publisher
 from ..feed.topics import SOFT_TOPICS, Topic
 from ..http.client import HttpClient
-from ..http.server import HttpServer, ServerLimits
+from ..http.message import Request
+from ..http.server import Exchange, HttpServer, ServerLimits
 from ..net.log import say
 from ..net.loop import READ
 from ..process import FLEET, MILLISECOND, Program, StartError
@@ -48,6 +49,7 @@
 from .platform_list import PlatformList
 from .rollouts import Rollouts
 from .service_state import ServiceState
+from .stopping import Ending
 from .voters import Voters
 
 ROLE = "controlplane"
@@ -57,7 +59,6 @@
 TICK_MS = 20
 SLOW_TICK_MS = 500
 STALL_TIME = 400 * MILLISECOND  # a write that takes longer costs the leadership
-STOP_WITHIN_MS = 1500
 
 
 class ControlPlane(Program):
@@ -84,6 +85,7 @@
             self._configuration_fed,
         )
         self.leader_heard = 0  # ns, when part 0 last had a leader
+        self.ending: Ending | None = None
 
     # Start and stop.
 
@@ -97,7 +99,7 @@
         self.rpc.register(POLL, PollRequest, self._poll)
         self.operator = OperatorCalls(self, self.counters)
         self.door = HttpServer(
-            self.loop, settings.control_plane, self.operator.handle, ServerLimits(body_bytes=BODY_BYTES)
+            self.loop, settings.control_plane, self._operator_call, ServerLimits(body_bytes=BODY_BYTES)
         )
         self.join(ROLE)
         self.platform = PlatformList(
@@ -139,27 +141,25 @@
         )
 
     def stop(self) -> None:
-        """Names successors for what it leads, and ends when they have taken over or soon."""
-        self.stop_at = self.loop.now()
+        """Hands over what it leads, and ends when the others can go on without it or the grace is over."""
         self.membership.leave()
-        self._end_when_handed_over()
+        self.ending = Ending(
+            self.loop,
+            self.identity,
+            self.parts,
+            self.door,
+            self.rpc,
+            self.publisher,
+            self.settings.bounds.grace_s * 1000,
+            self.finish,
+        )
+        self.ending.step()
 
-    def _hand_over(self) -> None:
-        """Names a successor for each part that is led here, again if it was not possible before."""
-        for part in self.parts:
-            if part.leads:
-                part.replica.transfer(self.loop.now(), None)
-                part.pump()
-
-    def _end_when_handed_over(self) -> None:
-        self._hand_over()
-        waited = (self.loop.now() - self.stop_at) // MILLISECOND
-        leads = any(part.leads for part in self.parts)
-        if waited >= STOP_WITHIN_MS or (not leads and waited >= 300 and not self.door.busy):
-            self.door.close()
-            self.finish()
+    def _operator_call(self, request: Request, exchange: Exchange) -> None:
+        if self.ending is None or self.ending.takes_calls:
+            self.operator.handle(request, exchange)
         else:
-            self.after(20, self._end_when_handed_over)
+            self.operator.refuse(exchange)
 
     def figures(self) -> dict[str, int]:
         figures = {f"part.{part.number}.index": part.replica.commit_index for part in self.parts}
--- /dev/null
+++ b/hopsail/controlplane/stopping.py
@@ -0,0 +1,102 @@
+"""The end of a control process: it ends when the others can go on without it, or when the grace is over.
+
+From SIGTERM to SIGKILL there is a stated time, the grace. Within it the process hands over what it leads,
+waits until it has heard of a leader of each part, and answers the calls that it has taken. Only what cannot
+be had in that time, such as a successor while a majority is down, is left when it ends."""
+
+from collections.abc import Callable, Sequence
+
+from ..feed.messages import POLL
+from ..feed.publisher import Publisher
+from ..http.server import HttpServer
+from ..rpc.server import RpcServer
+from .part import Part
+
+MILLISECOND = 1_000_000
+STEP_MS = 20
+LEAST_MS = 300  # meanwhile others hear that this process leaves
+LAST_CALLS_MARGIN_MS = 1500  # before the platform kills: a call that is taken now is answered in time
+ANSWERS_MARGIN_MS = 600  # before the platform kills: the operator's connections end
+CLOSE_MARGIN_MS = 250  # before the platform kills: the process ends, whatever is left
+
+
+class Ending:
+    """Ends a control process in order; `finish` is called once."""
+
+    def __init__(
+        self,
+        loop,
+        identity: str,
+        parts: Sequence[Part],
+        door: HttpServer,
+        rpc: RpcServer,
+        publisher: Publisher,
+        grace_ms: float,
+        finish: Callable[[], None],
+    ):
+        self.loop, self.identity, self.parts = loop, identity, parts
+        self.door, self.rpc, self.publisher, self.finish = door, rpc, publisher, finish
+        self.told_at = loop.now()
+        killed_at = self.told_at + int(grace_ms * MILLISECOND)
+        self.calls_until = killed_at - LAST_CALLS_MARGIN_MS * MILLISECOND
+        self.answers_until = killed_at - ANSWERS_MARGIN_MS * MILLISECOND
+        self.closed_by = killed_at - CLOSE_MARGIN_MS * MILLISECOND
+        self.shut = self.released = False
+        door.drain()
+
+    @property
+    def takes_calls(self) -> bool:
+        """Whether an operator's call that comes now would be answered in time."""
+        return self.loop.now() < self.calls_until
+
+    def may_end(self) -> bool:
+        """Whether the others can go on without this process, as far as it can tell."""
+        return all(self._is_handed_over(part) for part in self.parts)
+
+    def step(self) -> None:
+        """Does what is due, now and from time to time until the end."""
+        now = self.loop.now()
+        self._hand_over(now)
+        if not self.shut and (now >= self.answers_until or self._is_settled(now)):
+            self.shut = True
+            self.door.shut()
+        if now >= self.closed_by or (self.shut and self.may_end() and self._has_answered()):
+            self._end(now)
+        else:
+            self._step_again(now)
+
+    def _step_again(self, now: int) -> None:
+        self.loop.at(now + STEP_MS * MILLISECOND, self.step)
+
+    def _hand_over(self, now: int) -> None:
+        """Names a successor for each part that is led here, again if it was not possible before."""
+        for part in self.parts:
+            if part.leads:
+                part.replica.transfer(now, None)
+                part.pump()
+
+    def _is_handed_over(self, part: Part) -> bool:
+        """Whether another process leads the part, as far as is known here."""
+        replica = part.replica
+        voters = replica.members.voters
+        if self.identity not in voters or voters == (self.identity,):
+            return True  # nobody waits for it, or there is nobody else
+        return not part.leads and replica.leader not in (None, self.identity)
+
+    def _is_settled(self, now: int) -> bool:
+        waited = now - self.told_at >= LEAST_MS * MILLISECOND
+        return waited and self.may_end() and not self.door.busy
+
+    def _has_answered(self) -> bool:
+        return not self.door.connections and not self.rpc.calls_in_flight(besides=POLL)
+
+    def _end(self, now: int) -> None:
+        """Lets those go that wait for changes, and ends when that is out."""
+        if not self.released and now < self.closed_by:
+            self.released = True
+            self.publisher.release()
+            self._step_again(now)
+            return
+        self.door.close()
+        self.rpc.close()
+        self.finish()
--- a/hopsail/feed/publisher.py
+++ b/hopsail/feed/publisher.py
@@ -42,6 +42,7 @@
     ) -> None:
         self.journal, self.clock, self.node, self.max_page = journal, clock, node, max_page
         self.reply_decorator: Callable[[PollReply], None] | None = None
+        self.parking = True
         self.refused_parking = 0  # polls answered at once because too many waited
         self._on_report: Callable[[str, str, str, bytes], None] | None = None
         self._parked: dict[str, _Parked] = {}  # by node
@@ -83,6 +84,13 @@
             del self._parked[parked.request.node]
             self._answer_empty(parked)
 
+    def release(self) -> None:
+        """Answers all polls that wait, and lets none wait from now on."""
+        self.parking = False
+        parked, self._parked = self._parked, {}
+        for one in parked.values():
+            self._answer_empty(one)
+
     def _waits(self, parked: _Parked) -> bool:
         return self._parked.get(parked.request.node) is parked
 
@@ -95,7 +103,7 @@
     def _park(self, request: PollRequest, respond: Responder) -> None:
         wait_ms = min(max(request.wait_ms, 0), MAX_WAIT_MS)
         parked = _Parked(request, respond, self.clock() + wait_ms * MS)
-        if wait_ms == 0 or len(self._parked) >= MAX_PARKED:
+        if wait_ms == 0 or not self.parking or len(self._parked) >= MAX_PARKED:
             self.refused_parking += wait_ms > 0
             self._answer_empty(parked)
             return
--- a/hopsail/rpc/server.py
+++ b/hopsail/rpc/server.py
@@ -32,10 +32,10 @@
 class Respond:
     """The way back to one caller: called with the reply, once; further replies are left out."""
 
-    __slots__ = ("_answered", "_callbacks", "_connection", "_method", "_seqid")
+    __slots__ = ("_answered", "_callbacks", "_connection", "_seqid", "method")
 
     def __init__(self, connection: "_Caller | None", method: str, seqid: int) -> None:
-        self._connection, self._method, self._seqid = connection, method, seqid
+        self._connection, self.method, self._seqid = connection, method, seqid
         self._answered = connection is None
         self._callbacks: list[Callable[[], None]] = []
 
@@ -64,7 +64,7 @@
     def _finish(self, kind: Kind, body: Struct) -> None:
         if self._answered or self.closed:
             return
-        message = Message(self._method, kind, self._seqid, encode(body))
+        message = Message(self.method, kind, self._seqid, encode(body))
         self._answered = True
         self._callbacks.clear()
         self._connection.answer(message)
@@ -131,6 +131,11 @@
         """Lets `handler(argument, respond, peer)` take calls of the method and its one-way messages."""
         self._methods[method] = _Method(argument_class, handler)
 
+    def calls_in_flight(self, besides: str = "") -> int:
+        """Calls that wait for their reply, but for those of one method."""
+        calls = (call for connection in self._connections for call in connection.calls.values())
+        return sum(call.method != besides for call in calls)
+
     def close(self) -> None:
         """Ends listening and all connections."""
         if self._listener.fileno() < 0:
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -309,6 +309,14 @@
         again.callbacks[0]()
         assert publisher.parked == 0 and publisher.due is None
 
+    def test_one_that_ends_answers_all_and_lets_none_wait(self, journal, publisher):
+        waiting = [poll(publisher, node=f"edge-{number}") for number in range(3)]
+        publisher.release()
+        assert [[reply.changes for reply in replies] for replies in waiting] == [[[]]] * 3
+        assert publisher.parked == 0 and publisher.due is None
+        (reply,) = poll(publisher)
+        assert reply.changes == [] and publisher.parked == 0
+
     def test_the_timers_are_bounded(self, publisher, monkeypatch):
         monkeypatch.setattr(publisher_module, "MAX_PARKED", 4)
         for _ in range(100):
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -545,6 +545,17 @@
         loop.until(lambda: second.all)
         assert (first.all, second.all) == ([], [Refused])
 
+    def test_calls_in_flight_are_counted_but_for_one_method(self, loop, server, channel):
+        held = []
+        for method in ("hold", "poll"):
+            server.register(method, Inner, lambda argument, respond, peer: held.append(respond))
+            channel.call(method, Inner(), Inner, Outcomes(), SECOND)
+        loop.until(lambda: len(held) == 2)
+        assert (server.calls_in_flight(), server.calls_in_flight(besides="poll")) == (2, 1)
+        for respond in held:
+            respond(Inner())
+        assert server.calls_in_flight() == 0
+
     def test_a_reply_too_long_for_a_frame_ends_the_connection(self, loop, server, channel, outcomes):
         server.register("long", Inner, lambda argument, respond, peer: respond(Inner(name="n" * MAX_FRAME)))
         channel.call("long", Inner(), Inner, outcomes, SECOND)
