Settings that are no text are a fault with a code; tests that SIGHUP cuts nothing

Cause: a settings file with bytes that are no UTF-8 (such as one that is being written) raised past the handling of faults: at SIGHUP a traceback instead of `settings: not taken`, at the start a traceback and status 1 instead of one line and status 2. Now 1006 with the byte's place, as any line that can't be read.

Tests: files that are empty, cut short, no text or lack a key change nothing at SIGHUP; a data plane with a request and a stream under way, also while it ends, and a leading control process with calls under way go on.

--- a/hopsail/process.py
+++ b/hopsail/process.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 from . import early, system_log
-from .configuration.codes import SettingsError
+from .configuration.codes import ResultCode, SettingsError
 from .configuration.needs import missing_settings
 from .configuration.process import ProcessSettings, parse_settings
 from .membership.node import Membership
@@ -28,7 +28,11 @@
 
 def read_settings() -> ProcessSettings:
     """The settings of this process; SettingsError or OSError when there are none that can be used."""
-    return parse_settings(Path(os.environ[SETTINGS_VARIABLE]).read_text())
+    try:
+        text = Path(os.environ[SETTINGS_VARIABLE]).read_text(encoding="utf-8")
+    except UnicodeDecodeError as error:
+        raise SettingsError(ResultCode.SETTING_NOT_A_LINE, f"byte {error.start}") from error
+    return parse_settings(text)
 
 
 class StartError(Exception):
--- a/tests/test_controlplane_stopping.py
+++ b/tests/test_controlplane_stopping.py
@@ -6,7 +6,7 @@
 from types import SimpleNamespace
 
 import pytest
-from test_controlplane_processes import DOOR, SECOND, content, make_cluster, put  # noqa: F401
+from test_controlplane_processes import DOOR, PORT, SECOND, SETTINGS, content, make_cluster, put  # noqa: F401
 from test_dataplane_forward import MILLISECOND, Clock, ClientSide
 
 from hopsail.controlplane.messages import COMMAND, CommandCall, CommandReply
@@ -27,6 +27,7 @@
 from hopsail.http.server import Exchange
 from hopsail.net.counters import Counters
 from hopsail.net.loop import Loop
+from hopsail.process import SETTINGS_VARIABLE
 from hopsail.replication.state import Members
 
 GRACE_MS = 8000
@@ -314,3 +315,30 @@
     cluster.until(lambda: not plane.loop.running)
     cluster.until(lambda: replies)
     assert replies[0][1] is None
+
+
+@pytest.mark.parametrize("fault", [False, True])
+def test_a_signal_to_read_the_settings_again_cuts_no_call(make_cluster, tmp_path, monkeypatch, fault):  # noqa: F811
+    cluster = make_cluster()
+    leader = cluster.settled()
+    plane = cluster.planes[leader]
+    text = SETTINGS.format(
+        number=leader,
+        ip=cluster.ip(leader),
+        door=DOOR,
+        port=PORT,
+        last_port=PORT + 15,
+        seeds=f"{cluster.ip(leader % 3 + 1)}:{DOOR}",
+        bootstrap="true",
+        folder=tmp_path / str(leader),
+    )
+    file = tmp_path / "settings.conf"
+    file.write_text(text if not fault else text.replace("Listen.", "Other."))
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(file))
+    before, told = plane.settings, []
+    for number in cluster.planes:
+        cluster.planes[number].submit(0, put(0, 4), told.append)
+    plane._reload()
+    assert (plane.settings is before) == fault and cluster.settled() == leader
+    cluster.until(lambda: len(told) == 3)
+    assert [result.status for result in told] == [200] * 3
--- a/tests/test_dataplane_stopping.py
+++ b/tests/test_dataplane_stopping.py
@@ -34,6 +34,7 @@
 )
 from hopsail.http.message import Request
 from hopsail.http.server import Exchange
+from hopsail.process import SETTINGS_VARIABLE
 from hopsail.routing.durations import LEAST_COUNT
 
 GRACE_MS = 8000
@@ -455,3 +456,33 @@
     stage.plane.settings = parse_settings(SETTINGS + "Bounds.GraceS=3\n")
     stage.until(EARLY)
     assert stage.plane.ending.times == times
+
+
+# SIGHUP
+
+
+@pytest.fixture
+def settings_file(tmp_path, monkeypatch):
+    path = tmp_path / "settings.conf"
+    monkeypatch.setenv(SETTINGS_VARIABLE, str(path))
+    return path
+
+
+@pytest.mark.parametrize("text", [SETTINGS + "SeedNodes=127.0.0.9:8169\n", "NodeName=n1\n", "", None])
+@pytest.mark.parametrize("stopping", [False, True])
+def test_a_signal_to_read_the_settings_again_cuts_nothing(stage, settings_file, text, stopping):
+    stage.front.renew_seeds = lambda seeds: None
+    if stopping:
+        stage.terminate()
+    plane, before = stage.plane, stage.plane.settings
+    client, events_of = stage.ask(), stage.ask("stream")
+    stage.pool.made[1].says(EVENTS_HEAD + chunk(events(1, 3)))
+    if text is not None:
+        settings_file.write_text(text)
+    plane._reload()
+    assert (plane.settings is before) == ("SeedNodes" not in (text or ""))
+    assert plane.ready != stopping and len(plane.in_flight) == 2
+    assert all(connection.open for connection in stage.pool.made)
+    stage.answer(client, 0)
+    stage.pool.made[1].says(chunk(events(4, 6)) + b"0\r\n\r\n")
+    assert events_of.complete and bytes(events_of.body) == events(1, 6)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -63,6 +63,30 @@
     assert running.taken == [] and running.settings is before
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        TEXT.encode(),
+        (TEXT + FRONT).encode()[:-20],
+        b"\xff\xfe\x00",
+        (TEXT + FRONT).encode() + b"\x80=1\n",
+    ],
+    ids=["empty", "a key is missing", "cut short", "no text", "no text at the end"],
+)
+def test_a_signal_to_read_a_file_with_a_fault_changes_nothing(file, running, monkeypatch, data):
+    said = []
+    monkeypatch.setattr(process, "say", lambda topic, text: said.append(f"{topic}: {text}"))
+    before = running.settings
+    file.write_bytes(data)
+    running._reload()
+    assert running.taken == [] and running.settings is before
+    assert len(said) == 1 and said[0].startswith("settings: not taken: 100")
+    change(file, TEXT + FRONT + "SeedNodes=127.0.0.9:8169\n")
+    running._reload()
+    assert running.taken == [(("127.0.0.9", 8169),)]
+
+
 def test_a_file_that_is_gone_changes_nothing(file, running):
     file.unlink()
     running.watch_settings()
@@ -89,6 +113,15 @@
     assert capsys.readouterr().err == f"hopsail: cannot start: {error}\n"
 
 
+def test_a_start_with_a_file_that_is_no_text_ends_with_one_line(file, monkeypatch, capsys):
+    file.write_bytes(b"\xff\xfe")
+    monkeypatch.setattr("hopsail.early.listen", lambda: None)
+    with pytest.raises(SystemExit) as ended:
+        process.main(Running)
+    assert ended.value.code == process.FAULTY_SETTINGS
+    assert "1006 byte 0" in capsys.readouterr().err
+
+
 def test_a_start_without_a_needed_key_names_it(file, monkeypatch, capsys):
     change(file, TEXT)
     monkeypatch.setattr("hopsail.early.listen", lambda: None)
