A large configuration is judged and applied in steps; decisions in a module of their own

Cause: a whole configuration of 48,000 tenants (5.8 MB) was read, checked and indexed in one go, three times over: by the process that took the call, by the leader, and by each replica at its entry. Measured with three control processes in one thread: rounds of the loop of up to 165 ms with the collector's thresholds of the program, up to 393 ms with Python's own, where the term went from 1 to 2.

Ruled out: a worker thread (reading JSON holds the interpreter's lock for all of its time, and the loop would wait 5 ms after each of its system calls), leaving out the check at replicas (each must find the same verdict from the log alone).

Change: `ConfigurationState.judging` is `judge` in steps of 2,000 items; faults and their order are the same. The leader runs it between other work. The index of the routes and keys is built within. A body over 256 KiB is read by the leader alone. A change that comes again while it is being decided waits for that and is in the log once. The feed's comparison is cut up too.

What is done with commands and reads moves from the plane to decisions.py. A refusal is told after a confirmed round instead of under a lease, and once all that the leader's log held has been applied. The simulation's process inherits that module in place of borrowing the plane's methods one by one.

--- a/hopsail/configuration/checker.py
+++ b/hopsail/configuration/checker.py
@@ -4,9 +4,9 @@
 """
 
 import json
-from collections.abc import Container, Iterable
-from itertools import chain, islice
-from typing import Any
+from collections.abc import Container, Generator, Iterable, Iterator
+from itertools import chain
+from typing import Any, TypeVar
 
 from hopsail.configuration.codes import ConfigurationError, ResultCode
 from hopsail.configuration.fields import (
@@ -26,6 +26,14 @@
 MAX_FAULTS = 100
 """Most faults that one error lists, itself included."""
 
+STEP_ITEMS = 2000
+"""Items that are looked at between two places at which a check may be interrupted."""
+
+Steps = Iterator[ConfigurationError | None]
+"""The faults of something large: None stands for a place at which the check may be interrupted."""
+
+Result = TypeVar("Result")
+
 NAMED_LISTS = ("Routes", "Services", "Tenants")
 
 CONFIGURATION_FIELDS = (
@@ -47,21 +55,38 @@
 
 def parse_configuration(body: bytes) -> Configuration:
     """The configuration that a body holds; raises ConfigurationError if it can't be read in whole."""
+    return result_of(parsing_configuration(body))
+
+
+def parsing_configuration(body: bytes) -> Generator[None, None, Configuration]:
+    """`parse_configuration` in steps."""
     content = _parse_object(body)
-    raise_first(_content_faults(content))
+    yield from raising_first(_content_faults(content))
     return content
 
 
 def parse_patch(body: bytes) -> Patch:
     """The patch that a body holds; raises ConfigurationError if it can't be read in whole."""
+    return result_of(parsing_patch(body))
+
+
+def parsing_patch(body: bytes) -> Generator[None, None, Patch]:
+    """`parse_patch` in steps."""
     content = _parse_object(body)
-    raise_first(_patch_faults(content))
+    yield from raising_first(_patch_faults(content))
     return content
 
 
 def check_configuration(configuration: Configuration, current_revision: int) -> None:
     """Raise ConfigurationError if a parsed configuration is invalid as the successor of a revision."""
-    raise_first(
+    result_of(checking_configuration(configuration, current_revision))
+
+
+def checking_configuration(
+    configuration: Configuration, current_revision: int
+) -> Generator[None, None, None]:
+    """`check_configuration` in steps."""
+    yield from raising_first(
         chain(
             revision_faults(configuration, current_revision),
             _name_faults(configuration, ""),
@@ -88,13 +113,33 @@
     return changed
 
 
-def raise_first(faults: Iterable[ConfigurationError]) -> None:
+def raise_first(faults: Iterable[ConfigurationError | None]) -> None:
     """Raise the first of the faults, if there is any, with the others that follow."""
-    found = list(islice(faults, MAX_FAULTS))
-    if not found:
-        return
-    first = found[0]
-    raise ConfigurationError(first.code, first.item, found[1:])
+    result_of(raising_first(faults))
+
+
+def raising_first(faults: Iterable[ConfigurationError | None]) -> Generator[None, None, None]:
+    """`raise_first` in steps."""
+    found: list[ConfigurationError] = []
+    for fault in faults:
+        if fault is None:
+            yield
+            continue
+        found.append(fault)
+        if len(found) == MAX_FAULTS:
+            break
+    if found:
+        first = found[0]
+        raise ConfigurationError(first.code, first.item, found[1:])
+
+
+def result_of(steps: Generator[None, None, Result]) -> Result:
+    """What all steps together return."""
+    while True:
+        try:
+            next(steps)
+        except StopIteration as end:
+            return end.value
 
 
 def _parse_object(body: bytes) -> Any:
@@ -119,12 +164,12 @@
     return value
 
 
-def _content_faults(content: dict[str, Any]) -> Faults:
+def _content_faults(content: dict[str, Any]) -> Steps:
     yield from field_faults(content, CONFIGURATION_FIELDS, "")
     yield from _holder_faults(content, "")
 
 
-def _patch_faults(content: dict[str, Any]) -> Faults:
+def _patch_faults(content: dict[str, Any]) -> Steps:
     yield from field_faults(content, PATCH_FIELDS, "")
     upsert = content.get("Upsert")
     if type(upsert) is dict:
@@ -140,30 +185,41 @@
                 yield from text_faults(names, f"Remove.{field}")
 
 
-def _holder_faults(holder: dict[str, Any], prefix: str) -> Faults:
+def _holder_faults(holder: dict[str, Any], prefix: str) -> Steps:
     for field in NAMED_LISTS:
         items = holder.get(field)
-        if type(items) is list and not are_plain(field, items):
-            yield from list_faults(field, items, prefix + field)
+        if type(items) is list:
+            yield from _type_faults(field, items, prefix + field)
     limits = holder.get("Limits")
     if type(limits) is dict:
         yield from field_faults(limits, LIMITS_FIELDS, prefix + "Limits.")
 
 
+def _type_faults(field: str, items: list, label: str) -> Steps:
+    for first in range(0, len(items), STEP_ITEMS):
+        some = items[first : first + STEP_ITEMS]
+        if not are_plain(field, some):
+            yield from list_faults(field, some, label, first)
+        if len(some) == STEP_ITEMS:
+            yield None
+
+
 def revision_faults(configuration: Configuration | Patch, current_revision: int) -> Faults:
     """The fault of a revision that is not above the current one."""
     if configuration["Revision"] <= current_revision:
         yield ConfigurationError(ResultCode.REVISION_NOT_ABOVE, "Revision")
 
 
-def _name_faults(holder: Any, prefix: str) -> Faults:
+def _name_faults(holder: Any, prefix: str) -> Steps:
     """Faults of names that are not unique; items that aren't objects with a name have faults already."""
     for field in NAMED_LISTS:
         items = holder.get(field)
         if type(items) is not list:
             continue
         seen: set[str] = set()
-        for item in items:
+        for number, item in enumerate(items, 1):
+            if number % STEP_ITEMS == 0:
+                yield None
             name = _name_of(item)
             if name is None:
                 continue
@@ -172,10 +228,12 @@
             seen.add(name)
 
 
-def route_list_faults(routes: Iterable[Route], services: Container[str]) -> Faults:
+def route_list_faults(routes: Iterable[Route], services: Container[str]) -> Steps:
     """Faults of routes in the order of their list, given the names of all services."""
     places: set[tuple[str, str]] = set()
-    for route in routes:
+    for number, route in enumerate(routes, 1):
+        if number % STEP_ITEMS == 0:
+            yield None
         label = f"Routes[{route['Name']}]"
         yield from _prefix_faults(route, label, places)
         if route["DeadlineMs"] <= 0:
@@ -222,10 +280,12 @@
         yield ConfigurationError(ResultCode.BAD_WEIGHTS, label + ".TrafficSplit")
 
 
-def shared_key_faults(tenants: Iterable[Tenant]) -> Faults:
+def shared_key_faults(tenants: Iterable[Tenant]) -> Steps:
     """Faults of keys that several tenants hold, for tenants in the order of their list."""
     holders: dict[str, str] = {}
-    for tenant in tenants:
+    for number, tenant in enumerate(tenants, 1):
+        if number % STEP_ITEMS == 0:
+            yield None
         name = tenant["Name"]
         for key in tenant["ApiKeys"]:
             if holders.setdefault(key, name) != name:
--- a/hopsail/configuration/fields.py
+++ b/hopsail/configuration/fields.py
@@ -143,10 +143,12 @@
 """The check of one item, by the field whose list holds it."""
 
 
-def list_faults(field: str, items: list, label: str) -> Faults:
-    """Faults of the types in a list of named items; `label` stands for the list in the item's name."""
+def list_faults(field: str, items: list, label: str, first: int = 0) -> Faults:
+    """Faults of the types in a list of named items; `label` stands for the list in the item's name.
+
+    `first` is the index of the first item, where these are a part of a list."""
     faults_of = ITEM_FAULTS[field]
-    for index, item in enumerate(items):
+    for index, item in enumerate(items, first):
         item_name = item_label(label, index, item)
         if type(item) is dict:
             yield from faults_of(item, item_name)
--- a/hopsail/configuration/indexed.py
+++ b/hopsail/configuration/indexed.py
@@ -1,6 +1,6 @@
 """A checked configuration with indexes, so that a patch costs its own items and not the whole. No I/O."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Generator, Iterable, Mapping
 from itertools import chain
 from typing import Any, NamedTuple
 
@@ -9,7 +9,8 @@
     NAMED_LISTS,
     patched_field,
     place_of,
-    raise_first,
+    raising_first,
+    result_of,
     revision_faults,
     route_list_faults,
     shared_key_faults,
@@ -77,9 +78,13 @@
 
     def check_patch(self, patch: Patch) -> None:
         """Raise ConfigurationError if a parsed patch would make the configuration invalid."""
+        result_of(self.checking_patch(patch))
+
+    def checking_patch(self, patch: Patch) -> Generator[None, None, None]:
+        """`check_patch` in steps; the configuration must not change between them."""
         services = _list_patch(patch, "Services")
         service_names = _PatchedNames(self._held("Services"), services)
-        raise_first(
+        yield from raising_first(
             chain(
                 revision_faults(patch, self.revision),
                 route_list_faults(self._suspect_routes(patch, services), service_names),
--- a/hopsail/configuration/items.py
+++ b/hopsail/configuration/items.py
@@ -88,9 +88,16 @@
     def _split_list(
         self, kind: str, values: Sequence[Any], items: dict[str, bytes], sources: dict[str, Any], size: int
     ) -> Iterator[None]:
+        is_long = len(values) > size
         keys = [f"{kind}/{value['Name']}" for value in values]
+        if is_long:
+            yield
         known = [_order_in(self._items.get(key)) for key in keys]
+        if is_long:
+            yield
         orders = _orders(known)
+        if is_long:
+            yield
         for place, (key, value, known_order, order) in enumerate(
             zip(keys, values, known, orders, strict=True), 1
         ):
--- a/hopsail/controlplane/calls.py
+++ b/hopsail/controlplane/calls.py
@@ -24,6 +24,9 @@
     def attempt(self) -> None:
         if self.done is None:
             return
+        if self.plane.loop.now() >= self.until:  # frozen meanwhile: whoever asked has moved on
+            self.finish(None)
+            return
         if self.here():
             return
         replica = self.plane.parts[self.number].replica
--- a/hopsail/controlplane/configuration_feed.py
+++ b/hopsail/controlplane/configuration_feed.py
@@ -15,6 +15,7 @@
 from .configuration_state import ConfigurationState
 
 SLICE_ITEMS = 1000
+COMPARED_ITEMS = 10_000  # in one slice
 PAUSE_MS = 1  # between slices
 REVISION = SINGLE_OF_FIELD["Revision"]
 
@@ -79,7 +80,7 @@
     def _feed_whole(self, configuration: Configuration) -> Generator[None, None, None]:
         splitter = ItemSplitter(self._splitter.items)
         yield from splitter.split_in_slices(configuration, SLICE_ITEMS)
-        items = self._changed_items(splitter.items)
+        items = yield from self._changed_items(splitter.items)
         if len(items) > SLICE_ITEMS:
             yield
             self._doubtful = self._doubtful.union(items)
@@ -91,12 +92,20 @@
         self._splitter, self._table, self._needs_whole = splitter, table, False
         self._taken(table)
 
-    def _changed_items(self, items: Mapping[str, bytes]) -> dict[str, bytes | None]:
+    def _changed_items(self, items: Mapping[str, bytes]) -> Generator[None, None, dict[str, bytes | None]]:
         """What the journal has to change to hold the items: first what is gone, so that there is room."""
         before, doubtful = self._splitter.items, self._doubtful
-        gone = [key for key in chain(before, doubtful) if key not in items]
-        changed: dict[str, bytes | None] = dict.fromkeys(gone)
-        changed |= {key: value for key, value in items.items() if before.get(key) != value or key in doubtful}
+        changed: dict[str, bytes | None] = {}
+        for number, key in enumerate(chain(before, doubtful), 1):
+            if number % COMPARED_ITEMS == 0:
+                yield
+            if key not in items:
+                changed[key] = None
+        for number, (key, value) in enumerate(items.items(), 1):
+            if number % COMPARED_ITEMS == 0:
+                yield
+            if before.get(key) != value or key in doubtful:
+                changed[key] = value
         return changed
 
     def _feed_in_slices(self, items: Mapping[str, bytes | None]) -> Generator[None, None, None]:
--- a/hopsail/controlplane/configuration_state.py
+++ b/hopsail/controlplane/configuration_state.py
@@ -2,21 +2,29 @@
 
 import json
 import re
-from collections.abc import Mapping
+from collections.abc import Generator, Mapping
 from hashlib import blake2b
 from typing import Any, NamedTuple
 
 from ..configuration.changes import ConfigurationChanges
-from ..configuration.checker import check_configuration, parse_configuration, parse_patch
+from ..configuration.checker import (
+    checking_configuration,
+    parsing_configuration,
+    parsing_patch,
+    result_of,
+)
 from ..configuration.codes import ConfigurationError, ResultCode
 from ..configuration.indexed import ConfigurationIndex
 from ..configuration.types import Configuration, Patch
 from .commands import Command, CommandKind, Result
 
 TAKEN_KEPT = 4096  # changes whose bytes' digests are remembered, for calls that are sent again
+LARGE_BYTES = 64 << 10  # of a body whose reading is a step of its own
 OK, PRECONDITION_FAILED = 200, 412
 ESCAPED_SURROGATE = re.compile(rb"\\u[dD][89a-fA-F]")  # alone it is no text that the feed could carry
 
+Verdict = tuple[Result, Configuration | Patch | None]
+
 
 def digest_of(command: Command) -> str:
     """What is the same for a call that is sent again unchanged."""
@@ -54,40 +62,52 @@
         if self._index is not None:
             self._index.changes_taken()
 
-    def judge(self, command: Command) -> tuple[Result, Configuration | Patch | None]:
+    def judge(self, command: Command) -> Verdict:
         """What would come of the command now, and the configuration or patch that it would put in force."""
-        digest = digest_of(command)
+        return result_of(self.judging(command))
+
+    def judging(self, command: Command) -> Generator[None, None, Verdict]:
+        """`judge` in steps, between which other work may be done; then `judge` costs little.
+
+        The verdict is that on the state as it was at the first step. It is kept until the next one."""
+        digest, base = digest_of(command), self.revision
         if digest in self.taken:
             return Result(OK, value=self.taken[digest]), None
-        if command.base != self.revision:
-            return Result(PRECONDITION_FAILED, ResultCode.REVISION_MISMATCH, value=self.revision), None
-        if self._judged is None or self._judged.digest != digest or self._judged.base != self.revision:
-            self._judged = _Judged(digest, self.revision, *self._judge_content(command))
-        return self._judged.result, self._judged.content
-
-    def _judge_content(self, command: Command) -> tuple[Result, Configuration | Patch | None]:
+        if command.base != base:
+            return Result(PRECONDITION_FAILED, int(ResultCode.REVISION_MISMATCH), value=base), None
+        judged = self._judged
+        if judged is None or judged.digest != digest or judged.base != base:
+            content = yield from self._judging_content(command)
+            judged = self._judged = _Judged(digest, base, *content)
+        return judged.result, judged.content
+
+    def _judging_content(self, command: Command) -> Generator[None, None, tuple]:
+        """The result, what it puts in force, and the index of a whole configuration."""
+        if len(command.body) > LARGE_BYTES:
+            yield  # to have read it in whole was a step by itself
         try:
             if command.kind is CommandKind.PUT_CONFIGURATION:
-                content = self._checked_configuration(command.body)
+                content = yield from self._checked_configuration(command.body)
+                index = ConfigurationIndex(content)
             else:
-                content = self._checked_patch(command.body)
+                content, index = (yield from self._checked_patch(command.body)), None
         except ConfigurationError as error:
-            return Result(error.status, int(error.code), error.item), None
+            return Result(error.status, int(error.code), error.item), None, None
         except ArithmeticError:  # whole numbers beyond what can be weighed
-            return Result(400, int(ResultCode.WRONG_TYPE), "Routes"), None
-        return Result(OK, value=content["Revision"]), content
+            return Result(400, int(ResultCode.WRONG_TYPE), "Routes"), None, None
+        return Result(OK, value=content["Revision"]), content, index
 
-    def _checked_configuration(self, body: bytes) -> Configuration:
-        configuration = parse_configuration(body)
-        check_configuration(configuration, self.revision)
+    def _checked_configuration(self, body: bytes) -> Generator[None, None, Configuration]:
+        configuration = yield from parsing_configuration(body)
+        yield from checking_configuration(configuration, self.revision)
         if ESCAPED_SURROGATE.search(body):
             _check_text(configuration)
         return configuration
 
-    def _checked_patch(self, body: bytes) -> Patch:
-        patch = parse_patch(body)
+    def _checked_patch(self, body: bytes) -> Generator[None, None, Patch]:
+        patch = yield from parsing_patch(body)
         index = self._index or ConfigurationIndex(_empty())
-        index.check_patch(patch)
+        yield from index.checking_patch(patch)
         if ESCAPED_SURROGATE.search(body):
             _check_text(index.added_content(patch))
         return patch
@@ -95,21 +115,21 @@
     def apply(self, command: Command) -> Result:
         """Carries the command out."""
         result, content = self.judge(command)
-        self._judged = None
+        judged, self._judged = self._judged, None
         if content is not None:
-            self._take(command.kind, content)
-            self.taken[digest_of(command)] = content["Revision"]
+            self._take(judged)
+            self.taken[judged.digest] = content["Revision"]
             while len(self.taken) > TAKEN_KEPT:
                 del self.taken[next(iter(self.taken))]
         return result
 
-    def _take(self, kind: CommandKind, content: Configuration | Patch) -> None:
-        if kind is CommandKind.PUT_CONFIGURATION:
-            self._index = ConfigurationIndex(content)
+    def _take(self, judged: "_Judged") -> None:
+        if judged.index is not None:
+            self._index = judged.index
             return
         if self._index is None:
             self._index = ConfigurationIndex(_empty())
-        self._index.apply_patch(content)
+        self._index.apply_patch(judged.content)
 
     def encode(self) -> bytes:
         """The whole state, for a snapshot."""
@@ -132,6 +152,7 @@
     base: int
     result: Result
     content: Configuration | Patch | None
+    index: ConfigurationIndex | None  # of a whole configuration
 
 
 def _check_text(content: Mapping[str, Any]) -> None:
--- /dev/null
+++ b/hopsail/controlplane/decisions.py
@@ -0,0 +1,186 @@
+"""Commands and reads at a control process: offered to the part's leader, decided and confirmed there.
+
+No clock decides anything here. A change is acknowledged by its entry: committed, synced by a majority, and
+applied. All else that is told of a configuration (a refusal, a change that was taken before, a read) is told
+after a round that was begun when the call was there already, and that a majority has confirmed; until then
+all that the leader's log held when the call came must have been applied. So what is told was true at a
+moment between the call and its answer, however long the process is frozen in between and whatever the clocks
+of the machines do; a process without a majority tells nothing."""
+
+from collections.abc import Callable, Generator
+from typing import Any
+
+from ..configuration.codes import ResultCode
+from ..configuration.items import canonical
+from ..replication.state import ReadToken
+from .calls import CALL_TIMEOUT, Reading, Submission
+from .commands import Command, Result, decode_command
+from .messages import CommandCall, CommandReply, ReadCall, ReadReply
+from .part import Done, Part
+from .parts import CONFIGURATION_PART
+
+LOOK_AGAIN_MS = 5  # whether a round is confirmed
+STEP_PAUSE_MS = 1  # between the steps of a judgement
+
+
+class Decisions:
+    """What a control process does with commands and reads, its own and those of other processes.
+
+    Mixed into the process, which has `parts`, `loop`, `after`, `counters` and the channels to the others."""
+
+    parts: list[Part]
+    loop: Any
+    counters: Any
+    after: Callable[[float, Callable[[], None]], object]
+
+    def submit(self, number: int, command: Command, done: Done) -> None:
+        """Has the part's leader carry the command out, wherever it is; `done` is called once."""
+        Submission(self, number, command, done).attempt()
+
+    def decide(self, number: int, command: Command, done: Done) -> bool:
+        """Carries the command out if this process leads; False when it does not."""
+        part = self.parts[number]
+        if not part.leads:
+            return False
+        if number == CONFIGURATION_PART:
+            self._decide_change(part, command, done)
+            return True
+        return part.propose(self.loop.now(), command, done)
+
+    def _decide_change(self, part: Part, command: Command, done: Done) -> None:
+        """Decides a change; one that comes again meanwhile waits, so that it is in the log once."""
+        again = part.deciding.get(command)
+        if again is not None:
+            again.append(lambda: self.decide(part.number, command, done) or done(None))
+            return
+
+        def decided(result: Result | None) -> None:
+            waiting = part.deciding.pop(command)
+            done(result)
+            for act in waiting:
+                self.loop.soon(act)
+
+        part.deciding[command] = []
+        Decision(self, part, command, decided).begin()
+
+    def read_configuration(self, done: Callable[[bytes | None], None]) -> None:
+        """The newest configuration, confirmed by a majority."""
+        Reading(self, done).attempt()
+
+    def read_here(self, done: Callable[[bytes | None], None]) -> bool:
+        """Reads if this process leads part 0; False when it does not."""
+        part = self.parts[CONFIGURATION_PART]
+        if not part.leads:
+            return False
+
+        def confirmed(is_confirmed: bool) -> None:
+            if not is_confirmed:
+                done(None)
+                return
+            configuration = part.state.configuration
+            done(canonical(configuration) if configuration is not None else b"")
+
+        Confirmation(self, part, confirmed).begin()
+        return True
+
+    # Calls of other control processes.
+
+    def _command(self, argument: CommandCall, respond, peer) -> None:
+        def decided(result: Result | None) -> None:
+            if result is None:
+                respond(CommandReply(decided=False, result=b""))
+            else:
+                respond(CommandReply(decided=True, result=result.encode()))
+
+        try:
+            command = decode_command(argument.command)
+        except (ValueError, TypeError):
+            self.counters.add("commands.unreadable")
+            decided(Result(400, int(ResultCode.CONTROL_UNREADABLE)))
+            return
+        if not 0 <= argument.part < len(self.parts) or not self.decide(argument.part, command, decided):
+            decided(None)
+
+    def _read(self, argument: ReadCall, respond, peer) -> None:
+        def told(body: bytes | None) -> None:
+            respond(ReadReply(decided=body is not None, body=body or b""))
+
+        if not self.read_here(told):
+            told(None)
+
+
+class Confirmation:
+    """Tells once whether this process still led the part after the call, with the state up to date."""
+
+    def __init__(self, process: Decisions, part: Part, done: Callable[[bool], None]):
+        self.process, self.part, self.done = process, part, done
+        self.until = process.loop.now() + CALL_TIMEOUT
+        self.token: ReadToken | None = None
+        self.index = 0
+
+    def begin(self) -> None:
+        """Asks the members; the part must be led here."""
+        replica = self.part.replica
+        self.token = replica.read_index(self.process.loop.now())
+        self.index = max(self.token.index, replica.last_index)
+        self.part.pump()
+        self._look()
+
+    def _look(self) -> None:
+        confirmed = self.part.replica.read_ready(self.token)
+        if confirmed and self.part.applied_index >= self.index:
+            self.done(True)
+        elif confirmed is None or self.process.loop.now() >= self.until:
+            self.done(False)
+        else:
+            self.process.after(LOOK_AGAIN_MS, self._look)
+
+
+class Decision:
+    """A change of the configuration where its part is led.
+
+    One that can be taken goes into the log, where its entry decides. Any other verdict is told once it holds
+    on a state that is confirmed. `done(None)`: it is not known what becomes of the change."""
+
+    def __init__(self, process: Decisions, part: Part, command: Command, done: Done):
+        self.process, self.part, self.command, self.done = process, part, command, done
+        self.steps: Generator | None = None
+
+    def begin(self) -> None:
+        """Judges the change on the state as it is now."""
+        self._judge(self._confirm)
+
+    def _judge(self, otherwise: Callable[[Result], None]) -> None:
+        """Proposes the change if it can be taken, else calls `otherwise` with the verdict."""
+        self.steps = self.part.state.judging(self.command)
+        self._step(otherwise)
+
+    def _step(self, otherwise: Callable[[Result], None]) -> None:
+        try:
+            next(self.steps)
+        except StopIteration:
+            self._judged(otherwise)
+        except Exception:
+            self.done(None)
+            raise
+        else:
+            self.process.after(STEP_PAUSE_MS, lambda: self._step(otherwise))
+
+    def _judged(self, otherwise: Callable[[Result], None]) -> None:
+        if not self.part.leads:
+            self.done(None)
+            return
+        result, content = self.part.state.judge(self.command)
+        if content is None:
+            otherwise(result)
+        elif not self.part.propose(self.process.loop.now(), self.command, self.done):
+            self.done(None)
+
+    def _confirm(self, _: Result) -> None:
+        Confirmation(self.process, self.part, self._confirmed).begin()
+
+    def _confirmed(self, is_confirmed: bool) -> None:
+        if is_confirmed:
+            self._judge(self.done)
+        else:
+            self.done(None)
--- a/hopsail/controlplane/operator.py
+++ b/hopsail/controlplane/operator.py
@@ -14,6 +14,7 @@
 CONFIGURATION_PATH, VERSION_PATH = "/-/config", "/-/version-put"
 JSON_TYPE = ("content-type", "application/json")
 UNAVAILABLE_RETRY_AFTER = "0.1"  # s
+READ_HERE_BYTES = 256 << 10  # a larger body is read by the leader alone, in steps
 
 
 class Control(Protocol):
@@ -54,7 +55,8 @@
     def _change(self, request: Request, exchange: Exchange, kind: CommandKind, parse) -> None:
         try:
             base = _base_revision(request)
-            parse(request.body)  # what can't be read is refused here, whoever leads
+            if len(request.body) <= READ_HERE_BYTES:
+                parse(request.body)  # what can't be read is refused here, whoever leads
         except ConfigurationError as error:
             self._answer(exchange, Result(error.status, int(error.code), error.item))
             return
--- a/hopsail/controlplane/part.py
+++ b/hopsail/controlplane/part.py
@@ -1,6 +1,7 @@
 """One part of the control state in this process: its replica, what it must store, and the state it builds."""
 
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterator
 from typing import Protocol
 
 from ..configuration.codes import ResultCode
@@ -26,7 +27,8 @@
     """Drives a replica: `pump` does all that it asks for.
 
     `store(part, ready)` begins a write, `send(part, peer, message)` sends, `applied(part)` tells that the
-    state has changed."""
+    state has changed. `prepare(state, command)`, if there is one, does in steps what would make `apply` long,
+    and `later(act)` has the next step done soon: meanwhile entries wait, and all else goes on."""
 
     def __init__(
         self,
@@ -38,10 +40,16 @@
         store: Callable[["Part", Ready], None],
         send: Callable[["Part", str, object], None],
         applied: Callable[["Part"], None],
+        prepare: Callable[[PartState, Command], Iterator[None]] | None = None,
+        later: Callable[[Callable[[], None]], object] | None = None,
     ):
         self.number, self.replica, self.state = number, replica, state
         self._decode_state, self._apply = decode_state, apply
         self._store, self._send, self._applied = store, send, applied
+        self._prepare, self._later = prepare, later
+        self._unapplied: deque[Entry] = deque()  # committed
+        self._steps: Iterator[None] | None = None  # of the first of them
+        self.deciding: dict[Command, list[Callable[[], None]]] = {}  # changes under way here, who waits
         self._pending: dict[int, tuple[int, Done]] = {}  # index -> (term, who waits)
         self._was_leader = False
         self._was_recovering = replica.recovering
@@ -51,6 +59,11 @@
     def leads(self) -> bool:
         return self.replica.is_leader
 
+    @property
+    def applied_index(self) -> int:
+        """The index of the last entry that the state contains."""
+        return self._unapplied[0].index - 1 if self._unapplied else self.replica.applied_index
+
     def propose(self, now: int, command: Command, done: Done) -> bool:
         """Puts the command into the log; `done(None)` when it is not known what becomes of it.
 
@@ -75,8 +88,8 @@
                 self._store(self, ready)
             if ready.installed is not None:
                 changed |= self._install(ready.installed)
-            for entry in ready.committed:
-                changed |= self._commit(entry)
+            self._unapplied.extend(ready.committed)
+            changed |= self._apply_committed()
         self._drop_pending()
         if changed:
             self._notify(self._applied, self)
@@ -92,7 +105,7 @@
 
     def compact(self) -> None:
         """Replaces old entries by a snapshot when there are many."""
-        if not self.replica.snapshot_due:
+        if not self.replica.snapshot_due or self._unapplied:
             return
         try:
             self.replica.compact(self.replica.applied_index, self.state.encode())
@@ -101,19 +114,72 @@
         self.pump()
 
     def _install(self, snapshot: Snapshot) -> bool:
+        self._unapplied.clear()
+        self._steps = None
         if not snapshot.data:
             return False
         self.state = self._decode_state(snapshot.data)
         return True
 
-    def _commit(self, entry: Entry) -> bool:
-        if entry.kind != EntryKind.DATA:
+    def _apply_committed(self) -> bool:
+        """Applies entries in their order, as far as none has to be prepared."""
+        changed = False
+        while self._unapplied and self._steps is None:
+            command = self._command_of(self._unapplied[0])
+            if command is not None and self._must_prepare(command):
+                break
+            changed |= self._apply_first(command)
+        return changed
+
+    def _apply_first(self, command: Command | None) -> bool:
+        entry = self._unapplied.popleft()
+        return command is not None and self._commit(entry, command)
+
+    def _must_prepare(self, command: Command) -> bool:
+        """Begins to prepare; False when there is nothing left to do for it."""
+        if self._prepare is None:
+            return False
+        steps = self._prepare(self.state, command)
+        if not self._takes_step(steps):
+            return False
+        self._steps = steps
+        self._later(lambda: self._go_on(steps, command))
+        return True
+
+    def _go_on(self, steps: Iterator[None], command: Command) -> None:
+        if steps is not self._steps:
+            return  # a snapshot has taken the entry's place
+        if self._takes_step(steps):
+            self._later(lambda: self._go_on(steps, command))
+            return
+        self._steps = None
+        changed = self._apply_first(command)
+        changed |= self._apply_committed()
+        if changed:
+            self._notify(self._applied, self)
+        self.pump()
+
+    def _takes_step(self, steps: Iterator[None]) -> bool:
+        """Whether there was one more step. A fault ends them: `apply` meets it again, as on every replica."""
+        try:
+            next(steps)
+        except StopIteration:
+            return False
+        except Exception:
+            fault()
             return False
+        return True
+
+    def _command_of(self, entry: Entry) -> Command | None:
+        if entry.kind != EntryKind.DATA:
+            return None
         try:
-            command = decode_command(entry.data)
+            return decode_command(entry.data)
         except (ValueError, TypeError):
             self.dropped_entries += 1
-            return False
+            return None
+
+    def _commit(self, entry: Entry, command: Command) -> bool:
         result = self._carried_out(entry.index, command)
         term, done = self._pending.pop(entry.index, (0, None))
         if done is not None:
--- a/hopsail/controlplane/plane.py
+++ b/hopsail/controlplane/plane.py
@@ -1,11 +1,8 @@
 """The control plane's process: parts of the control state, the operator's calls, the feed."""
 
 import os
-from collections.abc import Callable
 from random import Random
 
-from ..configuration.codes import ResultCode
-from ..configuration.items import canonical
 from ..configuration.needs import CONTROL_PLANE_NEEDS
 from ..configuration.process import ProcessSettings
 from ..configuration.view import RouteTable
@@ -27,19 +24,17 @@
 from ..replication.storage import PartWrite, Storage, StorageError
 from ..rpc.channel import Channel
 from ..rpc.server import RpcServer
-from .calls import CALL_TIMEOUT, Reading, Submission
-from .commands import Command, Result, decode_command
+from .commands import Command, Result
 from .configuration_feed import ConfigurationFeed
 from .configuration_state import ConfigurationState
+from .decisions import STEP_PAUSE_MS, Decisions
 from .kept_reader import KeptReader
 from .messages import (
     COMMAND,
     READ as READ_CALL,
     REPLICATE,
     CommandCall,
-    CommandReply,
     ReadCall,
-    ReadReply,
     ReplicaMessage,
 )
 from .operator import OperatorCalls
@@ -60,7 +55,7 @@
 STOP_WITHIN_MS = 1500
 
 
-class ControlPlane(Program):
+class ControlPlane(Program, Decisions):
     """One control process."""
 
     needed_settings = CONTROL_PLANE_NEEDS
@@ -135,7 +130,16 @@
             state, decode_state = ServiceState(), ServiceState.decode
             apply = _apply_service
         return Part(
-            number, replica, state, decode_state, apply, self._store, self._send_replica, self._applied
+            number,
+            replica,
+            state,
+            decode_state,
+            apply,
+            self._store,
+            self._send_replica,
+            self._applied,
+            ConfigurationState.judging if number == CONFIGURATION_PART else None,
+            lambda act: self.after(STEP_PAUSE_MS, act),
         )
 
     def stop(self) -> None:
@@ -238,70 +242,7 @@
         part.replica.receive(self.loop.now(), argument.sender, message)
         part.pump()
 
-    # Commands.
-
-    def submit(self, number: int, command: Command, done: Callable[[Result | None], None]) -> None:
-        """Has the part's leader carry the command out, wherever it is; `done` is called once."""
-        Submission(self, number, command, done).attempt()
-
-    def decide(self, number: int, command: Command, done: Callable[[Result | None], None]) -> bool:
-        """Carries the command out if this process leads; False when it does not."""
-        part = self.parts[number]
-        if not part.leads:
-            return False
-        if number == CONFIGURATION_PART and part.replica.lease_valid(self.loop.now()):
-            result, configuration = part.state.judge(command)
-            if configuration is None and result.status != 200:
-                done(result)
-                return True
-        return part.propose(self.loop.now(), command, done)
-
-    def _command(self, argument: CommandCall, respond, peer) -> None:
-        def decided(result: Result | None) -> None:
-            if result is None:
-                respond(CommandReply(decided=False, result=b""))
-            else:
-                respond(CommandReply(decided=True, result=result.encode()))
-
-        try:
-            command = decode_command(argument.command)
-        except (ValueError, TypeError):
-            self.counters.add("commands.unreadable")
-            decided(Result(400, int(ResultCode.CONTROL_UNREADABLE)))
-            return
-        if not 0 <= argument.part < len(self.parts) or not self.decide(argument.part, command, decided):
-            decided(None)
-
-    def read_configuration(self, done: Callable[[bytes | None], None]) -> None:
-        """The newest configuration, confirmed by a majority."""
-        Reading(self, done).attempt()
-
-    def read_here(self, done: Callable[[bytes | None], None]) -> bool:
-        """Reads if this process leads part 0; False when it does not."""
-        part = self.parts[CONFIGURATION_PART]
-        if not part.leads:
-            return False
-        token = part.replica.read_index(self.loop.now())
-        part.pump()
-        self._await_read(part, token, done, self.loop.now() + CALL_TIMEOUT)
-        return True
-
-    def _await_read(self, part: Part, token, done, until: int) -> None:
-        confirmed = part.replica.read_ready(token)
-        if confirmed and part.replica.applied_index >= token.index:
-            configuration = part.state.configuration
-            done(canonical(configuration) if configuration is not None else b"")
-        elif confirmed is None or self.loop.now() >= until:
-            done(None)
-        else:
-            self.after(5, lambda: self._await_read(part, token, done, until))
-
-    def _read(self, argument: ReadCall, respond, peer) -> None:
-        def told(body: bytes | None) -> None:
-            respond(ReadReply(decided=body is not None, body=body or b""))
-
-        if not self.read_here(told):
-            told(None)
+    # Other processes and services.
 
     def any_other(self) -> str | None:
         """Another control process that is alive, drawn by lot."""
--- a/tests/controlplane_simulation.py
+++ b/tests/controlplane_simulation.py
@@ -1,6 +1,6 @@
 """Control processes in the simulation of the replicated log: parts, submissions, reads, and operators.
 
-What runs is the processes' own code: `ControlPlane`'s calls, `Part`, the states.
+What runs is the processes' own code: `Decisions`, `Part`, the states.
 """
 
 import json
@@ -9,9 +9,9 @@
 
 from hopsail.controlplane.commands import Command, CommandKind, Result
 from hopsail.controlplane.configuration_state import ConfigurationState
+from hopsail.controlplane.decisions import Decisions
 from hopsail.controlplane.messages import COMMAND, CommandCall, ReadCall
 from hopsail.controlplane.part import Part
-from hopsail.controlplane.plane import ControlPlane
 from hopsail.net.counters import Counters
 from hopsail.replication.schedule import Schedule
 from hopsail.replication.simulation import Network, Node, Simulation, Violation
@@ -34,13 +34,9 @@
         self.act = None
 
 
-class Process:
+class Process(Decisions):
     """What `ControlPlane` is for its calls, in one life of a simulated node."""
 
-    submit, decide = ControlPlane.submit, ControlPlane.decide
-    read_configuration, read_here = ControlPlane.read_configuration, ControlPlane.read_here
-    _await_read, _command, _read = ControlPlane._await_read, ControlPlane._command, ControlPlane._read
-
     def __init__(self, simulation: "ControlSimulation", node: Node):
         self.simulation, self.node, self.life = simulation, node, node.life
         self.identity, self.stopping = node.identity, False
