--- a/hopsail/configuration/codes.py
+++ b/hopsail/configuration/codes.py
@@ -66,7 +66,7 @@
     CONTROL_BUSY = 4008, 503, "too many calls wait"
     CONTROL_STOPPING = 4009, 503, "the process is stopping"
     CONTROL_BODY_TOO_LARGE = 4010, 413, "the body is larger than a configuration may be"
-    CONTROL_STALE_VERSION = 4011, 409, "the version of the weights is below one already named"
+    CONTROL_FORGOTTEN = 4012, 503, "it is not remembered any more whether so old a change was taken"
 
 
 class ConfigurationError(ValueError):
--- a/hopsail/controlplane/configuration_state.py
+++ b/hopsail/controlplane/configuration_state.py
@@ -20,7 +20,7 @@
 
 TAKEN_KEPT = 4096  # changes whose bytes' digests are remembered, for calls that are sent again
 LARGE_BYTES = 64 << 10  # of a body whose reading is a step of its own
-OK, PRECONDITION_FAILED = 200, 412
+OK, PRECONDITION_FAILED, UNAVAILABLE = 200, 412, 503
 ESCAPED_SURROGATE = re.compile(rb"\\u[dD][89a-fA-F]")  # alone it is no text that the feed could carry
 
 Verdict = tuple[Result, Configuration | Patch | None]
@@ -35,11 +35,17 @@
 class ConfigurationState:
     """The newest configuration, and digests of the changes that led to it.
 
+    `forgotten` is the highest revision whose digest is not kept any more. A change that was taken and led to
+    it, or to one below, builds on a revision below it. So of what builds on none below it the digests tell
+    surely whether it was taken; of anything else that is not among them nothing is told, as what was taken
+    once must not be refused.
+
     A patch costs what it changes; a whole configuration costs its whole, once: what `judge` has found is
     kept for the `apply` that follows."""
 
     def __init__(self):
-        self.taken: dict[str, int] = {}  # digest -> revision
+        self.taken: dict[str, int] = {}  # digest -> revision, in the order of revisions
+        self.forgotten = 0
         self._index: ConfigurationIndex | None = None
         self._judged: _Judged | None = None
 
@@ -73,6 +79,8 @@
         digest, base = digest_of(command), self.revision
         if digest in self.taken:
             return Result(OK, value=self.taken[digest]), None
+        if command.base < self.forgotten:
+            return Result(UNAVAILABLE, int(ResultCode.CONTROL_FORGOTTEN), value=base), None
         if command.base != base:
             return Result(PRECONDITION_FAILED, int(ResultCode.REVISION_MISMATCH), value=base), None
         judged = self._judged
@@ -120,7 +128,7 @@
             self._take(judged)
             self.taken[judged.digest] = content["Revision"]
             while len(self.taken) > TAKEN_KEPT:
-                del self.taken[next(iter(self.taken))]
+                self.forgotten = self.taken.pop(next(iter(self.taken)))
         return result
 
     def _take(self, judged: "_Judged") -> None:
@@ -133,13 +141,17 @@
 
     def encode(self) -> bytes:
         """The whole state, for a snapshot."""
-        tree = {"configuration": self.configuration, "taken": self.taken}
+        tree = {
+            "configuration": self.configuration,
+            "taken": self.taken,
+            "forgotten": self.forgotten,
+        }
         return json.dumps(tree, separators=(",", ":")).encode()
 
     @classmethod
     def decode(cls, data: bytes) -> "ConfigurationState":
         state, tree = cls(), json.loads(data)
-        state.taken = tree["taken"]
+        state.taken, state.forgotten = tree["taken"], tree["forgotten"]
         if tree["configuration"] is not None:
             state._index = ConfigurationIndex(tree["configuration"])
         return state
--- a/hopsail/controlplane/decisions.py
+++ b/hopsail/controlplane/decisions.py
@@ -2,10 +2,10 @@
 
 No clock decides anything here. A change is acknowledged by its entry: committed, synced by a majority, and
 applied. All else that is told of a configuration (a refusal, a change that was taken before, a read) is told
-after a round that was begun when the call was there already, and that a majority has confirmed; until then
-all that the leader's log held when the call came must have been applied. So what is told was true at a
-moment between the call and its answer, however long the process is frozen in between and whatever the clocks
-of the machines do; a process without a majority tells nothing."""
+after a round that was begun when the call was there already, and that a majority has confirmed, on a state
+that holds all that was committed when the round began. So what is told was true at a moment between the call
+and its answer, however long the process is frozen in between and whatever the clocks of the machines do; a
+process without a majority tells nothing."""
 
 from collections.abc import Callable, Generator
 from typing import Any
@@ -116,19 +116,16 @@
         self.process, self.part, self.done = process, part, done
         self.until = process.loop.now() + CALL_TIMEOUT
         self.token: ReadToken | None = None
-        self.index = 0
 
     def begin(self) -> None:
         """Asks the members; the part must be led here."""
-        replica = self.part.replica
-        self.token = replica.read_index(self.process.loop.now())
-        self.index = max(self.token.index, replica.last_index)
+        self.token = self.part.replica.read_index(self.process.loop.now())
         self.part.pump()
         self._look()
 
     def _look(self) -> None:
         confirmed = self.part.replica.read_ready(self.token)
-        if confirmed and self.part.applied_index >= self.index:
+        if confirmed and self.part.applied_index >= self.token.index:
             self.done(True)
         elif confirmed is None or self.process.loop.now() >= self.until:
             self.done(False)
@@ -144,6 +141,7 @@
 
     def __init__(self, process: Decisions, part: Part, command: Command, done: Done):
         self.process, self.part, self.command, self.done = process, part, command, done
+        self.until = process.loop.now() + CALL_TIMEOUT
         self.steps: Generator | None = None
 
     def begin(self) -> None:
@@ -181,6 +179,20 @@
 
     def _confirmed(self, is_confirmed: bool) -> None:
         if is_confirmed:
-            self._judge(self.done)
+            self._judge(self._refuse)
         else:
             self.done(None)
+
+    def _refuse(self, verdict: Result) -> None:
+        """Tells the verdict, unless the change may build on one that came before it and is under way."""
+        if self.command.base <= self.part.state.revision or self._is_first:
+            self.done(verdict)
+        elif self.process.loop.now() >= self.until:
+            self.done(None)
+        else:
+            self.process.after(LOOK_AGAIN_MS, lambda: self._judge(self._refuse))
+
+    @property
+    def _is_first(self) -> bool:
+        """Whether no change that is being decided here came before this one."""
+        return next(iter(self.part.deciding)) == self.command
--- a/hopsail/controlplane/operator.py
+++ b/hopsail/controlplane/operator.py
@@ -96,7 +96,8 @@
 
 
 def _base_revision(request: Request) -> int:
-    base = whole_number((request.header("if-match") or "").strip().strip('"'))
+    texts = [value for name, value in request.headers if name == "if-match"]
+    base = whole_number(texts[0].strip().strip('"')) if len(texts) == 1 else None
     if base is None:
         raise ConfigurationError(ResultCode.BAD_PRECONDITION, "If-Match")
     return base
--- a/tests/controlplane_simulation.py
+++ b/tests/controlplane_simulation.py
@@ -7,6 +7,7 @@
 from random import Random
 from types import SimpleNamespace
 
+from hopsail.controlplane import decisions
 from hopsail.controlplane.commands import Command, CommandKind, Result
 from hopsail.controlplane.configuration_state import ConfigurationState
 from hopsail.controlplane.decisions import Decisions
@@ -51,6 +52,8 @@
             lambda _, ready: simulation._store(node, ready),
             lambda _, peer, message: simulation.send(node.identity, peer, message),
             self._applied,
+            ConfigurationState.judging,
+            lambda act: self.after(decisions.STEP_PAUSE_MS, act),
         )
         self.parts = [self.part]
 
