--- a/hopsail/controlplane/configuration_state.py
+++ b/hopsail/controlplane/configuration_state.py
@@ -84,9 +84,9 @@
         if command.base != base:
             return Result(PRECONDITION_FAILED, int(ResultCode.REVISION_MISMATCH), value=base), None
         judged = self._judged
-        if judged is None or judged.digest != digest or judged.base != base:
+        if judged is None or judged.digest != digest:
             content = yield from self._judging_content(command)
-            judged = self._judged = _Judged(digest, base, *content)
+            judged = self._judged = _Judged(digest, *content)
         return judged.result, judged.content
 
     def _judging_content(self, command: Command) -> Generator[None, None, tuple]:
@@ -158,10 +158,9 @@
 
 
 class _Judged(NamedTuple):
-    """What the last call of `judge` has found, on the configuration of the revision `base`."""
+    """What the last call of `judge` has found; the digest also tells on which revision."""
 
     digest: str
-    base: int
     result: Result
     content: Configuration | Patch | None
     index: ConfigurationIndex | None  # of a whole configuration
