Feeds tell how long ago a majority stood behind them, and the list of members with its version

Cause: a poll's reply told since when its publisher knew some leader. A leader that is cut off knows itself, a follower of it too, and the figure was taken at the last tick, before a stop of the process. The list of control processes was that of the log's end, committed or not, and had no version.

Now a leader counts from its lease; another member asks the leader, which answers under its lease with what is committed, and counts from its asking once that is applied and fed here. The age is taken with the clock read at the reply. The follower counts from its own asking, but for the time that the poll waited at the publisher, so that neither messages under way for long nor a stopped process make old word look new. The list of members is the committed one, with the index as of which it holds; a publisher without recent word tells the control processes that its membership knows besides. Polls that wait are answered when word comes back.

The feeding side of the control plane's process is a module of its own. Ruled out: carrying the age in AppendEntries; it would trust how long messages were under way, and cost bytes in each of them.

tests: the reply's field has a new name and meaning, so test_feed now compares the time that is counted from (asked, less the age) in place of the bare age; test_feed_packing carries the new fields along as well.

--- a/hopsail/controlplane/configuration_feed.py
+++ b/hopsail/controlplane/configuration_feed.py
@@ -39,6 +39,12 @@
         self._needs_whole = True
         self._doubtful: frozenset[str] = frozenset()  # keys that a failed feeding may have left behind
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the feed tells the state's configuration, or there is none."""
+        fed = self._table.revision if self._table is not None else 0
+        return fed >= self._state().revision
+
     def publish(self) -> None:
         """Feeds the state's configuration if it is newer than what has been fed."""
         state = self._state()
--- a/hopsail/controlplane/plane.py
+++ b/hopsail/controlplane/plane.py
@@ -9,12 +9,9 @@
 from ..configuration.needs import CONTROL_PLANE_NEEDS
 from ..configuration.process import ProcessSettings
 from ..configuration.view import RouteTable
-from ..feed.follower import Follower
-from ..feed.journal import Journal
-from ..feed.messages import POLL, PollReply, PollRequest
-from ..feed.packing import PackedResponder, Packer
-from ..feed.publisher import Publisher
-from ..feed.topics import SOFT_TOPICS, Topic
+from ..feed.journal import Change, Journal
+from ..feed.messages import POLL, PollRequest
+from ..feed.topics import Topic
 from ..http.client import HttpClient
 from ..http.server import HttpServer, ServerLimits
 from ..net.log import say
@@ -31,6 +28,8 @@
 from .commands import Command, Result, decode_command
 from .configuration_feed import ConfigurationFeed
 from .configuration_state import ConfigurationState
+from .contact import CONFIRM, ConfirmCall
+from .feeds import ROLE, Feeds
 from .kept_reader import KeptReader
 from .messages import (
     COMMAND,
@@ -50,7 +49,6 @@
 from .service_state import ServiceState
 from .voters import Voters
 
-ROLE = "controlplane"
 DATA_PLANE_ROLE = "dataplane"
 BODY_BYTES = 6 << 20  # of an operator's call
 MOST_ENTRIES = 2_000_000  # of the feed
@@ -70,11 +68,7 @@
         self.identity = f"{settings.ip}:{settings.port_first}"
         self.random = Random(f"{settings.node_name}/{self.loop.now()}")
         self.journal = Journal(self.random.getrandbits(62) + 1, MOST_ENTRIES)
-        self.publisher = Publisher(self.journal, self.loop.now, settings.node_name)
-        self.publisher.reply_decorator = self._decorate
-        self.packer = Packer()
         self.channels: dict[str, Channel] = {}
-        self.followers: dict[str, Follower] = {}
         self.http = HttpClient(self.loop)
         self.table: RouteTable | None = None
         self.configuration_feed = ConfigurationFeed(
@@ -83,18 +77,19 @@
             lambda: self.parts[CONFIGURATION_PART].state,
             self._configuration_fed,
         )
-        self.leader_heard = 0  # ns, when part 0 last had a leader
 
     # Start and stop.
 
     def start(self) -> None:
         settings = self.settings
         self._open_storage()
+        self.feeds = self._feeds()
         self.rpc = RpcServer(self.loop, (settings.ip, settings.port_first), FLEET)
         self.rpc.register(REPLICATE, ReplicaMessage, self._replicate)
         self.rpc.register(COMMAND, CommandCall, self._command)
         self.rpc.register(READ_CALL, ReadCall, self._read)
-        self.rpc.register(POLL, PollRequest, self._poll)
+        self.rpc.register(POLL, PollRequest, self.feeds.poll)
+        self.rpc.register(CONFIRM, ConfirmCall, self.feeds.contact.answer)
         self.operator = OperatorCalls(self, self.counters)
         self.door = HttpServer(
             self.loop, settings.control_plane, self.operator.handle, ServerLimits(body_bytes=BODY_BYTES)
@@ -184,18 +179,14 @@
                 if part.leads:
                     part.replica.storage_stalled(now)
                     part.pump()
-        due = self.publisher.due
-        if due is not None and due <= now:
-            self.publisher.tick(now)
-        if self.parts[0].replica.leader is not None:
-            self.leader_heard = now
+        self.feeds.tick()
 
     def _slow_tick(self) -> None:
         self.after(SLOW_TICK_MS, self._slow_tick)
         self.voters.check(self.loop.now())
         for part in self.parts:
             part.compact()
-        self._follow_others()
+        self.feeds.follow_others()
         count = self.membership.count_upper_bound(DATA_PLANE_ROLE, self.loop.now())
         self.journal.set(Topic.BALANCERS, "count", str(count).encode())
 
@@ -305,10 +296,12 @@
 
     def any_other(self) -> str | None:
         """Another control process that is alive, drawn by lot."""
-        alive = [f"{m.address[0]}:{m.address[1]}" for m in self.membership.alive(ROLE)]
-        others = [identity for identity in alive if identity != self.identity]
+        others = [identity for identity in self._alive_controls() if identity != self.identity]
         return self.random.choice(others) if others else None
 
+    def _alive_controls(self) -> list[str]:
+        return [f"{m.address[0]}:{m.address[1]}" for m in self.membership.alive(ROLE)]
+
     def service_of_model(self, model: str) -> str:
         """The service whose hosts run the model; the model's own name while none is known."""
         if self.table is not None:
@@ -336,32 +329,22 @@
         self.table = table
         say("configuration", f"revision {table.revision} taken")
 
-    def _decorate(self, reply: PollReply) -> None:
-        age = (self.loop.now() - self.leader_heard) // MILLISECOND if self.leader_heard else -1
-        reply.leader_age_ms = min(age, 1 << 30)
-        reply.members = list(self.parts[0].replica.members.all) or [self.identity]
-
-    def _follow_others(self) -> None:
-        others = {peer for peer in self.parts[0].replica.members.all if peer != self.identity}
-        others |= {f"{m.address[0]}:{m.address[1]}" for m in self.membership.alive(ROLE)} - {self.identity}
-        for peer in others - self.followers.keys():
-            settings = self.settings
-            self.followers[peer] = Follower(
-                self.loop,
-                self.channel(peer),
-                settings.node_name,
-                ROLE,
-                settings.zone,
-                SOFT_TOPICS,
-                self._told,
-            )
-        for peer in self.followers.keys() - others:
-            self.followers.pop(peer).stop()
-
-    def _poll(self, request: PollRequest, respond, peer) -> None:
-        self.publisher.poll(request, PackedResponder(self.packer, respond))
-
-    def _told(self, follower: Follower, snapshot: bool, changes, reply) -> None:
+    def _feeds(self) -> Feeds:
+        part = self.parts[CONFIGURATION_PART]
+        return Feeds(
+            self.loop,
+            self.settings,
+            self.identity,
+            self.journal,
+            part.replica,
+            self.channel,
+            lambda: self.configuration_feed.is_current,
+            lambda: set(self._alive_controls()),
+            self._told,
+        )
+
+    def _told(self, changes: list[Change]) -> None:
+        """News from another control process."""
         with self.journal.batch():
             for change in changes:
                 if change.value is None:
--- a/hopsail/feed/follower.py
+++ b/hopsail/feed/follower.py
@@ -17,7 +17,6 @@
 PACE = 20 * MS  # between two polls, at least
 FIRST_BACK_OFF = 50 * MS
 LONGEST_BACK_OFF = 500 * MS
-UNKNOWN_AGE = -1
 
 OnChanges = Callable[["Follower", bool, list[Change], PollReply], None]
 
@@ -45,7 +44,7 @@
         self.on_changes, self.make_report = on_changes, make_report
         self.fold = Fold()
         self.last_heard = 0  # ns of the last reply, 0 before the first
-        self.leader_age_ms = UNKNOWN_AGE  # as of the last reply
+        self.confirmed_at: int | None = None  # ns: a majority confirmed then, or later, what is told here
         self.last_error: CallError | None = None  # of the last poll, None when it had a reply
         self._asked = 0  # ns
         self._back_off = FIRST_BACK_OFF
@@ -85,6 +84,19 @@
         )
         self.channel.call(POLL, request, PollReply, self._answered, WAIT_MS * MS + GRACE)
 
+    def is_confirmed(self, longest_ago: int) -> bool:
+        """Whether a majority has confirmed what is told here not longer than so many ns ago."""
+        return self.confirmed_at is not None and self.loop.now() - self.confirmed_at <= longest_ago
+
+    def _note_contact(self, reply: PollReply) -> None:
+        """The time is counted from the asking, as the reply may have been long under way, or this process
+        stopped: the poll reached the publisher later than it was sent, and waited there for `held_ms`."""
+        if reply.contact_age_ms < 0:
+            self.confirmed_at = None
+            return
+        confirmed_at = self._asked + (reply.held_ms - reply.contact_age_ms) * MS
+        self.confirmed_at = min(confirmed_at, self.last_heard)
+
     def _report(self) -> bytes:
         if self.make_report is None:
             return b""
@@ -109,7 +121,8 @@
             self._back_off = min(2 * self._back_off, LONGEST_BACK_OFF)
             return
         self._back_off = FIRST_BACK_OFF
-        self.last_heard, self.leader_age_ms = self.loop.now(), reply.leader_age_ms
+        self.last_heard = self.loop.now()
+        self._note_contact(reply)
         folded = self.fold.apply(reply)
         self._ask_at(max(self.last_heard, self._asked + PACE))  # also if the callback fails
         if folded is not None:
--- a/hopsail/feed/messages.py
+++ b/hopsail/feed/messages.py
@@ -52,12 +52,15 @@
     sequence: int  # to ask from next
     snapshot: bool  # `changes` are all entries of the topics, or their first part
     changes: list[ChangeStruct]
-    leader_age_ms: int  # since the publisher last heard a leader; -1 when unknown
-    members: list[str]
+    contact_age_ms: int  # since a majority last confirmed what the publisher tells; -1 before
+    members: list[str]  # the committed list of control processes, as of `members_as_of`
     more: bool  # further parts follow
     base: int  # as in the request, to be asked with next
     since: int  # the sequence that was asked with
     packed: bytes  # `packing.ChangeList`, compressed, in place of `changes`
+    members_as_of: int  # committed index of part 0; -1 when the publisher knows no list
+    others: list[str]  # control processes that may know more, from a publisher without a majority's word
+    held_ms: int  # how long the poll waited at the publisher before the reply was made, at least
 
     thrift_spec = spec(
         text(1, "node"),
@@ -65,10 +68,13 @@
         i64(3, "sequence"),
         boolean(4, "snapshot"),
         structs(5, "changes", ChangeStruct),
-        i32(6, "leader_age_ms", -1),
+        i32(6, "contact_age_ms", -1),
         list_of(7, "members", TType.STRING, "UTF8"),
         boolean(8, "more"),
         i64(9, "base"),
         i64(10, "since"),
         binary(11, "packed"),
+        i64(12, "members_as_of", -1),
+        list_of(13, "others", TType.STRING, "UTF8"),
+        i32(14, "held_ms"),
     )
--- a/hopsail/feed/packing.py
+++ b/hopsail/feed/packing.py
@@ -45,12 +45,15 @@
             sequence=reply.sequence,
             snapshot=reply.snapshot,
             changes=[],
-            leader_age_ms=reply.leader_age_ms,
+            contact_age_ms=reply.contact_age_ms,
             members=reply.members,
             more=reply.more,
             base=reply.base,
             since=reply.since,
             packed=data,
+            members_as_of=reply.members_as_of,
+            others=reply.others,
+            held_ms=reply.held_ms,
         )
         self._recent.append((reply, packed))
         return packed
--- a/hopsail/feed/publisher.py
+++ b/hopsail/feed/publisher.py
@@ -29,13 +29,15 @@
 class _Parked:
     request: PollRequest
     respond: Responder
+    began: int  # ns
     due: int  # ns
 
 
 class Publisher:
     """Publishes one journal; `tick` is to be called at `due`.
 
-    `reply_decorator`, where set, fills in what the journal does not know: `leader_age_ms` and `members`."""
+    `reply_decorator`, where set, fills in what the journal does not know: how long ago a majority
+    confirmed its contents, and the members."""
 
     def __init__(
         self, journal: Journal, clock: Callable[[], int], node: str = "", max_page: int = MAX_PAGE
@@ -83,6 +85,12 @@
             del self._parked[parked.request.node]
             self._answer_empty(parked)
 
+    def release(self) -> None:
+        """Answers all polls that wait: what replies tell besides the changes is different now."""
+        parked, self._parked = self._parked, {}
+        for one in parked.values():
+            self._answer_empty(one)
+
     def _waits(self, parked: _Parked) -> bool:
         return self._parked.get(parked.request.node) is parked
 
@@ -94,7 +102,8 @@
 
     def _park(self, request: PollRequest, respond: Responder) -> None:
         wait_ms = min(max(request.wait_ms, 0), MAX_WAIT_MS)
-        parked = _Parked(request, respond, self.clock() + wait_ms * MS)
+        now = self.clock()
+        parked = _Parked(request, respond, now, now + wait_ms * MS)
         if wait_ms == 0 or len(self._parked) >= MAX_PARKED:
             self.refused_parking += wait_ms > 0
             self._answer_empty(parked)
@@ -137,7 +146,9 @@
     def _answer_empty(self, parked: _Parked) -> None:
         # It was parked because it lacks nothing.
         page = Page([], self.journal.sequence, False)
-        parked.respond(self._reply(parked.request, (page, False)))
+        reply = self._reply(parked.request, (page, False))
+        reply.held_ms = (self.clock() - parked.began) // MS
+        parked.respond(reply)
 
     def _reply(self, request: PollRequest, found: tuple[Page, bool]) -> PollReply:
         page, snapshot = found
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -323,12 +323,24 @@
 
     def test_the_decorator_fills_in_the_rest(self, publisher):
         def decorate(reply):
-            reply.leader_age_ms, reply.members = 12, ["a", "b"]
+            reply.contact_age_ms, reply.members = 12, ["a", "b"]
 
-        assert poll(publisher, wait_ms=0)[0].leader_age_ms == -1
+        assert poll(publisher, wait_ms=0)[0].contact_age_ms == -1
         publisher.reply_decorator = decorate
         (reply,) = poll(publisher, wait_ms=0)
-        assert (reply.leader_age_ms, reply.members) == (12, ["a", "b"])
+        assert (reply.contact_age_ms, reply.members) == (12, ["a", "b"])
+
+    def test_all_polls_that_wait_can_be_released(self, publisher, clock):
+        answers = [poll(publisher, node=f"edge-{number}") for number in range(3)]
+        publisher.release()
+        assert [len(replies) for replies in answers] == [1, 1, 1]
+        assert publisher.parked == 0 and publisher.due is None
+
+    def test_a_reply_without_changes_tells_how_long_its_poll_waited(self, publisher, clock):
+        (waited,) = [poll(publisher)]
+        clock.now += 1000 * MS
+        publisher.tick(clock.now)
+        assert waited[0].held_ms == 1000
 
     def test_all_who_hold_the_same_have_the_same_reply(self, journal, publisher):
         answers = [poll(publisher, node=f"edge-{number}") for number in range(3)]
@@ -640,12 +652,12 @@
         assert asked == request(incarnation=0, role="data", zone="z1", report=b"busy")
         journal.set(HOSTS, "a", b"1")
         respond = FakeResponder()
-        publisher.reply_decorator = lambda reply: setattr(reply, "leader_age_ms", 40)
+        publisher.reply_decorator = lambda reply: setattr(reply, "contact_age_ms", 40)
         publisher.poll(asked, respond)
         fake_loop.run(30 * MS)
         done(respond.replies[0], None)
         assert told == [(True, [Change(HOSTS, "a", b"1")])]
-        assert (follower.last_heard, follower.leader_age_ms) == (fake_loop.now(), 40)
+        assert (follower.last_heard, follower.confirmed_at) == (fake_loop.now(), SECOND - 40 * MS)
         assert follower.state == {(HOSTS, "a"): b"1"}
         assert fake_channel.calls == []  # never from inside the answer
         fake_loop.run()
@@ -677,6 +689,28 @@
         fake_channel.take()[1](None, Refused("poll"))
         assert fake_loop.timers[0][0] - fake_loop.now() == 50 * MS
 
+    @pytest.mark.parametrize(
+        "age_ms, held_ms, took_ms, ago_ms",
+        [(0, 0, 30, 30), (200, 1000, 1030, 230), (0, 5000, 1000, 0), (1 << 30, 0, 0, 1 << 30)],
+    )
+    def test_a_word_is_as_old_as_the_poll_but_for_its_wait(
+        self, fake_loop, fake_channel, follower, age_ms, held_ms, took_ms, ago_ms
+    ):
+        fake_loop.run()
+        _, done = fake_channel.take()
+        fake_loop.run(took_ms * MS)
+        done(PollReply(incarnation=5, snapshot=True, contact_age_ms=age_ms, held_ms=held_ms), None)
+        assert fake_loop.now() - follower.confirmed_at == ago_ms * MS
+        assert follower.is_confirmed(ago_ms * MS) and not follower.is_confirmed(ago_ms * MS - 1)
+
+    def test_a_publisher_without_a_word_takes_an_earlier_one_back(self, fake_loop, fake_channel, follower):
+        fake_loop.run()
+        fake_channel.take()[1](PollReply(incarnation=5, snapshot=True, contact_age_ms=0), None)
+        assert follower.is_confirmed(0)
+        fake_loop.run(20 * MS)
+        fake_channel.take()[1](PollReply(incarnation=6, snapshot=True), None)
+        assert follower.confirmed_at is None and not follower.is_confirmed(SECOND)
+
     def test_stopped_it_asks_and_tells_nothing(self, fake_loop, fake_channel, follower, told):
         fake_loop.run()
         _, done = fake_channel.take()
--- a/tests/test_feed_packing.py
+++ b/tests/test_feed_packing.py
@@ -13,8 +13,9 @@
         for index in range(number)
     ]
     return PollReply(
-        node="c", incarnation=7, sequence=9, snapshot=True, changes=changes, leader_age_ms=3,
+        node="c", incarnation=7, sequence=9, snapshot=True, changes=changes, contact_age_ms=3,
         members=["a:1"], more=True, base=4, since=2,
+        members_as_of=8, others=["b:1"], held_ms=6,
     )  # fmt: skip
 
 
