Data planes: no first configuration from who is cut off; the list of control processes has a version

Cause: a data plane took its first configuration, hosts, weights and keys from whichever control process answered first, also from one that had been cut off for long; each reply replaced the whole list of control processes, so that two with different lists changed whom it followed at every reply and brought back members that had been removed.

A publisher that is cut off stays followed, since it may be the only pointer to the others, and others are followed besides until enough have a majority's word. After ContactMs of own running time without any word, what is there is served: a process that finds no majority in that time is not in touch, and an old configuration is better than none.

Of two lists the one as of the later committed index is taken; an older one's addresses are hints, which come last and only when others are missing.

--- a/hopsail/dataplane/plane.py
+++ b/hopsail/dataplane/plane.py
@@ -4,7 +4,9 @@
 
 from ..configuration.needs import DATA_PLANE_NEEDS
 from ..configuration.process import ProcessSettings
+from ..feed.confirmed import ConfirmedFeeds
 from ..feed.follower import Follower
+from ..feed.journal import Change
 from ..feed.topics import DATA_PLANE_TOPICS
 from ..http.client import ConnectionPool
 from ..http.message import Request, whole_number
@@ -59,6 +61,8 @@
         self.gates = Gates(self.loop, self.placement.capacity, lambda: self.view.balancers)
         self.in_flight: dict[Forwarding, None] = {}
         self.channels: dict[tuple[str, int], Channel] = {}
+        contact_time = int(bounds.contact_ms * MILLISECOND)
+        self.confirmed = ConfirmedFeeds(self.loop.now, contact_time, contact_time, self._apply)
         self.controls = ControlLinks(self.loop, settings.machine_losses, self._follow, self._left)
         self.was_ready = False
         self.began = self.loop.now()  # ns
@@ -97,6 +101,7 @@
     def _tick(self) -> None:
         self.after(TICK_MS, self._tick)
         self.controls.choose()
+        self.confirmed.tick()
         if self.ready != self.was_ready:
             self.was_ready = self.ready
             say("state", "ready" if self.ready else "not ready")
@@ -121,9 +126,11 @@
         )
 
     def _changes(self, follower: Follower, snapshot: bool, changes, reply) -> None:
-        if changes:
-            self.view.apply(self.loop.now(), str(follower.channel.address), follower.state, changes)
-        self.controls.tell(reply.members)
+        self.confirmed.changed(follower, snapshot, changes, reply)
+        self.controls.tell(reply.members, reply.members_as_of, reply.others)
+
+    def _apply(self, follower: Follower, changes: list[Change]) -> None:
+        self.view.apply(self.loop.now(), str(follower.channel.address), follower.state, changes)
 
     def _configuration_changed(self) -> None:
         table = self.view.table
@@ -228,9 +235,10 @@
             now, forwarding.service, forwarding.prompt, forwarding.tenant, priority, forwarding.excluded
         )
 
-    def _left(self, address: tuple[str, int]) -> None:
+    def _left(self, follower: Follower) -> None:
         """A control process is not followed any more."""
-        self.view.forget_source(str(address))
+        self.confirmed.forget(follower)
+        self.view.forget_source(str(follower.channel.address))
 
     def may_retry(self, now: int, service: str) -> bool:
         """Whether the fleet's budget has room for one more arrival."""
