--- a/hopsail/controlplane/feeds.py
+++ b/hopsail/controlplane/feeds.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 from ..configuration.process import ProcessSettings
-from ..feed.confirmed import ConfirmedFeeds
+from ..feed.confirmed import ConfirmedFeeds, contact_time
 from ..feed.follower import Follower
 from ..feed.journal import Change, Journal
 from ..feed.messages import PollReply, PollRequest
@@ -16,7 +16,6 @@
 from .contact import MajorityContact
 
 ROLE = "controlplane"
-MILLISECOND = 1_000_000
 
 
 class Feeds:
@@ -41,14 +40,12 @@
         self.publisher = Publisher(journal, loop.now, settings.node_name)
         self.publisher.reply_decorator = self._decorate
         self._packer = Packer()
-        contact_time = int(settings.bounds.contact_ms * MILLISECOND)
+        longest_ago = contact_time(settings.bounds)
         self.contact = MajorityContact(
-            loop, replica, channel, is_fed, contact_time // 2, self.publisher.release
+            loop, replica, channel, is_fed, longest_ago // 2, self.publisher.release
         )
         self.followers: dict[str, Follower] = {}
-        self._confirmed = ConfirmedFeeds(
-            loop.now, contact_time, contact_time, lambda _, changes: told(changes)
-        )
+        self._confirmed = ConfirmedFeeds(loop.now, longest_ago, longest_ago, lambda _, changes: told(changes))
 
     def poll(self, request: PollRequest, respond, peer) -> None:
         """A follower's call."""
--- a/hopsail/dataplane/plane.py
+++ b/hopsail/dataplane/plane.py
@@ -4,7 +4,7 @@
 
 from ..configuration.needs import DATA_PLANE_NEEDS
 from ..configuration.process import ProcessSettings
-from ..feed.confirmed import ConfirmedFeeds
+from ..feed.confirmed import ConfirmedFeeds, contact_time
 from ..feed.follower import Follower
 from ..feed.journal import Change
 from ..feed.topics import DATA_PLANE_TOPICS
@@ -61,8 +61,8 @@
         self.gates = Gates(self.loop, self.placement.capacity, lambda: self.view.balancers)
         self.in_flight: dict[Forwarding, None] = {}
         self.channels: dict[tuple[str, int], Channel] = {}
-        contact_time = int(bounds.contact_ms * MILLISECOND)
-        self.confirmed = ConfirmedFeeds(self.loop.now, contact_time, contact_time, self._apply)
+        longest_ago = contact_time(bounds)
+        self.confirmed = ConfirmedFeeds(self.loop.now, longest_ago, longest_ago, self._apply)
         self.controls = ControlLinks(self.loop, settings.machine_losses, self._follow, self._left)
         self.was_ready = False
         self.began = self.loop.now()  # ns
--- a/hopsail/feed/confirmed.py
+++ b/hopsail/feed/confirmed.py
@@ -10,15 +10,23 @@
 
 from collections.abc import Callable
 
+from ..configuration.process import Bounds
 from .follower import Follower
 from .journal import Change, Name
 from .messages import PollReply
 
+MS = 1_000_000  # ns
+LEAST_CONTACT_MS = 2000  # of the times below: a poll may wait for a second, elections take almost as long
 LONGEST_STEP = 500_000_000  # ns between two ticks that are counted: longer ones, the process did not run
 
 Apply = Callable[[Follower, list[Change]], None]
 
 
+def contact_time(bounds: Bounds) -> int:
+    """How old a majority's word may be, and how long to wait for one: the time of contact (ns)."""
+    return int(max(bounds.contact_ms, LEAST_CONTACT_MS) * MS)
+
+
 class Gate:
     """Holds the names that one feed has changed and that were not passed on."""
 
--- a/tests/test_feed_confirmed.py
+++ b/tests/test_feed_confirmed.py
@@ -1,8 +1,10 @@
 """Feeds that are held back until a majority has confirmed them, and no longer than the patience."""
 
+from types import SimpleNamespace
+
 import pytest
 
-from hopsail.feed.confirmed import LONGEST_STEP, ConfirmedFeeds
+from hopsail.feed.confirmed import LONGEST_STEP, ConfirmedFeeds, contact_time
 from hopsail.feed.journal import Change
 from hopsail.feed.messages import PollReply
 from hopsail.feed.topics import DATA_PLANE_TOPICS
@@ -64,6 +66,11 @@
     return [Change(topic, key, value) for topic in DATA_PLANE_TOPICS]
 
 
+@pytest.mark.parametrize("contact_ms, seconds", [(3000, 3), (4500.5, 4.5005), (500, 2), (0, 2)])
+def test_the_contact_time_is_the_settings_and_no_shorter_than_a_poll_and_an_election(contact_ms, seconds):
+    assert contact_time(SimpleNamespace(contact_ms=contact_ms)) == seconds * SECOND
+
+
 def test_a_confirmed_snapshot_and_the_changes_after_it_are_passed_on(fleet, follower):
     fleet.tell(follower, changes(), snapshot=True, confirmed=True)
     fleet.tell(follower, changes(b"2"))
