--- a/hopsail/controlplane/stopping.py
+++ b/hopsail/controlplane/stopping.py
@@ -94,7 +94,7 @@
         """Lets those go that wait for changes, and ends when that is out."""
         if not self.released and now < self.closed_by:
             self.released = True
-            self.publisher.release()
+            self.publisher.stop_parking()
             self._step_again(now)
             return
         self.door.close()
--- a/tests/test_controlplane_stopping.py
+++ b/tests/test_controlplane_stopping.py
@@ -88,7 +88,7 @@
         self.loop, self.door, self.rpc = Clock(), StandInDoor(), StandInRpc()
         self.parts = parts or (StandInPart(),)
         self.releases, self.finished = 0, False
-        publisher = SimpleNamespace(release=self.release)
+        publisher = SimpleNamespace(stop_parking=self.release)
         self.ending = Ending(self.loop, ME, self.parts, self.door, self.rpc, publisher, grace_ms, self.finish)
         self.told_at = self.loop.now()
         self.ending.step()
@@ -310,7 +310,7 @@
     )
     channel = cluster.planes[2].channel(cluster.planes[1].identity)
     channel.call(POLL, request, PollReply, lambda *answer: replies.append(answer), 12 * SECOND)
-    cluster.until(lambda: "edge-1" in cluster.planes[1].publisher._parked)
+    cluster.until(lambda: "edge-1" in cluster.planes[1].feeds.publisher._parked)
     plane = stops(cluster, 1)
     cluster.until(lambda: not plane.loop.running)
     cluster.until(lambda: replies)
