--- a/tests/simulation/doors.py
+++ b/tests/simulation/doors.py
@@ -15,6 +15,7 @@
 
     def __init__(self, loop, address, fleet: str, *more):
         self.machine, self.methods = loop.machine, {}
+        self.calls: dict[SimulatedRespond, str] = {}  # that wait for their reply, with their method
         self.machine.rpc = self
 
     def register(self, method: str, argument_class, handler) -> None:
@@ -26,8 +27,15 @@
     def take(self, method: str, body: bytes, respond) -> None:
         """A call has come."""
         argument_class, handler = self.methods[method]
+        if isinstance(respond, SimulatedRespond):
+            self.calls[respond] = method
+            respond.on_reply = lambda: self.calls.pop(respond, None)
         handler(decode(argument_class, body), respond, None)
 
+    def calls_in_flight(self, besides: str = "") -> int:
+        """Calls that wait for their reply, but for those of one method."""
+        return sum(method != besides for method in self.calls.values())
+
 
 class SimulatedRespond:
     """The way back to a caller; the caller's end is not noticed."""
@@ -36,11 +44,13 @@
 
     def __init__(self, machine, channel: "SimulatedChannel", seqid: int):
         self.machine, self.channel, self.seqid = machine, channel, seqid
+        self.on_reply: Callable[[], None] = lambda: None
 
     def on_closed(self, callback: Callable[[], None]) -> None:
         """A caller that has gone is noticed by its next call."""
 
     def __call__(self, reply) -> None:
+        self.on_reply()
         data, channel = encode(reply), self.channel
 
         def deliver() -> None:
@@ -122,6 +132,7 @@
     """In place of `HttpServer`."""
 
     busy = 0
+    connections = ()
 
     def __init__(self, loop, address, handle, *more):
         self.machine, self.handle = loop.machine, handle
@@ -133,6 +144,10 @@
     def close_idle(self) -> None:
         """No connection is kept."""
 
+    def shut(self) -> None:
+        """Nothing that comes is taken any more."""
+        self.close()
+
     def close(self) -> None:
         self.machine.doors = {port: door for port, door in self.machine.doors.items() if door is not self}
 
