Replication: long messages go in pieces, and the log is kept for who catches up

A long entry held the heartbeats up alike. Above 8 MB `compact` failed for ever.

Pieces count as heartbeats do. A receiver collects one whole in memory, named by index, term, length and checksum; it restarts anew after a restart, and drops what the log has passed. Batches shrink to 64 KB, with 128 KB outstanding a member.

Ruled out: pieces on disk, which would cost writes and a third state to tell apart after a loss of power.

--- a/hopsail/replication/following.py
+++ b/hopsail/replication/following.py
@@ -1,13 +1,27 @@
 """A follower's side of replication: entries, snapshots, acknowledgements, and the end of recovering."""
 
 from .core import ReplicaCore, Role
-from .messages import AppendEntries, AppendEntriesReply, InstallSnapshot, InstallSnapshotReply
+from .messages import (
+    AppendEntries,
+    AppendEntriesReply,
+    InstallSnapshot,
+    InstallSnapshotReply,
+    MessageError,
+    Piece,
+    PieceReply,
+    decode,
+)
+from .pieces import PieceReceiver
 from .state import Members, Snapshot
 
 
 class Following(ReplicaCore):
     """Takes the log from the leader of the term."""
 
+    def _start_follower_state(self, now: int) -> None:
+        super()._start_follower_state(now)
+        self._pieces = PieceReceiver(self.rules.most_snapshot_bytes)
+
     def _on_append_entries(self, leader: str, message: AppendEntries) -> None:
         if not self._accept_leader(leader, message.term):
             return
@@ -102,3 +116,44 @@
         self.durability.reset(snapshot)
         self.commit_index = self.applied_index = snapshot.index
         self._installed = snapshot
+
+    def _on_piece(self, leader: str, piece: Piece) -> None:
+        if not self._accept_leader(leader, piece.term):
+            return
+        if self._has_what_it_brings(piece):
+            self._verified_index = max(self._verified_index, piece.index)
+            received, whole = piece.total, None
+        else:
+            received, whole = self._pieces.take(piece)
+        self._answer_piece(leader, piece, received)
+        if whole is not None:
+            self._take_whole(leader, piece, whole)
+
+    def _has_what_it_brings(self, piece: Piece) -> bool:
+        """Whether the log agrees with the leader's up to there: it is committed, or of the same term."""
+        return piece.index <= self.commit_index or self.log.term_at(piece.index) == piece.entry_term
+
+    def _answer_piece(self, leader: str, piece: Piece, received: int) -> None:
+        reply = PieceReply(
+            self.term,
+            piece.checksum,
+            piece.offset,
+            received,
+            piece.round,
+            piece.sent_at,
+            self.incarnation,
+            self.recovering,
+        )
+        if self._term_is_durable:
+            self._send(leader, reply)
+        else:
+            self._send_when_durable(leader, reply)
+
+    def _take_whole(self, leader: str, piece: Piece, data: bytes) -> None:
+        """Handle the message that the pieces add up to."""
+        try:
+            message = decode(data)
+        except MessageError:
+            return
+        if isinstance(message, InstallSnapshot | AppendEntries) and message.term == piece.term:
+            self._handle(leader, message)
--- a/hopsail/replication/leading.py
+++ b/hopsail/replication/leading.py
@@ -14,7 +14,7 @@
 
 from .core import Role
 from .membership_changes import MembershipChanges
-from .messages import AppendEntriesReply, EntryKind, InstallSnapshotReply
+from .messages import AppendEntriesReply, EntryKind, InstallSnapshotReply, PieceReply
 from .progress import Progress
 from .sending import Sending
 from .state import Busy, NotLeader
@@ -43,10 +43,11 @@
             return
         if reply.success:
             progress.matched(reply.match)
-            if progress.snapshot_sent_at is None:
+            if not progress.needs_snapshot:
                 progress.probing = False
             self._after_match(progress)
-        elif progress.snapshot_sent_at is None:
+        elif not progress.needs_snapshot:
+            progress.transfer = None
             progress.next = max(progress.match, min(reply.hint, progress.next - 1)) + 1
             progress.probing = progress.send_now = True
 
@@ -54,12 +55,19 @@
         progress = self._take_reply(peer, reply)
         if progress is None:
             return
-        progress.snapshot_sent_at = None
         progress.matched(reply.match)
-        progress.probing = False
+        if not progress.needs_snapshot:
+            progress.probing = False
         self._after_match(progress)
 
-    def _take_reply(self, peer: str, reply: AppendEntriesReply | InstallSnapshotReply) -> Progress | None:
+    def _on_piece_reply(self, peer: str, reply: PieceReply) -> None:
+        progress = self._take_reply(peer, reply)
+        if progress is not None and progress.transfer is not None:
+            progress.transfer.answered(reply, self.now)
+
+    def _take_reply(
+        self, peer: str, reply: AppendEntriesReply | InstallSnapshotReply | PieceReply
+    ) -> Progress | None:
         """The progress of a member that has answered this leader in its term."""
         if reply.term > self.term:
             self._become_follower(reply.term, None)
--- a/hopsail/replication/log.py
+++ b/hopsail/replication/log.py
@@ -1,9 +1,14 @@
 """The log of a replica in memory: entries after a base, the snapshot, and the members it sets."""
 
+from bisect import bisect_left
+
 from .messages import Entry, EntryKind
 from .state import Members, Snapshot
 
 RETAINED = 64  # entries kept in memory below the snapshot, for followers a little behind
+RETAINED_BYTES = 1 << 20  # of these
+MOST_RETAINED_BYTES = 8 << 20  # where a member needs them that is catching up
+ENTRY_BYTES = 16  # counted for each entry besides its data
 
 
 class Log:
@@ -14,6 +19,7 @@
         self.base_index = snapshot.index if snapshot else 0
         self.base_term = snapshot.term if snapshot else 0
         self._entries: list[Entry] = []
+        self._ends: list[int] = [0]  # bytes of all entries up to the base, then up to each entry
         self._members: list[tuple[int, Members]] = [
             (self.base_index, snapshot.members if snapshot else members)
         ]
@@ -57,6 +63,12 @@
             return None
         return self._entries[index - self.base_index - 1].term
 
+    def size_between(self, after: int, last: int) -> int:
+        """About how many bytes the entries after `after`, up to `last`, have, as far as they are here."""
+        first = min(max(after - self.base_index, 0), len(self._entries))
+        end = min(max(last - self.base_index, first), len(self._entries))
+        return self._ends[end] - self._ends[first]
+
     def slice(self, first: int, last: int, most_bytes: int | None = None) -> list[Entry]:
         """The entries from `first` to `last`; not more than about `most_bytes`, but at least one."""
         chosen = self._entries[first - self.base_index - 1 : last - self.base_index]
@@ -75,12 +87,14 @@
             if entry.index != self.last_index + 1:
                 raise ValueError(f"entry {entry.index} does not follow {self.last_index}")
             self._entries.append(entry)
+            self._ends.append(self._ends[-1] + len(entry.data) + ENTRY_BYTES)
             if entry.kind == EntryKind.MEMBERS:
                 self._members.append((entry.index, Members.decode(entry.data)))
 
     def truncate(self, first: int) -> None:
         """Drop the entry at `first` and all after it."""
         del self._entries[first - self.base_index - 1 :]
+        del self._ends[first - self.base_index :]
         while len(self._members) > 1 and self._members[-1][0] >= first:
             self._members.pop()
 
@@ -95,16 +109,28 @@
         """The members after the entry at `index`."""
         return [members for changed, members in self._members if changed <= index][-1]
 
-    def compact(self, snapshot: Snapshot) -> None:
-        """Take a snapshot of what is in the log; drop the entries that it covers, but for the last few."""
+    def compact(self, snapshot: Snapshot, needed_after: int | None = None) -> None:
+        """Take a snapshot of what is in the log; drop the entries that it covers, but for the last few.
+
+        Those after `needed_after` are kept as well, up to a bound, for a member that is catching up."""
         self.snapshot = snapshot
-        base = max(self.base_index, snapshot.index - RETAINED)
+        base = self._bounded(max(snapshot.index - RETAINED, 0), snapshot.index, RETAINED_BYTES)
+        if needed_after is not None and needed_after < base:
+            base = self._bounded(needed_after, snapshot.index, MOST_RETAINED_BYTES)
+        base = max(base, self.base_index)
         term = self.term_at(base)
         del self._entries[: base - self.base_index]
+        del self._ends[: base - self.base_index]
         self.base_index, self.base_term = base, term
         while len(self._members) > 1 and self._members[1][0] <= base:
             self._members.pop(0)
 
+    def _bounded(self, base: int, last: int, most_bytes: int) -> int:
+        """The least index from `base` on after which, up to `last`, there are at most so many bytes."""
+        base = max(base, self.base_index)
+        least = self._ends[last - self.base_index] - most_bytes
+        return max(base, self.base_index + bisect_left(self._ends, least))
+
     def reset(self, snapshot: Snapshot) -> None:
         """Replace the whole log by a snapshot."""
         self.__init__(snapshot, [], snapshot.members)
--- a/hopsail/replication/messages.py
+++ b/hopsail/replication/messages.py
@@ -131,6 +131,47 @@
     )
 
 
+class Piece(Struct):
+    """A piece of an encoded message, InstallSnapshot or AppendEntries, too long to be sent at once.
+
+    The whole is named by (`index`, `entry_term`) of the last entry that it brings, its length `total` and its
+    `checksum`.
+    """
+
+    __slots__ = (
+        "term", "index", "entry_term", "round", "sent_at", "total", "checksum", "offset", "data",
+    )  # fmt: skip
+    thrift_spec = _fields(
+        term=_LONG,
+        index=_LONG,
+        entry_term=_LONG,
+        round=_LONG,
+        sent_at=_LONG,
+        total=_LONG,
+        checksum=_BYTES,
+        offset=_LONG,
+        data=_BYTES,
+    )
+
+
+class PieceReply(Struct):
+    """After the piece at `offset`, `received` bytes of the whole, from its start, are held or done with."""
+
+    __slots__ = (
+        "term", "checksum", "offset", "received", "round", "sent_at", "incarnation", "recovering",
+    )  # fmt: skip
+    thrift_spec = _fields(
+        term=_LONG,
+        checksum=_BYTES,
+        offset=_LONG,
+        received=_LONG,
+        round=_LONG,
+        sent_at=_LONG,
+        incarnation=_LONG,
+        recovering=_BOOL,
+    )
+
+
 class TimeoutNow(Struct):
     """The leader of `term` has stepped down and asks the receiver to stand for election at once."""
 
@@ -146,6 +187,8 @@
     InstallSnapshot,
     InstallSnapshotReply,
     TimeoutNow,
+    Piece,
+    PieceReply,
 )
 _TYPE_BYTES = {kind: bytes([number]) for number, kind in enumerate(MESSAGE_TYPES, 1)}
 
--- a/hopsail/replication/progress.py
+++ b/hopsail/replication/progress.py
@@ -3,6 +3,8 @@
 from collections import deque
 from collections.abc import Iterable
 
+from .pieces import PieceSender
+
 NEVER = -(1 << 62)  # a time before all others
 RETIRED_INCARNATIONS = 8
 
@@ -25,7 +27,7 @@
         self.probing = True
         self.send_now = True
         self.sent_commit = 0
-        self.snapshot_sent_at: int | None = None
+        self.transfer: PieceSender | None = None  # a message under way in pieces
         self.recovering = False
         self.barrier_index = 0
 
@@ -49,6 +51,13 @@
         """The member has synced the leader's entries up to `index`."""
         self.match = max(self.match, index)
         self.next = max(self.next, index + 1)
+        if self.transfer and self.match >= self.transfer.whole.last_index:
+            self.transfer = None
+
+    @property
+    def needs_snapshot(self) -> bool:
+        """Whether a snapshot is under way to the member."""
+        return self.transfer is not None and self.transfer.whole.snapshot is not None
 
 
 def majority_value(values: Iterable[int]) -> int:
--- a/hopsail/replication/replica.py
+++ b/hopsail/replication/replica.py
@@ -17,6 +17,8 @@
     AppendEntriesReply,
     InstallSnapshot,
     InstallSnapshotReply,
+    Piece,
+    PieceReply,
     RequestVote,
     RequestVoteReply,
     TimeoutNow,
@@ -26,6 +28,7 @@
 from .structs import Struct
 
 RETRY_STORAGE = 200 * MILLISECOND
+STILL_HEARD = 10_000 * MILLISECOND  # entries are kept for a member that has answered within it
 MOST_APPLIED = 1024  # entries in one Ready
 
 
@@ -40,6 +43,8 @@
         InstallSnapshot: "_on_install_snapshot",
         InstallSnapshotReply: "_on_install_snapshot_reply",
         TimeoutNow: "_on_timeout_now",
+        Piece: "_on_piece",
+        PieceReply: "_on_piece_reply",
     }
 
     def receive(self, now: int, sender: str, message: Struct) -> None:
@@ -88,6 +93,7 @@
         last = min(self.commit_index, self.applied_index + MOST_APPLIED)
         entries = self.log.slice(self.applied_index + 1, last) if last > self.applied_index else []
         self.applied_index = last
+        self._pieces.drop_up_to(last)
         return entries
 
     def persisted(self, now: int, serial: int | None = None) -> None:
@@ -129,19 +135,31 @@
     @property
     def snapshot_due(self) -> bool:
         """Whether the driver should give a snapshot by `compact`."""
-        return self.applied_index - self.log.snapshot_index >= self.rules.snapshot_after
+        first, last = self.log.snapshot_index, self.applied_index
+        if last - first >= self.rules.snapshot_after:
+            return True
+        return last > first and self.log.size_between(first, last) >= self.rules.snapshot_after_bytes
 
     def compact(self, snapshot_index: int, data: bytes) -> None:
         """Take the state machine's snapshot at `snapshot_index`, which must have been applied."""
         if not self.log.snapshot_index < snapshot_index <= self.applied_index:
             raise ValueError(f"no snapshot can be taken at {snapshot_index}")
-        if len(data) > self.rules.most_snapshot_bytes:
-            raise ValueError(f"the snapshot has {len(data)} bytes")
         term, members = self.log.term_at(snapshot_index), self.log.members_at(snapshot_index)
         snapshot = Snapshot(snapshot_index, term, members, data)
-        self.log.compact(snapshot)
+        self.log.compact(snapshot, self._lowest_needed())
         self.durability.compacted(snapshot)
 
+    def _lowest_needed(self) -> int:
+        """The index after which the members heard of lately need the entries."""
+        lately = [
+            progress for progress in self._progress.values() if self.now - progress.heard_at < STILL_HEARD
+        ]
+        held = [
+            progress.transfer.whole.last_index if progress.needs_snapshot else progress.match
+            for progress in lately
+        ]
+        return min(held, default=self.log.last_index)
+
     def status(self, now: int) -> ReplicaStatus:
         """The replica in figures."""
         peers = {
--- a/hopsail/replication/state.py
+++ b/hopsail/replication/state.py
@@ -22,10 +22,11 @@
     election_least: int = 400 * MILLISECOND
     election_most: int = 800 * MILLISECOND
     lease: int = 300 * MILLISECOND
-    max_batch_bytes: int = 256 << 10
+    max_batch_bytes: int = 64 << 10  # of entries in one message; a longer entry goes in pieces
     snapshot_after: int = 200
+    snapshot_after_bytes: int = 8 << 20  # of entries after the last snapshot
     most_uncommitted: int = 256
-    most_snapshot_bytes: int = 8 << 20
+    most_snapshot_bytes: int = 64 << 20  # that a member collects in memory
 
     def __post_init__(self):
         if not 0 < self.heartbeat < self.election_least <= self.election_most:
