--- a/hopsail/controlplane/configuration_state.py
+++ b/hopsail/controlplane/configuration_state.py
@@ -2,7 +2,7 @@
 
 import json
 import re
-from collections.abc import Generator, Mapping
+from collections.abc import Generator, Iterator, Mapping
 from hashlib import blake2b
 from typing import Any, NamedTuple
 
@@ -17,6 +17,7 @@
 from ..configuration.indexed import ConfigurationIndex
 from ..configuration.types import Configuration, Patch
 from .commands import Command, CommandKind, Result
+from .compaction import json_steps
 
 TAKEN_KEPT = 4096  # changes whose bytes' digests are remembered, for calls that are sent again
 LARGE_BYTES = 64 << 10  # of a body whose reading is a step of its own
@@ -141,12 +142,16 @@
 
     def encode(self) -> bytes:
         """The whole state, for a snapshot."""
+        return b"".join(self.encode_steps())
+
+    def encode_steps(self) -> Iterator[bytes]:
+        """The same in steps; what is applied meanwhile is not in it."""
         tree = {
             "configuration": self.configuration,
-            "taken": self.taken,
+            "taken": dict(self.taken),
             "forgotten": self.forgotten,
         }
-        return json.dumps(tree, separators=(",", ":")).encode()
+        return json_steps(tree)
 
     @classmethod
     def decode(cls, data: bytes) -> "ConfigurationState":
--- a/hopsail/controlplane/part.py
+++ b/hopsail/controlplane/part.py
@@ -10,6 +10,7 @@
 from ..replication.replica import Replica
 from ..replication.state import Busy, NotLeader, Ready, Snapshot
 from .commands import Command, Result, decode_command
+from .compaction import Compaction
 
 MOST_PENDING = 1024  # proposals that wait for their entry to be applied
 FAULTY = Result(400, int(ResultCode.CONTROL_UNREADABLE))  # of a command that no replica can carry out
@@ -20,7 +21,7 @@
 class PartState(Protocol):
     """The state machine of a part."""
 
-    def encode(self) -> bytes: ...
+    def encode_steps(self) -> Iterator[bytes]: ...
 
 
 class Part:
@@ -53,6 +54,7 @@
         self._pending: dict[int, tuple[int, Done]] = {}  # index -> (term, who waits)
         self._was_leader = False
         self._was_recovering = replica.recovering
+        self._compaction: Compaction | None = None
         self.dropped_entries = 0
 
     @property
@@ -81,6 +83,7 @@
     def pump(self) -> None:
         """Sends, stores and applies what is ready."""
         changed = False
+        self._go_on_compacting()
         while (ready := self.replica.take_ready()) is not None:
             for peer, message in ready.messages:
                 self._send(self, peer, message)
@@ -104,18 +107,31 @@
             )
 
     def compact(self) -> None:
-        """Replaces old entries by a snapshot when there are many."""
-        if not self.replica.snapshot_due or self._unapplied:
+        """Begins to replace old entries by a snapshot when there are many; `pump` goes on with it."""
+        if self._compaction is None:
+            if not self.replica.snapshot_due:
+                return
+            self._compaction = Compaction(self.applied_index, self.state.encode_steps())
+        self.pump()
+
+    def _go_on_compacting(self) -> None:
+        if self._compaction is None:
             return
         try:
-            self.replica.compact(self.replica.applied_index, self.state.encode())
-        except ValueError:  # the state is larger than a snapshot may be: the log grows, all else goes on
+            data = self._compaction.go_on()
+            if data is None:
+                return
+            self.replica.compact(self._compaction.index, data)
+        except ValueError:
+            pass  # nothing has been applied since the last one: what is committed waits
+        except Exception:  # the log grows until the next one, all else goes on
             fault()
-        self.pump()
+        self._compaction = None
 
     def _install(self, snapshot: Snapshot) -> bool:
         self._unapplied.clear()
         self._steps = None
+        self._compaction = None
         if not snapshot.data:
             return False
         self.state = self._decode_state(snapshot.data)
--- a/hopsail/controlplane/service_state.py
+++ b/hopsail/controlplane/service_state.py
@@ -1,6 +1,7 @@
 """The state of a part that holds services: named weights and the duty of rolling them out. No I/O."""
 
 import json
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from .commands import Command, CommandKind, Result
@@ -52,6 +53,10 @@
         """The whole state, for a snapshot."""
         return json.dumps({"revisions": self.revisions, "duties": self.duties}).encode()
 
+    def encode_steps(self) -> Iterator[bytes]:
+        """The same, in one step: it is small."""
+        yield self.encode()
+
     @classmethod
     def decode(cls, data: bytes) -> "ServiceState":
         state, tree = cls(), json.loads(data)
