Storage: unfinished generations give their room back, and garbage is bounded under load

Found by tests that failed before: a first start on a full disk left a pair of files at every attempt, five times a second; a new generation that failed was written anew beside every write, each time with all that is live; a queue that was never empty put compaction off without end. A rename that was done though it failed was followed by the removal of the generation that it had made current.

Now what an unfinished generation wrote is removed at once; after a failure 32 compactions are skipped; a generation with three times the usual garbage is replaced even while writes wait; after a rename of which nothing is known, nothing is added to the old generation.

--- a/hopsail/replication/disk_thread.py
+++ b/hopsail/replication/disk_thread.py
@@ -72,7 +72,7 @@
         while (job := self._jobs.get()) is not None:
             self._results.append((job.token, self._write(job.batch)))
             self._wake()
-            if self._jobs.empty():
+            if self._jobs.empty() or self._storage.is_wasteful:
                 self._compact()
 
     def _write(self, batch: list[PartWrite]) -> StorageError | None:
--- a/hopsail/replication/storage.py
+++ b/hopsail/replication/storage.py
@@ -14,7 +14,7 @@
 import re
 from collections.abc import Iterable
 
-from .generation import Generation
+from .generation import SUFFIXES, Generation
 from .records import PartState, PartWrite, Section, decode_parts, encode_parts, part_record
 from .state import DurableState
 from .structs import StructError
@@ -25,6 +25,8 @@
 GENERATION_FILE = re.compile(r"log-(\d{6})\.(dat|dir|bak)\Z")
 MOST_GARBAGE = 8 << 20
 MOST_RECORDS = 4096
+URGENT = 3  # times MOST_GARBAGE, when a new generation can wait no longer for a quiet moment
+COMPACTIONS_SKIPPED = 32  # after one that has failed
 
 
 class StorageError(Exception):
@@ -43,6 +45,7 @@
         self._states: dict[str, PartState] = {}
         self._generation: Generation | None = None
         self._must_compact = False
+        self._compactions_skipped = 0  # are still to be, after one that failed
         self._unsettled = False  # the folder is to be synced, and old generations to be removed
 
     @classmethod
@@ -140,26 +143,39 @@
         for record in records:
             self._states.setdefault(record.part, PartState()).apply(record)
 
+    @property
+    def _garbage(self) -> int:
+        """About how many bytes of the generation are out of date."""
+        sizes = self._generation.sizes
+        return sizes.data + sizes.index - sum(state.size for state in self._states.values())
+
+    @property
+    def is_wasteful(self) -> bool:
+        """Whether a new generation is needed even while writes wait."""
+        return self._generation is not None and self._garbage > URGENT * MOST_GARBAGE
+
     def compact_if_needed(self) -> bool:
         """Write a new generation if the present one holds much that is out of date; whether it did."""
         if self._generation is None:
             return False
-        sizes = self._generation.sizes
-        garbage = sizes.data + sizes.index - sum(state.size for state in self._states.values())
-        if garbage <= MOST_GARBAGE and sizes.serial <= MOST_RECORDS:
+        if self._garbage <= MOST_GARBAGE and self._generation.sizes.serial <= MOST_RECORDS:
+            return False
+        if self._compactions_skipped:
+            self._compactions_skipped -= 1
             return False
         try:
             self._settle()
             self._start_generation()
             self._settle()
         except OSError as error:
+            self._compactions_skipped = COMPACTIONS_SKIPPED
             raise StorageError(str(error)) from error
         return True
 
     def _start_generation(self) -> None:
         """Write all that is live to new files, and make them current."""
         old = self._generation
-        new = Generation(self.folder, old.number + 1 if old else self._free_number())
+        new = Generation(self.folder, self._free_number())
         try:
             new.clean()
             if self._states:
@@ -167,7 +183,11 @@
             self._make_current(new)
         except OSError:
             new.close()
-            self._unsettled = old is not None  # what was written of the new files is to be removed
+            if self._may_be_current(new):
+                self._must_compact, self._unsettled = True, False  # nothing may be added to the old one
+            else:
+                self._discard(new)
+                self._unsettled = old is not None  # what is left of the new files is to be removed
             raise
         self._generation = new
         self._unsettled = True
@@ -175,6 +195,25 @@
         if old:
             old.close()
 
+    def _may_be_current(self, generation: Generation) -> bool:
+        """Whether a start would read this generation, or that cannot be told."""
+        try:
+            with open(self._path(CURRENT), encoding="ascii", errors="replace") as file:
+                return file.read().strip() == Generation.name_of(generation.number)
+        except FileNotFoundError:
+            return False
+        except OSError:
+            return True
+
+    def _discard(self, generation: Generation) -> None:
+        """Give the room of an unfinished generation back at once, if the disk allows it."""
+        name = Generation.name_of(generation.number)
+        for suffix in SUFFIXES:
+            try:
+                os.remove(self._path(name + suffix))
+            except OSError:
+                pass
+
     def _free_number(self) -> int:
         found = (GENERATION_FILE.match(name) for name in os.listdir(self.folder))
         return max((int(one[1]) for one in found if one), default=0) + 1
--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -6,6 +6,7 @@
 from hopsail.replication import pieces
 from hopsail.replication.replica import Replica
 from hopsail.replication.schedule import Weights, play_schedule
+from hopsail.replication.simulation import Violation
 from hopsail.replication.state import MILLISECOND
 
 SLOW = 5_000_000 // 8  # bytes a second
@@ -237,3 +238,50 @@
     simulation.bytes_sent = 0
     propose(simulation, 500_000)
     assert simulation.bytes_sent < 2 * 500_000 * 1.5
+
+
+def lose_power(simulation, name, kept):
+    """A process ends in the middle of a write, which is found on the disk afterwards or is not."""
+    node = simulation.nodes[name]
+    if kept and node.writing:
+        node.disk.write(node.writing)
+    node.writing = None
+    simulation.crash(name)
+
+
+@pytest.mark.parametrize("kept", [True, False])
+@pytest.mark.parametrize("whom", ["member", "all"])
+@pytest.mark.parametrize("wiped", [True, False])
+def test_power_lost_at_every_write_while_catching_up(wiped, whom, kept):
+    """After it the leader stays away for a while, so that the member that was behind might lead."""
+    installs = 0
+    for number in range(12):
+        simulation, leader, (behind, other) = settled(LEAST_ON_CORE, seed=number, snapshot_after=10)
+        simulation.crash(behind, wipe=wiped)
+        propose(simulation, 100, 5)
+        simulation.run(11 * SECOND)
+        propose(simulation, 100, 70)
+        simulation.start(behind)
+        node, seen = simulation.nodes[behind], []
+
+        def writes(node=node, seen=seen, number=number):
+            if node.writing is not None and all(node.writing is not one for one in seen):
+                seen.append(node.writing)
+            return len(seen) > number
+
+        try:
+            simulation.run_until(writes, 2 * SECOND)
+        except Violation:
+            break  # there were no more writes
+        installs += any(one.snapshot_to_store for one in seen)
+        for name in simulation.nodes if whom == "all" else [behind]:
+            lose_power(simulation, name, kept)
+        if whom == "all":
+            simulation.start(other)
+        simulation.start(behind)
+        simulation.run(3 * SECOND)
+        if simulation.nodes[leader].replica is None:
+            simulation.start(leader)
+        simulation.run_until(lambda name=behind, on=simulation: caught_up(on, name), 10 * SECOND)
+        simulation.check_survival()
+    assert number >= (3 if wiped else 2) and installs
--- a/tests/test_replication_storage.py
+++ b/tests/test_replication_storage.py
@@ -4,6 +4,7 @@
 import os
 import random
 import select
+import threading
 
 import pytest
 
@@ -256,3 +257,95 @@
     assert thread.oldest_age(1000) == 0 and thread.collect() == []
     thread.close()
     assert reopened(tmp_path).load("p0").entries == [entry(1)]
+
+
+def test_first_start_on_a_full_disk_leaves_no_files_behind(tmp_path, monkeypatch):
+    store = reopened(tmp_path)
+
+    def refuse(descriptor):
+        raise OSError(errno.ENOSPC, "full")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(os, "fsync", refuse)
+        for _ in range(50):
+            with pytest.raises(StorageError):
+                write(store, hard_state=hard())
+    assert len(list(tmp_path.iterdir())) <= 3
+    write(store, hard_state=hard())
+    assert reopened(tmp_path).load("p0").term == 1
+
+
+def test_compaction_that_fails_is_not_tried_at_every_write(tmp_path, monkeypatch):
+    monkeypatch.setattr(storage, "MOST_RECORDS", 3)
+    store = filled(tmp_path, 5)
+    attempts = []
+
+    def refuse(generation):
+        attempts.append(generation)
+        raise OSError(errno.ENOSPC, "full")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(store, "_make_current", refuse)
+        for index in range(6, 106):
+            write(store, entries_to_store=[entry(index)])
+            try:
+                store.compact_if_needed()
+            except StorageError:
+                assert len(list(tmp_path.iterdir())) == 3  # nothing of it fills the disk
+    assert 2 <= len(attempts) <= 5
+    for index in range(106, 140):
+        write(store, entries_to_store=[entry(index)])
+        if store.compact_if_needed():
+            break
+    assert len(reopened(tmp_path).load("p0").entries) == index
+
+
+def test_busy_disk_thread_compacts_before_garbage_fills_the_disk(tmp_path, monkeypatch):
+    monkeypatch.setattr(storage, "MOST_GARBAGE", 20_000)
+    thread = DiskThread(reopened(tmp_path))
+    started, release = threading.Event(), threading.Event()
+    real = Storage.write
+
+    def wait_first(self, batch):
+        started.set()
+        release.wait(30)
+        real(self, batch)
+
+    monkeypatch.setattr(Storage, "write", wait_first)
+    for index in range(1, 301):
+        state = Snapshot(index, 1, MEMBERS, b"s" * 1000)
+        thread.submit([PartWrite("p0", Ready(snapshot_to_store=state))], index)
+    assert started.wait(30)
+    release.set()
+    ended, largest = [], 0
+    while len(ended) < 300:
+        assert select.select([thread.descriptor], [], [], 30)[0]
+        ended += thread.collect()
+        largest = max(largest, sum(path.stat().st_size for path in tmp_path.glob("*.dat")))
+    thread.close()
+    assert not any(error for _, error in ended) and largest < 150_000
+    assert reopened(tmp_path).load("p0").snapshot.index == 300
+
+
+def test_rename_that_was_done_though_it_failed_loses_nothing(tmp_path, monkeypatch):
+    monkeypatch.setattr(storage, "MOST_RECORDS", 3)
+    store = filled(tmp_path, 5)
+    real = os.rename
+
+    def done_but_failed(*names):
+        real(*names)
+        raise OSError(errno.EIO, "not known")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(os, "rename", done_but_failed)
+        with pytest.raises(StorageError):
+            store.compact_if_needed()
+        assert len(reopened(tmp_path).load("p0").entries) == 5
+        with pytest.raises(StorageError):
+            write(store, entries_to_store=[entry(6)])
+        assert len(reopened(tmp_path).load("p0").entries) == 5
+    write(store, entries_to_store=[entry(6)])
+    again = reopened(tmp_path)
+    assert len(again.load("p0").entries) == 6 and not again.corrupt
+    store.compact_if_needed()
+    assert len(list(tmp_path.iterdir())) == 3
--- /dev/null
+++ b/tests/test_storage_power.py
@@ -0,0 +1,110 @@
+"""Power lost at every write of an installed snapshot, of compactions and of new generations of the files."""
+
+from power_model import PowerModel
+
+from hopsail.replication import storage
+from hopsail.replication.messages import Entry, EntryKind
+from hopsail.replication.records import PartWrite
+from hopsail.replication.state import HardState, Members, Ready, Snapshot
+from hopsail.replication.storage import Storage
+
+PARTS = ("p0", "p1")
+MEMBERS = Members(("a", "b", "c"))
+
+
+def entries(first, last, term):
+    return [
+        Entry(term, index, int(EntryKind.DATA), b"%d of %d" % (index, term))
+        for index in range(first, last + 1)
+    ]
+
+
+def hard(term, voted_for):
+    return HardState(term, voted_for, True, MEMBERS)
+
+
+def snapshot(index, term):
+    return Snapshot(index, term, MEMBERS, b"state %d" % index * 300)
+
+
+STEPS = [
+    ("p0", Ready(hard_state=hard(1, "a"), entries_to_store=entries(1, 5, 1))),
+    ("p1", Ready(hard_state=hard(1, None), entries_to_store=entries(1, 2, 1))),
+    ("p0", Ready(hard_state=hard(2, "b"))),
+    # Installed: the log before it is gone, and with it what was never committed.
+    ("p0", Ready(truncate_from=1, snapshot_to_store=snapshot(40, 2))),
+    ("p0", Ready(entries_to_store=entries(41, 44, 2))),
+    "new generation",
+    # A new term, and at once the snapshot of its leader with the entries after it.
+    (
+        "p0",
+        Ready(
+            hard_state=hard(3, None),
+            truncate_from=1,
+            snapshot_to_store=snapshot(90, 3),
+            entries_to_store=entries(91, 93, 3),
+        ),
+    ),
+    ("p0", Ready(snapshot_to_store=snapshot(92, 3))),
+    "new generation",
+    ("p1", Ready(truncate_from=1, snapshot_to_store=snapshot(7, 1))),
+    "new generation",
+    "new generation",
+    ("p0", Ready(hard_state=hard(4, "c"))),
+]
+
+
+def shown(store):
+    found = {}
+    for part in PARTS:
+        state = store.load(part)
+        found[part] = state and (state.term, state.voted_for, state.recovered, state.snapshot, state.entries)
+    return found
+
+
+def test_power_lost_at_every_write_leaves_the_old_state_or_the_new(tmp_path, monkeypatch):
+    folder, copy = tmp_path / "data", tmp_path / "copy"
+    allowed = []
+
+    def lost(state):
+        copy.mkdir(exist_ok=True)
+        for path in copy.iterdir():
+            path.unlink()
+        for name, data in state.items():
+            (copy / name).write_bytes(data)
+        store = Storage.open(str(copy), PARTS)
+        found = shown(store)
+        store.close()
+        assert not store.corrupt
+        assert found in allowed, (found, allowed)
+
+    with monkeypatch.context() as patched:
+        store = Storage.open(str(folder), PARTS)
+        model = PowerModel(folder, patched, lost)
+        patched.setattr(storage, "MOST_RECORDS", 0)
+        allowed = [shown(store)]
+        for step in STEPS:
+            if step == "new generation":
+                assert store.compact_if_needed()
+                continue
+            part, ready = step
+            before = shown(store)
+            allowed = [before, after(before, part, ready)]
+            store.write([PartWrite(part, ready)])
+            allowed = [shown(store)]
+            assert allowed == [after(before, part, ready)]
+    assert model.points > 60 and model.states > 300
+    assert shown(Storage.open(str(folder), PARTS)) == allowed[0]
+
+
+def after(before, part, ready):
+    """The state that a write makes, told without the storage."""
+    term, voted_for, recovered, kept, log = before[part] or (0, None, False, None, [])
+    if ready.hard_state:
+        term, voted_for, recovered = ready.hard_state.term, ready.hard_state.voted_for, True
+    if ready.truncate_from is not None:
+        log = [entry for entry in log if entry.index < ready.truncate_from]
+    if ready.snapshot_to_store:
+        kept = ready.snapshot_to_store
+        log = [entry for entry in log if entry.index > kept.index]
+    return {**before, part: (term, voted_for, recovered, kept, log + ready.entries_to_store)}
