--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -422,3 +422,25 @@
     replica.receive(simulation.now, leader, late)
     assert replica.last_index == last and replica.commit_index == before - 1
     assert replica.log.snapshot is None
+
+
+def test_installed_snapshot_takes_what_was_never_agreed_off_the_disk():
+    """A leader that was cut off has a log that is longer than the snapshot which it is sent afterwards."""
+    simulation, old, _ = settled(LEAST_ON_CORE, snapshot_after=10)
+    simulation.isolate(old)
+    for _ in range(100):
+        simulation.propose(old)
+    simulation.run(2 * SECOND)
+    propose(simulation, 200_000, 45)
+    assert simulation.leader() != old
+    simulation.heal()
+    simulation.run_until(lambda: caught_up(simulation, old), 8 * SECOND)
+    node = simulation.nodes[old]
+    simulation.run(100 * MILLISECOND)
+    replica, kept = node.replica, node.disk.state
+    assert kept.snapshot.index <= replica.last_index < 100
+    assert kept.entries == replica.log.slice(kept.snapshot.index + 1, replica.last_index)
+    assert replica.durability.durable_index == replica.last_index
+    simulation.crash(old)
+    simulation.start(old)
+    simulation.check_survival()
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -138,6 +138,16 @@
     assert exchange.run(PATIENCE // 2) and set(exchange.found) == {exchange.whole.data}
 
 
+def test_sender_goes_back_to_what_the_receiver_says_it_holds():
+    whole = whole_of(6)
+    sender = PieceSender(whole, 0, QUICK, PATIENCE)
+    sender.pieces(5)
+    sender.answered(reply_of(whole, 2 * PIECE_BYTES, 5), 10)
+    sender.pieces(10)
+    sender.answered(reply_of(whole, 0, 10), 15)
+    assert [offset for offset, _ in sender.pieces(15)][0] == 0
+
+
 def test_whole_that_led_to_nothing_is_sent_again():
     exchange = Exchange(whole_of(3))
     assert exchange.run(5000)
