--- a/tests/test_replication_storage.py
+++ b/tests/test_replication_storage.py
@@ -349,3 +349,10 @@
     assert len(again.load("p0").entries) == 6 and not again.corrupt
     store.compact_if_needed()
     assert len(list(tmp_path.iterdir())) == 3
+
+
+def test_large_snapshot_can_be_read_back(tmp_path):
+    state = Snapshot(9, 1, MEMBERS, bytes(17 << 20))
+    write(reopened(tmp_path), hard_state=hard(), snapshot_to_store=state)
+    again = reopened(tmp_path)
+    assert not again.corrupt and again.load("p0").snapshot == state
