--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -89,6 +89,9 @@
     propose(simulation, 1_000_000)
     assert simulation.leader() == leader and simulation.nodes[leader].replica.term == term
     assert simulation.longest_wait < 350 * MILLISECOND
+    simulation.run(4 * SECOND)
+    progresses = simulation.nodes[leader].replica._progress.values()
+    assert not any(progress.transfer for progress in progresses)  # nothing is kept of it
 
 
 @pytest.mark.parametrize("changes", [10, 300, 5000])
