--- a/hopsail/controlplane/part.py
+++ b/hopsail/controlplane/part.py
@@ -109,7 +109,7 @@
     def compact(self) -> None:
         """Begins to replace old entries by a snapshot when there are many; `pump` goes on with it."""
         if self._compaction is None:
-            if not self.replica.snapshot_due:
+            if not self.replica.snapshot_due or self._unapplied:
                 return
             self._compaction = Compaction(self.applied_index, self.state.encode_steps())
         self.pump()
@@ -122,8 +122,6 @@
             if data is None:
                 return
             self.replica.compact(self._compaction.index, data)
-        except ValueError:
-            pass  # nothing has been applied since the last one: what is committed waits
         except Exception:  # the log grows until the next one, all else goes on
             fault()
         self._compaction = None
--- a/tests/test_controlplane_steps.py
+++ b/tests/test_controlplane_steps.py
@@ -154,6 +154,10 @@
         self.replica.applied_index = max([one.index for one in entries], default=self.replica.applied_index)
         self.part.pump()
 
+    def pump(self, times: int) -> None:
+        for _ in range(times):
+            self.part.pump()
+
     def step(self) -> None:
         self.turns.popleft()()
 
@@ -215,9 +219,12 @@
     driven.replica.snapshot_due = True
     driven.commit(entry(1, put(0, configuration(1))), entry(2, put(1, large(2))))
     driven.part.compact()
+    driven.pump(50)
     assert taken == []
     driven.finish()
     driven.part.compact()
+    driven.replica.snapshot_due = False
+    driven.pump(50)
     assert taken == [2]
 
 
