Voters change by joint consensus: a dead or leaving voter is swapped for a learner in one agreed step

Cause: a replacement became a fourth voter, and the dead one was removed only 5 s after the membership had noticed its loss.

While they are set, elections, commits, leases, reads, the check of the quorum and the barrier need a majority of both sets. The leader, or the next one, appends the final entry once the joint one is committed; a leader that is no voter any more leads until that is committed.

Voters: never more than wanted (three at least). Silence in the log for a third of SyncS, at least 1 s, makes a voter dead; the membership's word, which takes up to ten seconds, isn't waited for. A process that is no member asks the leaders itself. One that gets SIGTERM tells the leaders, is swapped for a caught-up learner if there is one, and ends when what it holds is on a majority without it, as far as its grace goes (less 2 s).

What is known of members that went is kept for the term.

--- a/hopsail/controlplane/plane.py
+++ b/hopsail/controlplane/plane.py
@@ -57,7 +57,9 @@
 TICK_MS = 20
 SLOW_TICK_MS = 500
 STALL_TIME = 400 * MILLISECOND  # a write that takes longer costs the leadership
+VOTERS_TICK_MS = 100
 STOP_WITHIN_MS = 1500
+GRACE_MARGIN_MS = 2000  # of the grace, for which a process that is still needed by the log doesn't wait
 
 
 class ControlPlane(Program):
@@ -108,6 +110,7 @@
         self.kept = KeptReader(self)
         self._tick()
         self._slow_tick()
+        self._voters_tick()
         say("state", f"control plane {self.identity} starts")
 
     def _open_storage(self) -> None:
@@ -142,6 +145,8 @@
         """Names successors for what it leads, and ends when they have taken over or soon."""
         self.stop_at = self.loop.now()
         self.membership.leave()
+        for part in self.parts:
+            part.replica.leave(self.stop_at)
         self._end_when_handed_over()
 
     def _hand_over(self) -> None:
@@ -155,12 +160,19 @@
         self._hand_over()
         waited = (self.loop.now() - self.stop_at) // MILLISECOND
         leads = any(part.leads for part in self.parts)
-        if waited >= STOP_WITHIN_MS or (not leads and waited >= 300 and not self.door.busy):
+        needed = not self._may_leave() and waited < self.settings.bounds.grace_s * 1000 - GRACE_MARGIN_MS
+        done = not leads and waited >= 300 and not self.door.busy
+        if not needed and (waited >= STOP_WITHIN_MS or done):
             self.door.close()
             self.finish()
         else:
             self.after(20, self._end_when_handed_over)
 
+    def _may_leave(self) -> bool:
+        """Whether what each part holds is on a majority without this process, or it has waited in vain."""
+        now = self.loop.now()
+        return all(part.replica.may_leave(now) for part in self.parts)
+
     def figures(self) -> dict[str, int]:
         figures = {f"part.{part.number}.index": part.replica.commit_index for part in self.parts}
         figures["log.unreadable"] = sum(part.dropped_entries for part in self.parts)
@@ -192,13 +204,22 @@
 
     def _slow_tick(self) -> None:
         self.after(SLOW_TICK_MS, self._slow_tick)
-        self.voters.check(self.loop.now())
         for part in self.parts:
             part.compact()
         self._follow_others()
         count = self.membership.count_upper_bound(DATA_PLANE_ROLE, self.loop.now())
         self.journal.set(Topic.BALANCERS, "count", str(count).encode())
 
+    def _voters_tick(self) -> None:
+        self.after(VOTERS_TICK_MS, self._voters_tick)
+        now = self.loop.now()
+        self.voters.check(now)
+        others = {f"{m.address[0]}:{m.address[1]}" for m in self.membership.alive(ROLE)}
+        others |= {f"{host}:{port}" for host, port in self.seeds}
+        for part in self.parts:
+            part.replica.ask_to_join(now, others - {self.identity})
+            part.pump()
+
     # The log.
 
     def _store(self, part: Part, ready: Ready) -> None:
--- a/hopsail/controlplane/voters.py
+++ b/hopsail/controlplane/voters.py
@@ -1,79 +1,91 @@
-"""Keeps the voters of the parts led here up with the control processes that live."""
+"""Keeps the voters of the parts led here up with the control processes that live.
 
-from ..replication.state import Busy, NotLeader
+There are never more voters than wanted: a new process receives the log as a learner, and votes when a voter
+has gone or is about to. Both happen in one agreed change, so that no loss in between counts against one voter
+more.
+"""
+
+from ..replication.state import Busy, Members, NotLeader
 
 MILLISECOND = 1_000_000
-DEAD_TIME = 5000 * MILLISECOND  # without a word, after which a voter too many is removed
+SECOND = 1000 * MILLISECOND
+DEAD_SHARE = 3  # of the time until the next loss may come, one in so many passes until a silent voter is dead
+DEAD_TIME_LEAST = 1 * SECOND  # longer than an election, and than freezes and stalls usually last
 MOST_MEMBERS = 9
 
 
 class Voters:
-    """New processes first receive the log, then vote; dead ones are removed while enough are left."""
+    """Learners take the place of voters that are dead or leave; nobody goes while nobody can come."""
 
     def __init__(self, plane):
         self.plane = plane
-        self.target = 2 * plane.settings.machine_losses + 1
-        self.missing_since: dict[str, int] = {}
+        self.target = 2 * max(1, plane.settings.machine_losses) + 1
+        self._watched: dict[int, tuple[int, int]] = {}  # part -> the term it is led in here, since when
+
+    @property
+    def dead_time(self) -> int:
+        """ns of silence in the log after which a voter is dead: well inside the time between two losses."""
+        return max(DEAD_TIME_LEAST, int(self.plane.settings.bounds.sync_s * SECOND) // DEAD_SHARE)
 
     def check(self, now: int) -> None:
         """At most one change for each part led here."""
         alive = self._alive()
-        for identity in alive:
-            self.missing_since.pop(identity, None)
-        for part in self.plane.parts:
+        for number, part in enumerate(self.plane.parts):
             if part.leads and not self.plane.stopping:
-                self._check_part(now, part, alive)
-        self._forget_others()
-
-    def _forget_others(self) -> None:
-        """Drops those that are members of no part any more."""
-        members = {identity for part in self.plane.parts for identity in part.replica.members.all}
-        for identity in self.missing_since.keys() - members:
-            del self.missing_since[identity]
+                self._check_part(now, number, part, alive)
+            else:
+                self._watched.pop(number, None)
 
     def _alive(self) -> set[str]:
         members = self.plane.membership.alive("controlplane")
         return {f"{m.address[0]}:{m.address[1]}" for m in members} | {self.plane.identity}
 
-    def _check_part(self, now: int, part, alive: set[str]) -> None:
+    def _check_part(self, now: int, number: int, part, alive: set[str]) -> None:
         replica = part.replica
-        voters, learners = replica.members.voters, replica.members.learners
-        for identity in voters + learners:
-            if identity not in alive:
-                self.missing_since.setdefault(identity, now)
-        dead = {name for name in voters + learners if self._is_dead(now, replica, name)}
-        change = self._change(replica, voters, learners, alive, dead)
-        if change is None:
+        replica.tick(now)  # after a freeze of this process the silence of the others says nothing
+        if not part.leads:
+            return
+        if self._watched.get(number, (None, 0))[0] != replica.term:
+            self._watched[number] = (replica.term, now)
+        members = replica.members
+        wanted = self._wanted(now, number, replica, alive)
+        if members.is_joint or wanted == members:
             return
         try:
-            replica.propose_members(now, *change)
+            replica.propose_members(now, wanted.voters, wanted.learners)
         except (Busy, NotLeader):
             return
         self.plane.counters.add("members.changed")
         part.pump()
 
-    def _is_dead(self, now: int, replica, identity: str) -> bool:
-        """Whether nothing was heard of a member, neither by the membership nor by the log."""
-        since = self.missing_since.get(identity)
-        if since is None or now - since <= DEAD_TIME:
+    def _is_silent(self, now: int, number: int, replica, identity: str) -> bool:
+        """Whether this leader has not heard of a member for long, since it leads."""
+        if identity == self.plane.identity:
             return False
         heard = replica.last_heard(identity)
-        return heard is None or now - heard > DEAD_TIME
+        since = self._watched[number][1]
+        return now - (since if heard is None else max(heard, since)) > self.dead_time
+
+    def _wanted(self, now: int, number: int, replica, alive: set[str]) -> Members:
+        """The members as they should be."""
+        members = replica.members
+        silent = {name for name in members.all if self._is_silent(now, number, replica, name)}
+        leaving = {name for name in members.all if replica.is_leaving(name)}
+        gone = [name for name in members.voters if name in silent]
+        gone += [name for name in members.voters if name in leaving - silent]
+        coming = self._coming(replica, gone, silent | leaving)
+        going = set(gone[: max(0, len(members.voters) + len(coming) - self.target)])
+        voters = (*(name for name in members.voters if name not in going), *coming)
+        kept = [name for name in members.learners if name not in voters]
+        kept = [name for name in kept if name in alive or name not in silent]
+        kept += [name for name in members.voters if name in going and (name in alive or name in leaving)]
+        known = {*voters, *kept}
+        kept += [name for name in sorted(alive | set(replica.applicants)) if name not in known]
+        return Members(voters, tuple(kept[: max(0, MOST_MEMBERS - len(voters))]))
 
-    def _change(self, replica, voters, learners, alive, dead):
-        """Voters and learners to be proposed, None when all is as it should be."""
-        for identity in learners:
-            if identity in dead:
-                return voters, tuple(name for name in learners if name != identity)
-        for identity in learners:
-            if identity in alive and replica.is_caught_up(identity):
-                rest = tuple(name for name in learners if name != identity)
-                return (*voters, identity), rest
-        if len(voters) > self.target:
-            for identity in voters:
-                if identity in dead:
-                    return tuple(name for name in voters if name != identity), learners
-        for identity in sorted(alive):
-            if identity not in voters + learners and len(voters + learners) < MOST_MEMBERS:
-                return voters, (*learners, identity)
-        return None
+    def _coming(self, replica, gone: list[str], absent: set[str]) -> list[str]:
+        """Learners that are to vote now: as many as are wanted, and have caught up."""
+        members = replica.members
+        needed = max(0, self.target - (len(members.voters) - len(gone)))
+        ready = [name for name in members.learners if name not in absent and replica.is_caught_up(name)]
+        return ready[:needed]
--- a/hopsail/replication/core.py
+++ b/hopsail/replication/core.py
@@ -47,6 +47,10 @@
         self._installed: Snapshot | None = durable.snapshot
         self._outgoing: list[tuple[str, Struct]] = []
         self._retry_storage_at = now
+        self._leaves_since: int | None = None
+        self._ask_at = 0
+        self._held_index: int | None = None
+        self._let_go = False
         self._start_follower_state(now)
         self._start_leader_state()
         if durable.term == 0 and not self.recovering:
@@ -67,12 +71,15 @@
 
     def _start_leader_state(self) -> None:
         self._progress: dict[str, Progress] = {}
+        self._former: dict[str, Progress] = {}
         self._round = 0
         self._round_wanted = False
         self._heartbeat_at = 0
         self._first_of_term = 0
         self._successor: str | None = None
         self._transfer_until = 0
+        self._applicants: dict[str, int] = {}
+        self._leaving: dict[str, int] = {}
 
     @property
     def members(self) -> Members:
@@ -81,7 +88,7 @@
 
     @property
     def voters(self) -> tuple[str, ...]:
-        """Those of the members who vote."""
+        """Those of the members who vote, or will after the change under way."""
         return self.log.members.voters
 
     @property
@@ -149,9 +156,12 @@
         self._reset_election_timer()
 
     def _majority(self, own: int, of_peer) -> int:
-        """The highest value that a majority of the voters has; those recovering have none."""
+        """The highest value that a majority of each set of voters has; those recovering have none."""
+        return min(self._majority_of(voters, own, of_peer) for voters in self.members.electorates)
+
+    def _majority_of(self, voters: tuple[str, ...], own: int, of_peer) -> int:
         values = []
-        for voter in self.voters:
+        for voter in voters:
             if voter == self.identity:
                 values.append(own)
                 continue
--- a/hopsail/replication/election.py
+++ b/hopsail/replication/election.py
@@ -16,9 +16,9 @@
 
     def _is_voter(self) -> bool:
         """Whether it votes, or did before a change that may not be committed and that others may lack."""
-        if self.identity in self.voters:
+        if self.identity in self.members.electors:
             return True
-        return self.log.members_index > self.commit_index and self.identity in self.log.voters_before
+        return self.log.members_index > self.commit_index and self.identity in self.log.electors_before
 
     def _election_timeout(self) -> None:
         self._reset_election_timer()
@@ -45,7 +45,7 @@
 
     def _ask_votes(self, term: int, pre: bool, transfer: bool) -> None:
         message = RequestVote(term, self.log.last_index, self.log.last_term, pre, transfer)
-        for voter in self.voters:
+        for voter in self.members.electors:
             if voter == self.identity:
                 continue
             if pre:
@@ -108,7 +108,7 @@
             self._campaign(transfer=False)
 
     def _has_majority_of_votes(self) -> bool:
-        return len(self._votes.intersection(self.voters)) >= self.members.quorum
+        return self.members.is_quorum(self._votes)
 
     def _on_timeout_now(self, sender: str, message: TimeoutNow) -> None:
         if message.term == self.term and sender == self.leader and self._may_stand():
--- a/hopsail/replication/hand_over.py
+++ b/hopsail/replication/hand_over.py
@@ -19,7 +19,8 @@
         if not self.is_leader:
             raise NotLeader(self.leader)
         chosen = successor or self._best_successor()
-        if chosen not in self._progress or chosen not in self.voters or self._progress[chosen].recovering:
+        able = chosen in self._progress and chosen in self.voters
+        if not able or self._progress[chosen].recovering:
             return False
         self._successor = chosen
         self._transfer_until = now + self.rules.election_least
--- a/hopsail/replication/leading.py
+++ b/hopsail/replication/leading.py
@@ -89,7 +89,8 @@
         self.commit_index = index
         for progress in self._progress.values():
             progress.send_now = progress.send_now or self._may_recover(progress)
-        if self.log.members_index <= index and self.identity not in self.voters:
+        self._finish_change()
+        if self._is_removed():
             self._hand_over(self._best_successor())
 
     def _may_commit(self, index: int) -> bool:
--- a/hopsail/replication/log.py
+++ b/hopsail/replication/log.py
@@ -45,9 +45,9 @@
         return self._members[-1][0]
 
     @property
-    def voters_before(self) -> tuple[str, ...]:
-        """The voters before that change, as far as the log still tells."""
-        return self._members[-2][1].voters if len(self._members) > 1 else ()
+    def electors_before(self) -> tuple[str, ...]:
+        """Those whose votes counted before that change, as far as the log still tells."""
+        return self._members[-2][1].electors if len(self._members) > 1 else ()
 
     def term_at(self, index: int) -> int | None:
         """The term of the entry at `index`; None if it is not there any more, or not yet."""
--- /dev/null
+++ b/hopsail/replication/member_requests.py
@@ -0,0 +1,105 @@
+"""What a replica asks of the leader for its own membership: to receive the log, and to be let go.
+
+One that is to end asks until the leader says that what it holds is on a majority without it. From the first
+such answer on it acknowledges nothing new: the leader must not rely on it for what it would take away.
+"""
+
+from collections.abc import Iterable
+
+from .core import ReplicaCore
+from .messages import LeaveReply, MemberRequest
+from .progress import NEVER
+from .state import MILLISECOND
+
+ASK_EVERY = 100 * MILLISECOND
+WITHOUT_LEADER = 1500 * MILLISECOND  # after which one that leaves and hears no leader waits no longer
+APPLICATION_LASTS = 2000 * MILLISECOND
+MOST_REQUESTS = 64
+
+
+class MemberRequests(ReplicaCore):
+    """Both sides of these requests."""
+
+    # The side that asks.
+
+    def ask_to_join(self, now: int, peers: Iterable[str]) -> None:
+        """Tell these that this replica would receive the log, unless it does."""
+        self.now = max(now, self.now)
+        heard = self.is_leader or self.now - self._leader_heard_at < WITHOUT_LEADER
+        if self._leaves_since is not None or (heard and self.identity in self.members.all):
+            return
+        for peer in peers:
+            if peer != self.identity:
+                self._send(peer, MemberRequest(False))
+
+    def leave(self, now: int) -> None:
+        """This replica is to end: ask the leader from now on. A leader should hand over first."""
+        self.now = max(now, self.now)
+        if self._leaves_since is None:
+            self._leaves_since = self._ask_at = self.now
+
+    def may_leave(self, now: int) -> bool:
+        """Whether this replica is needed no more, or nobody is there to say so."""
+        if self._leaves_since is None:
+            return False
+        if self.is_leader:
+            return self.members.all == (self.identity,)
+        if self._let_go or not self.members.all:
+            return True
+        return now - max(self._leaves_since, self._leader_heard_at) > WITHOUT_LEADER
+
+    def _ask_to_leave(self) -> None:
+        if self._leaves_since is None or self.now < self._ask_at:
+            return
+        self._ask_at = self.now + ASK_EVERY
+        if self.leader not in (None, self.identity) and not self._let_go:
+            self._send(self.leader, MemberRequest(True))
+
+    def _on_leave_reply(self, leader: str, reply: LeaveReply) -> None:
+        if self._leaves_since is None or reply.term != self.term or leader != self.leader or reply.index <= 0:
+            return
+        if self._held_index is None:
+            self._held_index = self.durability.durable_index
+        self._let_go = self._let_go or reply.index >= min(self._held_index, self.durability.durable_index)
+
+    def _acknowledged_index(self) -> int:
+        index = super()._acknowledged_index()
+        return index if self._held_index is None else min(index, self._held_index)
+
+    # The leader's side.
+
+    def _on_member_request(self, sender: str, request: MemberRequest) -> None:
+        if not self.is_leader:
+            return
+        known = self._leaving if request.leaving else self._applicants
+        if sender in known or len(known) < MOST_REQUESTS:
+            known[sender] = self.now
+        if request.leaving:
+            self._send(sender, LeaveReply(self.term, self._index_without(sender)))
+
+    @property
+    def applicants(self) -> list[str]:
+        """Those who have lately asked to receive the log, and do not."""
+        self._applicants = {
+            name: asked for name, asked in self._applicants.items() if self.now - asked < APPLICATION_LASTS
+        }
+        return [name for name in self._applicants if name not in self.members.all]
+
+    def is_leaving(self, identity: str) -> bool:
+        """Whether a member has said lately that it is to end."""
+        return self.now - self._leaving.get(identity, NEVER) < APPLICATION_LASTS
+
+    def _index_without(self, identity: str) -> int:
+        """Up to where the log is on a majority without a member; 0 while it is to be replaced."""
+        if self._is_changing or (identity in self.voters and self._has_replacement()):
+            return 0
+        own = self.durability.durable_index
+        left_out = self._progress.get(identity)
+        return max(0, self._majority(own, lambda progress: NEVER if progress is left_out else progress.match))
+
+    def _has_replacement(self) -> bool:
+        """Whether a learner is there, or has asked to be one, that may vote in the place of another."""
+        recent = self.now - self.rules.election_least
+        learners = (name for name in self.members.learners if not self.is_leaving(name))
+        heard = any(name in self._progress and self._progress[name].heard_at > recent for name in learners)
+        return heard or bool(self.applicants)
--- a/hopsail/replication/membership_changes.py
+++ b/hopsail/replication/membership_changes.py
@@ -1,4 +1,17 @@
-"""How a leader changes the members of the log, and what a driver asks for that."""
+"""How a leader changes the members of the log, and what a driver asks for that.
+
+Voters change by joint consensus: Ongaro, Ousterhout (2014), section 6; Ongaro (2014), section 4.3. The joint
+entry names the voters before and after the change. From when a replica has it in its log, committed or not,
+elections, commits, leases, reads, the check of the quorum and the barrier of those recovering need a majority
+of both sets. Once it is committed the leader, or the next one, appends the final entry, which names the new
+voters only. Any number of voters may so be exchanged in one agreed step, and there is never a voter too many
+whose loss counts.
+
+A leader that is no voter any more counts in no majority from the final entry on, and leads until that is
+committed.
+"""
+
+from dataclasses import replace
 
 from .hand_over import HandOver
 from .leases import Leases
@@ -7,17 +20,31 @@
 from .state import Busy, Members
 
 CAUGHT_UP_WITHIN = 16  # entries
+MOST_FORMER = 64  # members that went in this term, of which is known what they last said
 
 
 class MembershipChanges(Leases, HandOver):
-    """Proposes changes of members, one at a time."""
+    """Proposes changes of members, one at a time, and finishes those that it finds."""
 
     def _meet_members(self) -> None:
-        """Have a progress for each other member, and for nobody else."""
+        """Have a progress for each other member, and for nobody else.
+
+        That of a member which goes is kept for its return in this term: without its incarnations, a late
+        reply of the one before a lost disk would be taken for the newest, and the present one be ignored.
+        """
         others = [identity for identity in self.members.all if identity != self.identity]
-        self._progress = {
-            identity: self._progress.get(identity) or Progress(self.log.last_index) for identity in others
-        }
+        self._former.update(
+            {identity: progress for identity, progress in self._progress.items() if identity not in others}
+        )
+        self._progress = {identity: self._progress_of(identity) for identity in others}
+        while len(self._former) > MOST_FORMER:
+            del self._former[next(iter(self._former))]
+
+    def _progress_of(self, identity: str) -> Progress:
+        progress = self._progress.get(identity)
+        if progress is None and (progress := self._former.pop(identity, None)):
+            progress.has_returned(self.log.last_index)
+        return progress or Progress(self.log.last_index)
 
     def _check_proposal(self, now: int) -> None:
         raise NotImplementedError
@@ -25,21 +52,38 @@
     def propose_members(self, now: int, voters: tuple[str, ...], learners: tuple[str, ...] = ()) -> int:
         """Append a change of members and return its index.
 
-        Raises NotLeader; Busy while another change is under way or nothing of this term is committed;
-        ValueError when more than one voter comes or goes, or none would be left.
+        The final entry of a change of voters follows once this one is committed. Raises NotLeader; Busy
+        while another change is under way or nothing of this term is committed; ValueError when no voter would
+        be left.
         """
         self._check_proposal(now)
-        if self.log.members_index > self.commit_index or not self._has_committed_in_term:
+        if self._is_changing or not self._has_committed_in_term:
             raise Busy("a change of members is under way")
         members = Members(tuple(voters), tuple(one for one in learners if one not in voters))
         if not members.voters or len(set(members.voters)) != len(members.voters):
             raise ValueError("the voters must be some, and different")
-        if len(set(members.voters) ^ set(self.voters)) > 1:
-            raise ValueError("one voter can come or go at a time")
+        if set(members.voters) != set(self.voters):
+            members = replace(members, outgoing=self.voters)
+        return self._append_members(members)
+
+    @property
+    def _is_changing(self) -> bool:
+        return self.log.members_index > self.commit_index or self.members.is_joint
+
+    def _append_members(self, members: Members) -> int:
         index = self._append_entry(EntryKind.MEMBERS, members.encode())
         self._meet_members()
         return index
 
+    def _finish_change(self) -> None:
+        """Let the new voters decide alone, once both sets have agreed on it."""
+        if self.members.is_joint and self.log.members_index <= self.commit_index:
+            self._append_members(self.members.final())
+
+    def _is_removed(self) -> bool:
+        """Whether this leader is no voter any more, by a change that is committed."""
+        return self.log.members_index <= self.commit_index and self.identity not in self.members.electors
+
     def peer_match(self, identity: str) -> int:
         """The index up to which a member is known to hold this leader's log; 0 if not known."""
         progress = self._progress.get(identity)
--- a/hopsail/replication/messages.py
+++ b/hopsail/replication/messages.py
@@ -47,10 +47,14 @@
 
 
 class MembersRecord(Struct):
-    """Who votes and who only follows; the data of a MEMBERS entry."""
+    """Who votes and who only follows; the data of a MEMBERS entry.
 
-    __slots__ = ("voters", "learners")
-    thrift_spec = _fields(voters=_TEXTS, learners=_TEXTS)
+    `outgoing`, in a joint entry only: the voters before the change that is under way.
+    """
+
+    __slots__ = ("voters", "learners", "outgoing")
+    optional = frozenset({"outgoing"})
+    thrift_spec = _fields(voters=_TEXTS, learners=_TEXTS, outgoing=_TEXTS)
 
 
 class RequestVote(Struct):
@@ -138,6 +142,20 @@
     thrift_spec = _fields(term=_LONG)
 
 
+class MemberRequest(Struct):
+    """Asks the leader to have the log sent to the sender; with `leaving`, to let the sender go."""
+
+    __slots__ = ("leaving",)
+    thrift_spec = _fields(leaving=_BOOL)
+
+
+class LeaveReply(Struct):
+    """Up to `index` the log of the leader of `term` is on a majority without the receiver; 0: not yet."""
+
+    __slots__ = ("term", "index")
+    thrift_spec = _fields(term=_LONG, index=_LONG)
+
+
 MESSAGE_TYPES: tuple[type[Struct], ...] = (
     RequestVote,
     RequestVoteReply,
@@ -146,6 +164,8 @@
     InstallSnapshot,
     InstallSnapshotReply,
     TimeoutNow,
+    MemberRequest,
+    LeaveReply,
 )
 _TYPE_BYTES = {kind: bytes([number]) for number, kind in enumerate(MESSAGE_TYPES, 1)}
 
--- a/hopsail/replication/progress.py
+++ b/hopsail/replication/progress.py
@@ -14,20 +14,28 @@
         self.incarnation = 0
         self.retired: deque[int] = deque(maxlen=RETIRED_INCARNATIONS)
         self.forget(last_index)
+        self.has_returned(last_index)
+
+    def has_returned(self, last_index: int) -> None:
+        """The member is one again: only its incarnations, and whether the present one recovers, are known."""
         self.heard_at = NEVER
         self.acknowledged_round = 0
         self.acknowledged_sent_at = NEVER
+        self._probe(last_index)
 
     def forget(self, last_index: int) -> None:
         """Start anew: what the member holds is not known."""
+        self._probe(last_index)
+        self.recovering = False
+        self.barrier_index = 0
+
+    def _probe(self, last_index: int) -> None:
         self.match = 0
         self.next = last_index + 1
         self.probing = True
         self.send_now = True
         self.sent_commit = 0
         self.snapshot_sent_at: int | None = None
-        self.recovering = False
-        self.barrier_index = 0
 
     def meets(self, incarnation: int, recovering: bool, last_index: int) -> bool:
         """Note a reply's incarnation; False if the reply is of an earlier one, or is outdated in this one."""
--- a/hopsail/replication/replica.py
+++ b/hopsail/replication/replica.py
@@ -1,8 +1,8 @@
 """One replica of a replicated log, without I/O and without a clock.
 
 Ongaro, Ousterhout, "In search of an understandable consensus algorithm" (2014), with pre-vote, check of the
-quorum, leases by the steady clock, linearizable reads, hand-over, changes of one voter at a time, and the
-return of voters that have lost their disk (see `leading.py`).
+quorum, leases by the steady clock, linearizable reads, hand-over, changes of voters by joint consensus,
+and the return of voters that have lost their disk (see `leading.py`).
 
 The driver gives `receive` and `tick` the time, does what `take_ready` returns, and says `persisted` or
 `storage_failed` when a write has ended. Before every call the driver reads its steady clock anew.
@@ -12,11 +12,14 @@
 from .election import Elections
 from .following import Following
 from .leading import Leading
+from .member_requests import MemberRequests
 from .messages import (
     AppendEntries,
     AppendEntriesReply,
     InstallSnapshot,
     InstallSnapshotReply,
+    LeaveReply,
+    MemberRequest,
     RequestVote,
     RequestVoteReply,
     TimeoutNow,
@@ -29,7 +32,7 @@
 MOST_APPLIED = 1024  # entries in one Ready
 
 
-class Replica(Leading, Following, Elections):
+class Replica(MemberRequests, Leading, Following, Elections):
     """A replica of one log; see the module for how it is driven."""
 
     _handlers = {
@@ -40,6 +43,8 @@
         InstallSnapshot: "_on_install_snapshot",
         InstallSnapshotReply: "_on_install_snapshot_reply",
         TimeoutNow: "_on_timeout_now",
+        MemberRequest: "_on_member_request",
+        LeaveReply: "_on_leave_reply",
     }
 
     def receive(self, now: int, sender: str, message: Struct) -> None:
@@ -58,6 +63,8 @@
             due = min(self._heartbeat_at, self._quorum_heard_at() + self.rules.election_least)
         else:
             due = self._election_at
+            if self._leaves_since is not None:
+                due = min(due, self._ask_at)
         if self.durability.failing and self.durability.in_flight is None:
             due = min(due, self._retry_storage_at)
         return due
@@ -70,6 +77,8 @@
             self._continue_transfer()
         elif now >= self._election_at:
             self._election_timeout()
+        if not self.is_leader:
+            self._ask_to_leave()
 
     def take_ready(self) -> Ready | None:
         """What is to be done now; None if nothing is."""
--- a/hopsail/replication/schedule.py
+++ b/hopsail/replication/schedule.py
@@ -3,12 +3,14 @@
 from dataclasses import dataclass
 from random import Random
 
+from .log import Log
 from .replica import Replica
 from .simulation import Network, Node, Simulation
-from .state import MILLISECOND, Busy, NotLeader
+from .state import MILLISECOND, Busy, Members, NotLeader
 
 ROUGH = Network(loss=0.03, doubling=0.05, delay_most=20 * MILLISECOND, long_delay=0.03)
 CALM = Network()
+SWAPS = 0.6  # of the changes in which a learner becomes a voter: it takes the place of one
 
 
 @dataclass(frozen=True)
@@ -75,13 +77,21 @@
         name = self._any()
         nodes = self.simulation.nodes.values()
         voters = set(self.simulation.initial.voters)
-        voters.update(voter for node in nodes if node.replica for voter in node.replica.voters)
+        voters.update(voter for node in nodes for voter in self._electors(node))
         others = [node for node in nodes if node.identity in voters and node.identity != name]
         if sum(map(self._has_lost_disk, others)) < self._most_lost:
             self.simulation.crash(name, wipe=True)
             if self.random.random() < 0.7:
                 self.simulation.start(name)
 
+    @staticmethod
+    def _electors(node: Node) -> tuple[str, ...]:
+        """Whose votes count as this replica, or its disk while it is down, has it."""
+        if node.replica:
+            return node.replica.members.electors
+        state = node.disk.state
+        return Log(state.snapshot, state.entries, Members()).members.electors if state else ()
+
     @staticmethod
     def _has_lost_disk(node: Node) -> bool:
         state = node.disk.state
@@ -106,9 +116,11 @@
             pass
 
     def _changed(self, replica: Replica) -> tuple[tuple[str, ...], tuple[str, ...]]:
-        """The members after a change: a learner comes, becomes a voter, or a voter goes."""
+        """The members after a change: voters are swapped, or a learner or a voter comes or goes."""
         voters, learners = replica.voters, replica.members.learners
         ready = [learner for learner in learners if replica.is_caught_up(learner)]
+        if ready and self.random.random() < SWAPS:
+            return self._swapped(voters, learners, ready)
         if ready:
             promoted = self.random.choice(ready)
             return (*voters, promoted), tuple(one for one in learners if one != promoted)
@@ -119,6 +131,16 @@
         spares = [name for name in self.simulation.nodes if name not in replica.members.all]
         return voters, (*learners, *spares[:1])
 
+    def _swapped(
+        self, voters: tuple[str, ...], learners: tuple[str, ...], ready: list[str]
+    ) -> tuple[tuple[str, ...], tuple[str, ...]]:
+        """As many voters as there are learners ready, or fewer, give way to them; some stay as learners."""
+        number = self.random.randint(1, min(len(ready), len(voters)))
+        coming, leaving = self.random.sample(ready, number), self.random.sample(voters, number)
+        staying = [one for one in leaving if self.random.random() < 0.5]
+        rest = [one for one in learners if one not in coming]
+        return (*(one for one in voters if one not in leaving), *coming), (*rest, *staying)
+
     def _restart_some(self) -> None:
         for name, node in self.simulation.nodes.items():
             if node.replica is None and self.random.random() < 0.3:
--- a/hopsail/replication/state.py
+++ b/hopsail/replication/state.py
@@ -48,29 +48,54 @@
 
 @dataclass(frozen=True)
 class Members:
-    """Who votes, and who only receives the log."""
+    """Who votes, and who only receives the log.
+
+    While a change of voters is under way the members are joint: `voters` are those after the change,
+    `outgoing` all those before it, and whatever needs a majority needs one of both.
+    """
 
     voters: tuple[str, ...] = ()
     learners: tuple[str, ...] = ()
+    outgoing: tuple[str, ...] = ()
 
     @property
-    def all(self) -> tuple[str, ...]:
-        """Voters, then learners."""
-        return self.voters + self.learners
+    def is_joint(self) -> bool:
+        """Whether a change of voters is under way."""
+        return bool(self.outgoing)
+
+    @property
+    def electorates(self) -> tuple[tuple[str, ...], ...]:
+        """The sets of voters of each of which a majority is needed."""
+        return (self.voters, self.outgoing) if self.outgoing else (self.voters,)
 
     @property
-    def quorum(self) -> int:
-        """The least number of voters that is a majority."""
-        return len(self.voters) // 2 + 1
+    def electors(self) -> tuple[str, ...]:
+        """All whose votes may count: voters, then those that were voters before the change under way."""
+        return tuple(dict.fromkeys(self.voters + self.outgoing))
+
+    @property
+    def all(self) -> tuple[str, ...]:
+        """Electors, then learners."""
+        return tuple(dict.fromkeys(self.electors + self.learners))
+
+    def is_quorum(self, identities: set[str]) -> bool:
+        """Whether these are a majority of each set of voters."""
+        return all(
+            len(identities.intersection(voters)) >= len(voters) // 2 + 1 for voters in self.electorates
+        )
+
+    def final(self) -> "Members":
+        """The members after the change under way."""
+        return Members(self.voters, self.learners)
 
     def record(self) -> MembersRecord:
         """The same as a thrift struct."""
-        return MembersRecord(list(self.voters), list(self.learners))
+        return MembersRecord(list(self.voters), list(self.learners), list(self.outgoing) or None)
 
     @classmethod
     def of(cls, record: MembersRecord) -> "Members":
         """The members in a thrift struct."""
-        return cls(tuple(record.voters), tuple(record.learners))
+        return cls(tuple(record.voters), tuple(record.learners), tuple(record.outgoing or ()))
 
     def encode(self) -> bytes:
         """The data of a MEMBERS entry."""
