--- a/hopsail/controlplane/voters.py
+++ b/hopsail/controlplane/voters.py
@@ -5,6 +5,7 @@
 more.
 """
 
+from ..net.log import say
 from ..replication.state import Busy, Members, NotLeader
 
 MILLISECOND = 1_000_000
@@ -56,6 +57,7 @@
         except (Busy, NotLeader):
             return
         self.plane.counters.add("members.changed")
+        say("members", f"part {number}: voters {_named(wanted.voters)}, learners {_named(wanted.learners)}")
         part.pump()
 
     def _is_silent(self, now: int, number: int, replica, identity: str) -> bool:
@@ -89,3 +91,7 @@
         needed = max(0, self.target - (len(members.voters) - len(gone)))
         ready = [name for name in members.learners if name not in absent and replica.is_caught_up(name)]
         return ready[:needed]
+
+
+def _named(identities: tuple[str, ...]) -> str:
+    return " ".join(identities) or "none"
