A learner has its time to be heard of from when it is one

Cause: its silence was counted from when the leader began to lead, so a learner that was just taken in was removed at the next look, 0.1 s later, and taken in again when it asked.

--- a/hopsail/controlplane/voters.py
+++ b/hopsail/controlplane/voters.py
@@ -5,6 +5,8 @@
 more.
 """
 
+from typing import NamedTuple
+
 from ..net.log import say
 from ..replication.state import Busy, Members, NotLeader
 
@@ -15,13 +17,27 @@
 MOST_MEMBERS = 9
 
 
+class Watch(NamedTuple):
+    """Since when each member of a part is one while this process leads it, in one term."""
+
+    term: int
+    since: dict[str, int]
+
+    def look(self, now: int, members: tuple[str, ...]) -> None:
+        """Take note of those that are new, and forget those that have gone."""
+        for identity in members:
+            self.since.setdefault(identity, now)
+        for identity in self.since.keys() - set(members):
+            del self.since[identity]
+
+
 class Voters:
     """Learners take the place of voters that are dead or leave; nobody goes while nobody can come."""
 
     def __init__(self, plane):
         self.plane = plane
         self.target = 2 * max(1, plane.settings.machine_losses) + 1
-        self._watched: dict[int, tuple[int, int]] = {}  # part -> the term it is led in here, since when
+        self._watches: dict[int, Watch] = {}  # of the parts led here
 
     @property
     def dead_time(self) -> int:
@@ -35,7 +51,7 @@
             if part.leads and not self.plane.stopping:
                 self._check_part(now, number, part, alive)
             else:
-                self._watched.pop(number, None)
+                self._watches.pop(number, None)
 
     def _alive(self) -> set[str]:
         members = self.plane.membership.alive("controlplane")
@@ -46,10 +62,12 @@
         replica.tick(now)  # after a freeze of this process the silence of the others says nothing
         if not part.leads:
             return
-        if self._watched.get(number, (None, 0))[0] != replica.term:
-            self._watched[number] = (replica.term, now)
         members = replica.members
-        wanted = self._wanted(now, number, replica, alive)
+        watch = self._watches.get(number)
+        if watch is None or watch.term != replica.term:
+            watch = self._watches[number] = Watch(replica.term, {})
+        watch.look(now, members.all)
+        wanted = self._wanted(now, watch, replica, alive)
         if members.is_joint or wanted == members:
             return
         try:
@@ -60,18 +78,18 @@
         say("members", f"part {number}: voters {_named(wanted.voters)}, learners {_named(wanted.learners)}")
         part.pump()
 
-    def _is_silent(self, now: int, number: int, replica, identity: str) -> bool:
-        """Whether this leader has not heard of a member for long, since it leads."""
+    def _is_silent(self, now: int, watch: Watch, replica, identity: str) -> bool:
+        """Whether this leader has not heard of a member for long, since it leads and the other is one."""
         if identity == self.plane.identity:
             return False
         heard = replica.last_heard(identity)
-        since = self._watched[number][1]
+        since = watch.since[identity]
         return now - (since if heard is None else max(heard, since)) > self.dead_time
 
-    def _wanted(self, now: int, number: int, replica, alive: set[str]) -> Members:
+    def _wanted(self, now: int, watch: Watch, replica, alive: set[str]) -> Members:
         """The members as they should be."""
         members = replica.members
-        silent = {name for name in members.all if self._is_silent(now, number, replica, name)}
+        silent = {name for name in members.all if self._is_silent(now, watch, replica, name)}
         leaving = {name for name in members.all if replica.is_leaving(name)}
         gone = [name for name in members.voters if name in silent]
         gone += [name for name in members.voters if name in leaving - silent]
--- a/tests/test_controlplane_voters.py
+++ b/tests/test_controlplane_voters.py
@@ -252,7 +252,7 @@
 
     def __init__(self, voters, learners):
         self.members, self.proposed = Members(voters, learners), []
-        self.term, self.heard, self.applicants = 1, {}, []
+        self.term, self.heard, self.applicants, self.caught_up = 1, {}, [], set()
 
     def tick(self, now):
         pass
@@ -264,14 +264,14 @@
         return False
 
     def is_caught_up(self, identity):
-        return True
+        return identity in self.caught_up
 
     def propose_members(self, now, voters, learners):
         self.proposed.append((voters, learners))
 
 
-def quiet(learners=()):
-    replica = QuietReplica(("a", "b", "c", "d"), learners)
+def quiet(voters=("a", "b", "c", "d"), learners=()):
+    replica = QuietReplica(voters, learners)
     part = SimpleNamespace(leads=True, replica=replica, pump=lambda: None)
     plane = SimpleNamespace(
         settings=SimpleNamespace(machine_losses=1, bounds=SimpleNamespace(sync_s=SYNC_S)),
@@ -317,6 +317,30 @@
     assert replica.proposed == []
 
 
+def test_a_learner_that_answers_but_is_behind_does_not_vote():
+    replica, voters = quiet(("a", "b", "c"), ("d",))
+    voters.check(0)
+    replica.heard = dict.fromkeys("abd", 2 * DEAD_TIME)
+    voters.check(2 * DEAD_TIME)
+    assert replica.proposed == []
+    replica.caught_up = {"d"}
+    voters.check(2 * DEAD_TIME)
+    assert replica.proposed == [(("a", "b", "d"), ())]
+
+
+def test_a_learner_has_its_time_from_when_it_is_one():
+    replica, voters = quiet(("a", "b", "c"))
+    voters.check(0)
+    replica.heard = dict.fromkeys("abc", 9 * DEAD_TIME)
+    replica.members = Members(("a", "b", "c"), ("d",))
+    voters.check(9 * DEAD_TIME)
+    replica.heard = dict.fromkeys("abc", 10 * DEAD_TIME)
+    voters.check(10 * DEAD_TIME)
+    assert replica.proposed == []
+    voters.check(10 * DEAD_TIME + 1)
+    assert replica.proposed == [(("a", "b", "c"), ())]
+
+
 def test_one_that_still_answers_the_log_is_not_dead():
     fleet = with_learner(voters=3, spares=1)
     before, name = fleet.members, fleet.followers()[0]
@@ -345,11 +369,20 @@
 def test_parts_that_are_not_led_any_more_are_forgotten():
     fleet = with_learner(voters=3, spares=1)
     leader = fleet.leader
-    assert list(fleet.voters[leader]._watched) == [0]
+    assert list(fleet.voters[leader]._watches) == [0]
     fleet.simulation.transfer(leader)
     fleet.run(1 * SECOND)
     assert fleet.leader != leader
-    assert fleet.voters[leader]._watched == {}
+    assert fleet.voters[leader]._watches == {}
+
+
+def test_those_who_are_no_members_any_more_are_forgotten():
+    fleet = with_learner(voters=3, spares=1)
+    name = fleet.followers()[0]
+    fleet.kill(name)
+    fleet.run(3 * DEAD_TIME)
+    assert name not in fleet.members.all
+    assert set(fleet.voters[fleet.leader]._watches[0].since) == set(fleet.members.all)
 
 
 def test_the_leaders_death_moves_the_watch_to_the_next():
