Control processes replaced as planned: tests with whole processes, operations

A process that gets SIGTERM beside a new one ends only when that votes in its place, in each part; one that is needed to the end leaves 2 s before its grace is over.

--- a/tests/test_controlplane_processes.py
+++ b/tests/test_controlplane_processes.py
@@ -355,6 +355,37 @@
     assert all(cluster.read(number) == 1 for number in cluster.planes)
 
 
+def test_a_process_that_leaves_is_replaced_before_it_ends(make_cluster):
+    cluster = make_cluster()
+    cluster.until(lambda: all_parts_are_led(cluster))
+    leader = cluster.settled()
+    assert cluster.submit(leader, put(0, 1)).status == 200
+    cluster.start(4)
+    coming, leaving = cluster.planes[4], cluster.planes[leader]
+    leaving.terminate()
+    cluster.until(lambda: not leaving.loop.running)
+    for part in coming.parts:
+        assert coming.identity in part.replica.members.voters
+        assert leaving.identity not in part.replica.members.electors
+    cluster.kill(leader, wipe=True)
+    other = cluster.settled()
+    cluster.kill(other, wipe=True)
+    assert cluster.read(4) == 1
+    assert cluster.submit(4, put(1, 2)).status == 200
+
+
+def test_a_process_that_is_still_needed_ends_with_its_grace(make_cluster, monkeypatch):
+    cluster = make_cluster()
+    cluster.until(lambda: all_parts_are_led(cluster))
+    plane = cluster.planes[1]
+    monkeypatch.setattr(plane, "_may_leave", lambda: False)
+    began = plane.loop.now()
+    plane.terminate()
+    cluster.until(lambda: not plane.loop.running)
+    grace = plane.settings.bounds.grace_s * SECOND
+    assert grace - 3 * SECOND < plane.loop.now() - began < grace - 1 * SECOND
+
+
 def test_a_hand_over_that_is_not_possible_at_once_is_tried_again(make_cluster, monkeypatch):
     cluster = make_cluster()
     cluster.until(lambda: all_parts_are_led(cluster))
