Control plane: replicas, their storage and their messages in a module of their own

hopsail/controlplane/replicas.py takes storage, parts, ticks, messages of replicas and what they ask at the end out of plane.py; nothing else changes. The test that patched the process's may_leave patches the replicas'.

--- a/hopsail/controlplane/plane.py
+++ b/hopsail/controlplane/plane.py
@@ -1,6 +1,5 @@
 """The control plane's process: parts of the control state, the operator's calls, the feed."""
 
-import os
 from collections.abc import Callable
 from random import Random
 
@@ -18,19 +17,12 @@
 from ..http.client import HttpClient
 from ..http.server import HttpServer, ServerLimits
 from ..net.log import say
-from ..net.loop import READ
-from ..process import FLEET, MILLISECOND, Program, StartError
-from ..replication.disk_thread import DiskThread
-from ..replication.messages import MessageError, decode, encode
-from ..replication.replica import Replica
-from ..replication.state import DurableState, Members, Ready, ReplicaRules
-from ..replication.storage import PartWrite, Storage, StorageError
+from ..process import FLEET, MILLISECOND, Program
 from ..rpc.channel import Channel
 from ..rpc.server import RpcServer
 from .calls import CALL_TIMEOUT, Reading, Submission
 from .commands import Command, Result, decode_command
 from .configuration_feed import ConfigurationFeed
-from .configuration_state import ConfigurationState
 from .kept_reader import KeptReader
 from .messages import (
     COMMAND,
@@ -44,19 +36,17 @@
 )
 from .operator import OperatorCalls
 from .part import Part
-from .parts import CONFIGURATION_PART, PART_NAMES
+from .parts import CONFIGURATION_PART
 from .platform_list import PlatformList
+from .replicas import ROLE, Replicas
 from .rollouts import Rollouts
-from .service_state import ServiceState
 from .voters import Voters
 
-ROLE = "controlplane"
 DATA_PLANE_ROLE = "dataplane"
 BODY_BYTES = 6 << 20  # of an operator's call
 MOST_ENTRIES = 2_000_000  # of the feed
 TICK_MS = 20
 SLOW_TICK_MS = 500
-STALL_TIME = 400 * MILLISECOND  # a write that takes longer costs the leadership
 VOTERS_TICK_MS = 100
 STOP_WITHIN_MS = 1500
 GRACE_MARGIN_MS = 2000  # of the grace, for which a process that is still needed by the log doesn't wait
@@ -91,9 +81,10 @@
 
     def start(self) -> None:
         settings = self.settings
-        self._open_storage()
+        self.replicas = Replicas(self, self._applied)
+        self.parts, self.storage, self.disk = self.replicas.parts, self.replicas.storage, self.replicas.disk
         self.rpc = RpcServer(self.loop, (settings.ip, settings.port_first), FLEET)
-        self.rpc.register(REPLICATE, ReplicaMessage, self._replicate)
+        self.rpc.register(REPLICATE, ReplicaMessage, self.replicas.receive)
         self.rpc.register(COMMAND, CommandCall, self._command)
         self.rpc.register(READ_CALL, ReadCall, self._read)
         self.rpc.register(POLL, PollRequest, self._poll)
@@ -113,54 +104,20 @@
         self._voters_tick()
         say("state", f"control plane {self.identity} starts")
 
-    def _open_storage(self) -> None:
-        os.makedirs(self.settings.data_path, exist_ok=True)
-        try:
-            self.storage = Storage.open(self.settings.data_path, PART_NAMES)
-        except StorageError as error:
-            raise StartError(f"{self.settings.data_path}: {error}") from error
-        bootstrapping = self.settings.bootstrap and self.storage.empty
-        self.parts = [self._part(number, bootstrapping) for number in range(len(PART_NAMES))]
-        self.disk = DiskThread(self.storage, self.loop.now)
-        self.loop.watch(self.disk.descriptor, READ, self._written)
-
-    def _part(self, number: int, bootstrapping: bool) -> Part:
-        durable = self.storage.load(PART_NAMES[number])
-        recovering = durable is None and not bootstrapping
-        if durable is None:
-            members = Members(tuple(sorted(f"{host}:{port}" for host, port in self.seeds)))
-            durable = DurableState(members=members if bootstrapping else Members(), recovered=bootstrapping)
-        replica = Replica(ReplicaRules(self.identity), self.random, self.loop.now(), durable, recovering)
-        if number == CONFIGURATION_PART:
-            state, decode_state = ConfigurationState(), ConfigurationState.decode
-            apply = _apply_configuration
-        else:
-            state, decode_state = ServiceState(), ServiceState.decode
-            apply = _apply_service
-        return Part(
-            number, replica, state, decode_state, apply, self._store, self._send_replica, self._applied
-        )
-
     def stop(self) -> None:
         """Names successors for what it leads, and ends when they have taken over or soon."""
         self.stop_at = self.loop.now()
         self.membership.leave()
-        for part in self.parts:
-            part.replica.leave(self.stop_at)
+        self.replicas.leave(self.stop_at)
         self._end_when_handed_over()
 
-    def _hand_over(self) -> None:
-        """Names a successor for each part that is led here, again if it was not possible before."""
-        for part in self.parts:
-            if part.leads:
-                part.replica.transfer(self.loop.now(), None)
-                part.pump()
-
     def _end_when_handed_over(self) -> None:
-        self._hand_over()
+        self.replicas.hand_over()
         waited = (self.loop.now() - self.stop_at) // MILLISECOND
         leads = any(part.leads for part in self.parts)
-        needed = not self._may_leave() and waited < self.settings.bounds.grace_s * 1000 - GRACE_MARGIN_MS
+        needed = (
+            not self.replicas.may_leave() and waited < self.settings.bounds.grace_s * 1000 - GRACE_MARGIN_MS
+        )
         done = not leads and waited >= 300 and not self.door.busy
         if not needed and (waited >= STOP_WITHIN_MS or done):
             self.door.close()
@@ -168,17 +125,8 @@
         else:
             self.after(20, self._end_when_handed_over)
 
-    def _may_leave(self) -> bool:
-        """Whether what each part holds is on a majority without this process, or it has waited in vain."""
-        now = self.loop.now()
-        return all(part.replica.may_leave(now) for part in self.parts)
-
     def figures(self) -> dict[str, int]:
-        figures = {f"part.{part.number}.index": part.replica.commit_index for part in self.parts}
-        figures["log.unreadable"] = sum(part.dropped_entries for part in self.parts)
-        figures["disk.torn"] = self.storage.torn_records
-        figures["disk.damaged"] = self.storage.damaged_records
-        figures["disk.compaction_failures"] = self.disk.compaction_errors
+        figures = self.replicas.figures()
         figures["feed.entries"] = len(self.journal)
         return figures
 
@@ -187,15 +135,7 @@
     def _tick(self) -> None:
         self.after(TICK_MS, self._tick)
         now = self.loop.now()
-        for part in self.parts:
-            if part.replica.due <= now:
-                part.replica.tick(now)
-            part.pump()
-        if self.disk.oldest_age(now) > STALL_TIME:
-            for part in self.parts:
-                if part.leads:
-                    part.replica.storage_stalled(now)
-                    part.pump()
+        self.replicas.tick(now)
         due = self.publisher.due
         if due is not None and due <= now:
             self.publisher.tick(now)
@@ -204,8 +144,7 @@
 
     def _slow_tick(self) -> None:
         self.after(SLOW_TICK_MS, self._slow_tick)
-        for part in self.parts:
-            part.compact()
+        self.replicas.compact()
         self._follow_others()
         count = self.membership.count_upper_bound(DATA_PLANE_ROLE, self.loop.now())
         self.journal.set(Topic.BALANCERS, "count", str(count).encode())
@@ -214,26 +153,7 @@
         self.after(VOTERS_TICK_MS, self._voters_tick)
         now = self.loop.now()
         self.voters.check(now)
-        others = {f"{m.address[0]}:{m.address[1]}" for m in self.membership.alive(ROLE)}
-        others |= {f"{host}:{port}" for host, port in self.seeds}
-        for part in self.parts:
-            part.replica.ask_to_join(now, others - {self.identity})
-            part.pump()
-
-    # The log.
-
-    def _store(self, part: Part, ready: Ready) -> None:
-        self.disk.submit([PartWrite(PART_NAMES[part.number], ready)], (part, ready.serial))
-
-    def _written(self, _mask) -> None:
-        now = self.loop.now()
-        for (part, serial), error in self.disk.collect():
-            if error is None:
-                part.replica.persisted(now, serial)
-            else:
-                self.counters.add("disk.failures")
-                part.replica.storage_failed(now)
-            part.pump()
+        self.replicas.ask_to_join(now)
 
     def channel(self, identity: str) -> Channel:
         """The way to another control process."""
@@ -243,22 +163,6 @@
             channel = self.channels[identity] = Channel(self.loop, (host, int(port)), FLEET)
         return channel
 
-    def _send_replica(self, part: Part, peer: str, message) -> None:
-        body = ReplicaMessage(part=part.number, sender=self.identity, body=encode(message))
-        self.channel(peer).send(REPLICATE, body)
-
-    def _replicate(self, argument: ReplicaMessage, respond, peer) -> None:
-        if not 0 <= argument.part < len(self.parts):
-            return
-        try:
-            message = decode(argument.body)
-        except MessageError:
-            self.counters.add("replication.unreadable")
-            return
-        part = self.parts[argument.part]
-        part.replica.receive(self.loop.now(), argument.sender, message)
-        part.pump()
-
     # Commands.
 
     def submit(self, number: int, command: Command, done: Callable[[Result | None], None]) -> None:
@@ -391,11 +295,3 @@
                     self.rollouts.told(change)
                 else:
                     self.platform.told(change)
-
-
-def _apply_configuration(state: ConfigurationState, index: int, command: Command) -> Result:
-    return state.apply(command)
-
-
-def _apply_service(state: ServiceState, index: int, command: Command) -> Result:
-    return state.apply(index, command)
--- a/tests/test_controlplane_processes.py
+++ b/tests/test_controlplane_processes.py
@@ -378,7 +378,7 @@
     cluster = make_cluster()
     cluster.until(lambda: all_parts_are_led(cluster))
     plane = cluster.planes[1]
-    monkeypatch.setattr(plane, "_may_leave", lambda: False)
+    monkeypatch.setattr(plane.replicas, "may_leave", lambda: False)
     began = plane.loop.now()
     plane.terminate()
     cluster.until(lambda: not plane.loop.running)
