--- a/hopsail/replication/member_requests.py
+++ b/hopsail/replication/member_requests.py
@@ -14,6 +14,9 @@
 ASK_EVERY = 100 * MILLISECOND
 WITHOUT_LEADER = 1500 * MILLISECOND  # after which one that leaves and hears no leader waits no longer
 APPLICATION_LASTS = 2000 * MILLISECOND
+LISTENS = (
+    300 * MILLISECOND
+)  # a new leader, before it lets anyone go: those who would be members ask meanwhile
 MOST_REQUESTS = 64
 
 
@@ -79,7 +82,7 @@
 
     @property
     def applicants(self) -> list[str]:
-        """Those who have lately asked to receive the log, and do not."""
+        """Those who have lately asked to receive the log, and are no members."""
         self._applicants = {
             name: asked for name, asked in self._applicants.items() if self.now - asked < APPLICATION_LASTS
         }
@@ -91,15 +94,21 @@
 
     def _index_without(self, identity: str) -> int:
         """Up to where the log is on a majority without a member; 0 while it is to be replaced."""
-        if self._is_changing or (identity in self.voters and self._has_replacement()):
+        if self._is_changing or (identity in self.voters and self._may_be_replaced()):
             return 0
         own = self.durability.durable_index
         left_out = self._progress.get(identity)
         return max(0, self._majority(own, lambda progress: NEVER if progress is left_out else progress.match))
 
-    def _has_replacement(self) -> bool:
-        """Whether a learner is there, or has asked to be one, that may vote in the place of another."""
-        recent = self.now - self.rules.election_least
-        learners = (name for name in self.members.learners if not self.is_leaving(name))
-        heard = any(name in self._progress and self._progress[name].heard_at > recent for name in learners)
-        return heard or bool(self.applicants)
+    def _may_be_replaced(self) -> bool:
+        """Whether a learner may vote in the place of another, or this new leader has yet to hear who asks."""
+        if self.now - self._heard_quorum_since < LISTENS or self.applicants:
+            return True
+        return any(self._is_there(name) for name in self.members.learners if not self.is_leaving(name))
+
+    def _is_there(self, learner: str) -> bool:
+        """Whether a learner has answered lately, or asked to be one."""
+        progress = self._progress.get(learner)
+        heard_at = progress.heard_at if progress else NEVER
+        asked_at = self._applicants.get(learner, NEVER)
+        return self.now - heard_at < self.rules.election_least or self.now - asked_at < APPLICATION_LASTS
--- a/tests/test_controlplane_second_loss.py
+++ b/tests/test_controlplane_second_loss.py
@@ -136,6 +136,38 @@
     assert kept >= set(fleet.simulation.checker.acknowledged)
 
 
+def test_a_new_leader_lets_nobody_go_before_it_has_heard_who_asks():
+    """The old leader hands over and leaves; the new one has not heard yet of the process that came before."""
+    fleet = Fleet(voters=3, spares=1, news=NEWS)
+    fleet.absent("r3")
+    simulation, leaving = fleet.simulation, fleet.leader
+    fleet.start("r3")
+    fleet.terminate(leaving)
+    replica = simulation.nodes[leaving].replica
+    simulation.transfer(leaving)
+    for _ in range(20):
+        simulation.run(10 * MILLISECOND)
+        assert not replica.may_leave(simulation.now)
+    fleet.run_until(lambda: fleet.may_leave(leaving), 6 * SECOND)
+    assert "r3" in fleet.members.voters
+
+
+def test_a_learner_that_has_asked_and_not_answered_yet_is_waited_for():
+    fleet = Fleet(voters=3, spares=1, news=NEWS)
+    fleet.absent("r3")
+    fleet.run(1 * SECOND)
+    leaving, leader = fleet.followers()[0], fleet.leader
+    fleet.start("r3")
+    fleet.run_until(lambda: "r3" in fleet.members.learners, 1 * SECOND)
+    fleet.simulation.cut("r3", leader)
+    fleet.terminate(leaving)
+    fleet.run(500 * MILLISECOND)
+    assert not fleet.may_leave(leaving)
+    fleet.simulation.heal()
+    fleet.run_until(lambda: fleet.may_leave(leaving), 3 * SECOND)
+    assert "r3" in fleet.members.voters
+
+
 def test_one_that_leaves_acknowledges_nothing_more_once_it_may():
     fleet = Fleet(voters=3)
     leaving, other = fleet.followers()
