--- a/hopsail/controlplane/plane.py
+++ b/hopsail/controlplane/plane.py
@@ -1,6 +1,5 @@
 """The control plane's process: parts of the control state, the operator's calls, the feed."""
 
-import os
 from random import Random
 
 from ..configuration.needs import CONTROL_PLANE_NEEDS
@@ -13,20 +12,12 @@
 from ..http.message import Request
 from ..http.server import Exchange, HttpServer, ServerLimits
 from ..net.log import say
-from ..net.loop import READ
-from ..process import FLEET, MILLISECOND, Program, StartError
-from ..replication.disk_thread import DiskThread
-from ..replication.messages import MessageError, decode, encode
-from ..replication.replica import Replica
-from ..replication.state import DurableState, Members, Ready, ReplicaRules
-from ..replication.storage import PartWrite, Storage, StorageError
+from ..process import FLEET, Program
 from ..rpc.channel import Channel
 from ..rpc.server import RpcServer
-from .commands import Command, Result
 from .configuration_feed import ConfigurationFeed
-from .configuration_state import ConfigurationState
 from .contact import CONFIRM, ConfirmCall
-from .decisions import STEP_PAUSE_MS, Decisions
+from .decisions import Decisions
 from .feeds import ROLE, Feeds
 from .kept_reader import KeptReader
 from .messages import (
@@ -39,10 +30,10 @@
 )
 from .operator import OperatorCalls
 from .part import Part
-from .parts import CONFIGURATION_PART, PART_NAMES
+from .parts import CONFIGURATION_PART
 from .platform_list import PlatformList
+from .replicas import Replicas
 from .rollouts import Rollouts
-from .service_state import ServiceState
 from .stopping import Ending
 from .voters import Voters
 
@@ -51,7 +42,7 @@
 MOST_ENTRIES = 2_000_000  # of the feed
 TICK_MS = 20
 SLOW_TICK_MS = 500
-STALL_TIME = 400 * MILLISECOND  # a write that takes longer costs the leadership
+VOTERS_TICK_MS = 100
 
 
 class ControlPlane(Program, Decisions):
@@ -79,10 +70,11 @@
 
     def start(self) -> None:
         settings = self.settings
-        self._open_storage()
+        self.replicas = Replicas(self, self._applied)
+        self.parts, self.storage, self.disk = self.replicas.parts, self.replicas.storage, self.replicas.disk
         self.feeds = self._feeds()
         self.rpc = RpcServer(self.loop, (settings.ip, settings.port_first), FLEET)
-        self.rpc.register(REPLICATE, ReplicaMessage, self._replicate)
+        self.rpc.register(REPLICATE, ReplicaMessage, self.replicas.receive)
         self.rpc.register(COMMAND, CommandCall, self._command)
         self.rpc.register(READ_CALL, ReadCall, self._read)
         self.rpc.register(POLL, PollRequest, self.feeds.poll)
@@ -100,45 +92,9 @@
         self.kept = KeptReader(self)
         self._tick()
         self._slow_tick()
+        self._voters_tick()
         say("state", f"control plane {self.identity} starts")
 
-    def _open_storage(self) -> None:
-        os.makedirs(self.settings.data_path, exist_ok=True)
-        try:
-            self.storage = Storage.open(self.settings.data_path, PART_NAMES)
-        except StorageError as error:
-            raise StartError(f"{self.settings.data_path}: {error}") from error
-        bootstrapping = self.settings.bootstrap and self.storage.empty
-        self.parts = [self._part(number, bootstrapping) for number in range(len(PART_NAMES))]
-        self.disk = DiskThread(self.storage, self.loop.now)
-        self.loop.watch(self.disk.descriptor, READ, self._written)
-
-    def _part(self, number: int, bootstrapping: bool) -> Part:
-        durable = self.storage.load(PART_NAMES[number])
-        recovering = durable is None and not bootstrapping
-        if durable is None:
-            members = Members(tuple(sorted(f"{host}:{port}" for host, port in self.seeds)))
-            durable = DurableState(members=members if bootstrapping else Members(), recovered=bootstrapping)
-        replica = Replica(ReplicaRules(self.identity), self.random, self.loop.now(), durable, recovering)
-        if number == CONFIGURATION_PART:
-            state, decode_state = ConfigurationState(), ConfigurationState.decode
-            apply = _apply_configuration
-        else:
-            state, decode_state = ServiceState(), ServiceState.decode
-            apply = _apply_service
-        return Part(
-            number,
-            replica,
-            state,
-            decode_state,
-            apply,
-            self._store,
-            self._send_replica,
-            self._applied,
-            ConfigurationState.judging if number == CONFIGURATION_PART else None,
-            lambda act: self.after(STEP_PAUSE_MS, act),
-        )
-
     def stop(self) -> None:
         """Hands over what it leads, and ends when the others can go on without it or the grace is over."""
         self.membership.leave()
@@ -161,11 +117,7 @@
             self.operator.refuse(exchange)
 
     def figures(self) -> dict[str, int]:
-        figures = {f"part.{part.number}.index": part.replica.commit_index for part in self.parts}
-        figures["log.unreadable"] = sum(part.dropped_entries for part in self.parts)
-        figures["disk.torn"] = self.storage.torn_records
-        figures["disk.damaged"] = self.storage.damaged_records
-        figures["disk.compaction_failures"] = self.disk.compaction_errors
+        figures = self.replicas.figures()
         figures["feed.entries"] = len(self.journal)
         return figures
 
@@ -174,40 +126,21 @@
     def _tick(self) -> None:
         self.after(TICK_MS, self._tick)
         now = self.loop.now()
-        for part in self.parts:
-            if part.replica.due <= now:
-                part.replica.tick(now)
-            part.pump()
-        if self.disk.oldest_age(now) > STALL_TIME:
-            for part in self.parts:
-                if part.leads:
-                    part.replica.storage_stalled(now)
-                    part.pump()
+        self.replicas.tick(now)
         self.feeds.tick()
 
     def _slow_tick(self) -> None:
         self.after(SLOW_TICK_MS, self._slow_tick)
-        self.voters.check(self.loop.now())
-        for part in self.parts:
-            part.compact()
+        self.replicas.compact()
         self.feeds.follow_others()
         count = self.membership.count_upper_bound(DATA_PLANE_ROLE, self.loop.now())
         self.journal.set(Topic.BALANCERS, "count", str(count).encode())
 
-    # The log.
-
-    def _store(self, part: Part, ready: Ready) -> None:
-        self.disk.submit([PartWrite(PART_NAMES[part.number], ready)], (part, ready.serial))
-
-    def _written(self, _mask) -> None:
+    def _voters_tick(self) -> None:
+        self.after(VOTERS_TICK_MS, self._voters_tick)
         now = self.loop.now()
-        for (part, serial), error in self.disk.collect():
-            if error is None:
-                part.replica.persisted(now, serial)
-            else:
-                self.counters.add("disk.failures")
-                part.replica.storage_failed(now)
-            part.pump()
+        self.voters.check(now)
+        self.replicas.ask_to_join(now)
 
     def channel(self, identity: str) -> Channel:
         """The way to another control process."""
@@ -217,22 +150,6 @@
             channel = self.channels[identity] = Channel(self.loop, (host, int(port)), FLEET)
         return channel
 
-    def _send_replica(self, part: Part, peer: str, message) -> None:
-        body = ReplicaMessage(part=part.number, sender=self.identity, body=encode(message))
-        self.channel(peer).send(REPLICATE, body)
-
-    def _replicate(self, argument: ReplicaMessage, respond, peer) -> None:
-        if not 0 <= argument.part < len(self.parts):
-            return
-        try:
-            message = decode(argument.body)
-        except MessageError:
-            self.counters.add("replication.unreadable")
-            return
-        part = self.parts[argument.part]
-        part.replica.receive(self.loop.now(), argument.sender, message)
-        part.pump()
-
     # Other processes and services.
 
     def any_other(self) -> str | None:
@@ -294,11 +211,3 @@
                     self.rollouts.told(change)
                 else:
                     self.platform.told(change)
-
-
-def _apply_configuration(state: ConfigurationState, index: int, command: Command) -> Result:
-    return state.apply(command)
-
-
-def _apply_service(state: ServiceState, index: int, command: Command) -> Result:
-    return state.apply(index, command)
--- a/hopsail/controlplane/stopping.py
+++ b/hopsail/controlplane/stopping.py
@@ -1,8 +1,9 @@
 """The end of a control process: it ends when the others can go on without it, or when the grace is over.
 
 From SIGTERM to SIGKILL there is a stated time, the grace. Within it the process hands over what it leads,
-waits until it has heard of a leader of each part, and answers the calls that it has taken. Only what cannot
-be had in that time, such as a successor while a majority is down, is left when it ends."""
+waits until it has heard of a leader of each part and what it holds is on a majority without it, and answers
+the calls that it has taken. Only what cannot be had in that time, such as a successor while a majority is
+down, is left when it ends."""
 
 from collections.abc import Callable, Sequence
 
@@ -16,6 +17,7 @@
 STEP_MS = 20
 LEAST_MS = 300  # meanwhile others hear that this process leaves
 LAST_CALLS_MARGIN_MS = 1500  # before the platform kills: a call that is taken now is answered in time
+HELD_MARGIN_MS = 2000  # before the platform kills: what only this process holds is waited for no longer
 ANSWERS_MARGIN_MS = 600  # before the platform kills: the operator's connections end
 CLOSE_MARGIN_MS = 250  # before the platform kills: the process ends, whatever is left
 
@@ -39,9 +41,12 @@
         self.told_at = loop.now()
         killed_at = self.told_at + int(grace_ms * MILLISECOND)
         self.calls_until = killed_at - LAST_CALLS_MARGIN_MS * MILLISECOND
+        self.held_until = killed_at - HELD_MARGIN_MS * MILLISECOND
         self.answers_until = killed_at - ANSWERS_MARGIN_MS * MILLISECOND
         self.closed_by = killed_at - CLOSE_MARGIN_MS * MILLISECOND
         self.shut = self.released = False
+        for part in parts:
+            part.replica.leave(self.told_at)
         door.drain()
 
     @property
@@ -51,6 +56,9 @@
 
     def may_end(self) -> bool:
         """Whether the others can go on without this process, as far as it can tell."""
+        now = self.loop.now()
+        if now < self.held_until and not all(part.replica.may_leave(now) for part in self.parts):
+            return False
         return all(self._is_handed_over(part) for part in self.parts)
 
     def step(self) -> None:
--- a/tests/test_controlplane_stopping.py
+++ b/tests/test_controlplane_stopping.py
@@ -15,6 +15,7 @@
 from hopsail.controlplane.stopping import (
     ANSWERS_MARGIN_MS,
     CLOSE_MARGIN_MS,
+    HELD_MARGIN_MS,
     LAST_CALLS_MARGIN_MS,
     LEAST_MS,
     STEP_MS,
@@ -38,8 +39,18 @@
     """A part whose leader the test names."""
 
     def __init__(self, leader=OTHER, voters=(ME, OTHER, THIRD)):
-        self.replica = SimpleNamespace(leader=leader, members=Members(voters), transfer=self.transfer)
+        self.replica = SimpleNamespace(
+            leader=leader,
+            members=Members(voters),
+            transfer=self.transfer,
+            leave=self.leave,
+            may_leave=lambda now: not self.needed,
+        )
         self.transfers, self.pumps, self.successor = [], 0, None
+        self.left_at, self.needed = None, False
+
+    def leave(self, now):
+        self.left_at = now
 
     @property
     def leads(self):
@@ -141,6 +152,24 @@
     assert stage.stays() and len(part.transfers) > 100
 
 
+def test_it_stays_while_it_is_needed_for_a_majority():
+    free, needed = StandInPart(), StandInPart()
+    needed.needed = True
+    stage = Stage(free, needed)
+    assert free.left_at == needed.left_at == stage.told_at
+    assert not stage.until(GRACE_MS - HELD_MARGIN_MS - 1).finished
+    needed.needed = False
+    assert stage.until(GRACE_MS - HELD_MARGIN_MS - 1 + 3 * STEP_MS).finished
+
+
+def test_what_only_it_holds_is_not_waited_for_until_it_is_killed():
+    part = StandInPart()
+    part.needed = True
+    stage = Stage(part).until(GRACE_MS - HELD_MARGIN_MS - 1)
+    assert not stage.finished
+    assert stage.until(GRACE_MS - HELD_MARGIN_MS + 4 * STEP_MS).finished
+
+
 def test_it_stays_while_nobody_leads_as_long_as_it_may():
     assert Stage(StandInPart(leader=None)).stays()
 
--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -11,6 +11,8 @@
     Entry,
     InstallSnapshot,
     InstallSnapshotReply,
+    LeaveReply,
+    MemberRequest,
     MembersRecord,
     MessageError,
     Piece,
@@ -35,6 +37,8 @@
     TimeoutNow(3),
     Piece(3, 7, 2, 11, 1 << 60, 1 << 20, b"c" * 16, 1 << 15, b"\0piece"),
     PieceReply(3, b"c" * 16, 0, 1 << 15, 11, 1 << 60, 9, True),
+    MemberRequest(True),
+    LeaveReply(3, 9),
 ]
 
 
@@ -147,8 +151,9 @@
     simulation.run_until(lambda: leader.is_caught_up("r3"))
     assert not spare.recovering and leader.peer_match("r3") == leader.last_index
     assert leader.last_heard("r3") is not None and leader.last_heard("nobody") is None
-    with pytest.raises(ValueError):
-        simulation.propose_members(leader.identity, (*leader.voters[:2], "r3"), ())
+    for voters in [(), ("r0", "r0", "r1")]:
+        with pytest.raises(ValueError):
+            simulation.propose_members(leader.identity, voters, ())
     simulation.propose_members(leader.identity, (*leader.voters, "r3"), ())
     simulation.run(500 * MILLISECOND)
     assert spare.members == Members(("r0", "r1", "r2", "r3"))
