--- a/tests/test_controlplane_operator.py
+++ b/tests/test_controlplane_operator.py
@@ -169,6 +169,18 @@
     assert caller.refused(method, CONFIG, CONTENT) == (400, ResultCode.BAD_PRECONDITION)
 
 
+@pytest.mark.parametrize("method", ["PUT", "PATCH"])
+@pytest.mark.parametrize("second", ["5", "6"])
+def test_a_change_with_two_if_match_headers_is_refused(caller, method, second):
+    """As one header with a list of both would be."""
+    exchange = FakeExchange()
+    headers = [("if-match", "5"), ("if-match", second)]
+    caller.calls.handle(Request(method, CONFIG, headers, CONTENT), exchange)
+    ((status, body, _),) = exchange.answers
+    assert (status, body["Error"]["Code"]) == (400, ResultCode.BAD_PRECONDITION)
+    assert not caller.control.submitted
+
+
 def cuts(body: bytes) -> list[bytes]:
     return [body[:length] for length in range(0, len(body), 7)]
 
