--- a/hopsail/controlplane/decisions.py
+++ b/hopsail/controlplane/decisions.py
@@ -55,10 +55,9 @@
             return
 
         def decided(result: Result | None) -> None:
-            waiting = part.deciding.pop(command)
-            done(result)
-            for act in waiting:
+            for act in part.deciding.pop(command):
                 self.loop.soon(act)
+            done(result)
 
         part.deciding[command] = []
         Decision(self, part, command, decided).begin()
--- a/tests/test_controlplane_bad_disks.py
+++ b/tests/test_controlplane_bad_disks.py
@@ -98,7 +98,7 @@
     leader = cluster.settled()
     getattr(disks, kind)(leader)
     assert cluster.submit(leader, put(1, 2)).status == 200  # by another one
-    cluster.until(lambda: cluster.leader() not in (None, leader))
+    cluster.until(lambda: cluster.leader() not in (None, leader), 1500)
     assert cluster.submit(leader, put(1, 2)).status == 200
     assert cluster.submit(leader, put(1, 3)).status == 412
     assert [cluster.read(number) for number in (1, 2, 3)] == [2, 2, 2]
