Simulation: the stand-ins' servers know what they have not answered

The end of a control process asks its servers which calls wait and shuts the operators' door. The simulated ones now tell the same of the calls that they have handed over; a door that is shut is found closed. Nothing that is checked has changed.

--- a/tests/simulation/doors.py
+++ b/tests/simulation/doors.py
@@ -15,6 +15,7 @@
 
     def __init__(self, loop, address, fleet: str, *more):
         self.machine, self.methods = loop.machine, {}
+        self.calls: list[tuple[str, SimulatedRespond]] = []  # answered ones are dropped at the next call
         self.machine.rpc = self
 
     def register(self, method: str, argument_class, handler) -> None:
@@ -23,9 +24,15 @@
     def close(self) -> None:
         self.machine.rpc = None
 
+    def calls_in_flight(self, besides: str = "") -> int:
+        return sum(method != besides and not call.answered for method, call in self.calls)
+
     def take(self, method: str, body: bytes, respond) -> None:
         """A call has come."""
         argument_class, handler = self.methods[method]
+        if respond is not None:
+            self.calls = [(name, call) for name, call in self.calls if not call.answered]
+            self.calls.append((method, respond))
         handler(decode(argument_class, body), respond, None)
 
 
@@ -36,11 +43,13 @@
 
     def __init__(self, machine, channel: "SimulatedChannel", seqid: int):
         self.machine, self.channel, self.seqid = machine, channel, seqid
+        self.answered = False
 
     def on_closed(self, callback: Callable[[], None]) -> None:
         """A caller that has gone is noticed by its next call."""
 
     def __call__(self, reply) -> None:
+        self.answered = True
         data, channel = encode(reply), self.channel
 
         def deliver() -> None:
@@ -121,15 +130,35 @@
 class SimulatedHttpServer:
     """In place of `HttpServer`."""
 
-    busy = 0
-
     def __init__(self, loop, address, handle, *more):
-        self.machine, self.handle = loop.machine, handle
+        self.machine, self._handle = loop.machine, handle
+        self.exchanges: list[SimulatedExchange] = []  # ended ones are dropped at the next call
         self.machine.doors[tuple(address)[1]] = self
 
+    def handle(self, request: Request, exchange: SimulatedExchange) -> None:
+        """A call has come."""
+        self.exchanges = [*self.connections, exchange]
+        self._handle(request, exchange)
+
+    @property
+    def connections(self) -> list[SimulatedExchange]:
+        """Each call has a connection of its own, which ends with its answer."""
+        return [exchange for exchange in self.exchanges if not exchange.ended]
+
+    @property
+    def busy(self) -> int:
+        return len(self.connections)
+
     def drain(self) -> None:
         """Answers go on."""
 
+    def shut(self) -> None:
+        """Nobody connects any more; answers go on."""
+        self.close()
+
+    def refuse_half_read(self, status: int, headers=()) -> None:
+        """Calls come whole."""
+
     def close_idle(self) -> None:
         """No connection is kept."""
 
