--- a/tests/simulation/doors.py
+++ b/tests/simulation/doors.py
@@ -15,7 +15,7 @@
 
     def __init__(self, loop, address, fleet: str, *more):
         self.machine, self.methods = loop.machine, {}
-        self.calls: dict[SimulatedRespond, str] = {}  # that wait for their reply, with their method
+        self.calls: list[tuple[str, SimulatedRespond]] = []  # answered ones are dropped at the next call
         self.machine.rpc = self
 
     def register(self, method: str, argument_class, handler) -> None:
@@ -24,18 +24,17 @@
     def close(self) -> None:
         self.machine.rpc = None
 
+    def calls_in_flight(self, besides: str = "") -> int:
+        return sum(method != besides and not call.answered for method, call in self.calls)
+
     def take(self, method: str, body: bytes, respond) -> None:
         """A call has come."""
         argument_class, handler = self.methods[method]
-        if isinstance(respond, SimulatedRespond):
-            self.calls[respond] = method
-            respond.on_reply = lambda: self.calls.pop(respond, None)
+        if respond is not None:
+            self.calls = [(name, call) for name, call in self.calls if not call.answered]
+            self.calls.append((method, respond))
         handler(decode(argument_class, body), respond, None)
 
-    def calls_in_flight(self, besides: str = "") -> int:
-        """Calls that wait for their reply, but for those of one method."""
-        return sum(method != besides for method in self.calls.values())
-
 
 class SimulatedRespond:
     """The way back to a caller; the caller's end is not noticed."""
@@ -44,13 +43,13 @@
 
     def __init__(self, machine, channel: "SimulatedChannel", seqid: int):
         self.machine, self.channel, self.seqid = machine, channel, seqid
-        self.on_reply: Callable[[], None] = lambda: None
+        self.answered = False
 
     def on_closed(self, callback: Callable[[], None]) -> None:
         """A caller that has gone is noticed by its next call."""
 
     def __call__(self, reply) -> None:
-        self.on_reply()
+        self.answered = True
         data, channel = encode(reply), self.channel
 
         def deliver() -> None:
@@ -131,23 +130,38 @@
 class SimulatedHttpServer:
     """In place of `HttpServer`."""
 
-    busy = 0
-    connections = ()
-
     def __init__(self, loop, address, handle, *more):
-        self.machine, self.handle = loop.machine, handle
+        self.machine, self._handle = loop.machine, handle
+        self.exchanges: list[SimulatedExchange] = []  # ended ones are dropped at the next call
         self.machine.doors[tuple(address)[1]] = self
 
+    def handle(self, request: Request, exchange: SimulatedExchange) -> None:
+        """A call has come."""
+        self.exchanges = [*self.connections, exchange]
+        self._handle(request, exchange)
+
+    @property
+    def connections(self) -> list[SimulatedExchange]:
+        """Each call has a connection of its own, which ends with its answer."""
+        return [exchange for exchange in self.exchanges if not exchange.ended]
+
+    @property
+    def busy(self) -> int:
+        return len(self.connections)
+
     def drain(self) -> None:
         """Answers go on."""
 
-    def close_idle(self) -> None:
-        """No connection is kept."""
-
     def shut(self) -> None:
-        """Nothing that comes is taken any more."""
+        """Nobody connects any more; answers go on."""
         self.close()
 
+    def refuse_half_read(self, status: int, headers=()) -> None:
+        """Calls come whole."""
+
+    def close_idle(self) -> None:
+        """No connection is kept."""
+
     def close(self) -> None:
         self.machine.doors = {port: door for port, door in self.machine.doors.items() if door is not self}
 
