Ends of a data plane: a connection that comes up too late is not waited for; the listener's queue in bounded rounds

Cause: a request is weighed against the grace before its attempt, but written when its connection comes up, up to a second later; a late one could still begin at its host with too little time. Those whose connection is not up are now looked at as those at the gate are, every 50 ms. A stream that has begun still waits for its next host.

Taking in the listener's queue is bounded by the queue's own length.

--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -96,8 +96,11 @@
             self._give_up(Refusal.OVERLOAD)
 
     def refuse_if_late(self) -> None:
-        """Gives up the wait at the gate when the process ends before the request could."""
-        if not self.has_place and not self.ended and not self.plane.may_begin(self):
+        """Gives up the wait for a place or a connection when the process ends before the request could."""
+        attempt = self.attempt
+        waits = not self.has_place or (attempt is not None and not attempt.written)
+        if waits and not self.ended and self.begun is Begun.NOTHING and not self.plane.may_begin(self):
+            self._abandon_attempt()
             self._give_up(Refusal.ENDING)
 
     # Attempts.
--- a/hopsail/http/server.py
+++ b/hopsail/http/server.py
@@ -449,8 +449,9 @@
     def _stop_listening(self) -> None:
         if not self.listening:
             return
-        while self._accept_some():
-            pass  # those in the system's queue would be reset
+        for _ in range(BACKLOG // ACCEPTED_AT_ONCE + 1):
+            if not self._accept_some():  # those in the system's queue would be reset
+                break
         self.listening = False
         self.loop.unwatch(self.sock)
         self.sock.close()
--- a/tests/test_dataplane_stopping.py
+++ b/tests/test_dataplane_stopping.py
@@ -306,6 +306,31 @@
     assert is_refused(waiting) and len(stage.pool.made) == places
 
 
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_connection_that_comes_up_too_late_is_not_waited_for(stage, kind):
+    stage.busy_after_the_first_seconds().have_taken(long(kind), SECOND)
+    stage.pool.manners.append("silent")
+    client = stage.ask(long(kind))
+    late = ANSWERS - SECOND * (STREAM_CAUTION if "stream" in KINDS[kind]["RouteKind"] else 1)
+    stage.until(late - MILLISECOND)
+    assert not client.bytes and stage.pool.made[0].dialing
+    stage.until(late + 50 * MILLISECOND)
+    assert is_refused(client) and not stage.pool.made[0].open and not stage.pool.made[0].sent
+
+
+def test_a_stream_that_is_taken_up_waits_for_its_connection(stage):
+    stage.busy_after_the_first_seconds().have_taken("resumable-long", SECOND)
+    client = stage.ask("resumable-long")
+    stage.pool.made[0].says(EVENTS_HEAD + chunk(events(1, 3)))
+    stage.pool.manners.append("silent")
+    stage.pool.made[0].ends()
+    stage.until(ANSWERS - 500 * MILLISECOND)
+    assert client.end is None and stage.pool.made[1].open
+    stage.pool.made[1].up()
+    stage.pool.made[1].says(EVENTS_HEAD + chunk(events(4, 6)) + b"0\r\n\r\n")
+    assert client.complete and bytes(client.body) == events(1, 6)
+
+
 @pytest.mark.parametrize("kind", ["idempotent", "resumable"])
 def test_no_second_attempt_begins_too_late(stage, kind):
     stage.busy_after_the_first_seconds().have_taken(long(kind), SECOND)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from hopsail.http import server as server_module
 from hopsail.http.client import (
     CONNECT_TIME,
     IDLE_TIME,
@@ -647,6 +648,14 @@
     runner.until(lambda: not service.server.connections, "the end of all connections")
 
 
+def test_a_server_that_shuts_takes_in_more_than_one_rounds_clients(runner, monkeypatch):
+    monkeypatch.setattr(server_module, "ACCEPTED_AT_ONCE", 2)
+    service = Service(runner, echo)
+    clients = [service.client(request(f"/{number}")) for number in range(7)]
+    service.server.shut()
+    assert all(f"/{number} ".encode() in client.ends() for number, client in enumerate(clients))
+
+
 def test_after_a_server_has_shut_nobody_connects(runner):
     service = Service(runner, echo)
     service.server.shut()
