Replication: the first word of an earlier life that comes late is not taken for the newest

A leader that had heard a wiped member's present life first took a delayed reply of the life before, unknown in its term, for a newer one: it counted what the lost disk had held towards a commit, and ignored the present life until the next term. Messages reach a member in order, so a later life answers only later messages: a reply of an unknown incarnation that answers none later than the known one's is now passed over. ForgetsThoseWhoWent, a mutation of another guard that this one covers too, now leaves out both.

--- a/hopsail/replication/leading.py
+++ b/hopsail/replication/leading.py
@@ -75,7 +75,7 @@
         progress = self._progress.get(peer)
         if reply.term < self.term or not self.is_leader or progress is None:
             return None
-        if not progress.meets(reply.incarnation, reply.recovering, self.log.last_index):
+        if not progress.meets(reply.incarnation, reply.recovering, self.log.last_index, reply.sent_at):
             return None
         if progress.recovering and not progress.barrier_index:
             progress.barrier_index = self._append_entry(EntryKind.NOOP, b"")
--- a/hopsail/replication/progress.py
+++ b/hopsail/replication/progress.py
@@ -15,6 +15,7 @@
     def __init__(self, last_index: int):
         self.incarnation = 0
         self.retired: deque[int] = deque(maxlen=RETIRED_INCARNATIONS)
+        self.answered_sent_at = NEVER  # the latest message that the present incarnation has answered
         self.forget(last_index)
         self.has_returned(last_index)
 
@@ -39,17 +40,25 @@
         self.sent_commit = 0
         self.transfer: PieceSender | None = None  # a message under way in pieces
 
-    def meets(self, incarnation: int, recovering: bool, last_index: int) -> bool:
-        """Note a reply's incarnation; False if the reply is of an earlier one, or is outdated in this one."""
+    def meets(self, incarnation: int, recovering: bool, last_index: int, sent_at: int) -> bool:
+        """Note a reply's incarnation; False if the reply is of an earlier one, or is outdated in this one.
+
+        `sent_at` tells which message was answered. Messages reach a member in their order, so a later
+        incarnation answers only those sent after all that an earlier one has had.
+        """
         if incarnation in self.retired:
             return False
         if incarnation != self.incarnation:
+            if self.incarnation and sent_at <= self.answered_sent_at:
+                return False
             if self.incarnation:
                 self.retired.append(self.incarnation)
                 self.forget(last_index)
             self.incarnation = incarnation
             self.recovering = recovering
+            self.answered_sent_at = sent_at
             return True
+        self.answered_sent_at = max(self.answered_sent_at, sent_at)
         if recovering and not self.recovering:
             return False
         self.recovering = recovering
--- a/tests/test_replication_joint.py
+++ b/tests/test_replication_joint.py
@@ -14,6 +14,7 @@
     MembersRecord,
     RequestVote,
 )
+from hopsail.replication.progress import NEVER
 from hopsail.replication.records import PartState, PartWrite, SnapshotRecord, part_record
 from hopsail.replication.replica import Replica
 from hopsail.replication.schedule import Weights, play_schedule
@@ -93,12 +94,19 @@
 
 
 class ForgetsThoseWhoWent(Replica):
-    """What a member said before it was removed is not kept for its return."""
+    """What a member said before it was removed is not kept for its return, nor the order of messages heeded.
+
+    Either of the two is enough here: `test_replication_earlier_life.py` has the second one alone."""
 
     def _meet_members(self):
         super()._meet_members()
         self._former.clear()
 
+    def _take_reply(self, peer, reply):
+        if peer in self._progress:
+            self._progress[peer].answered_sent_at = NEVER
+        return super()._take_reply(peer, reply)
+
 
 class LeavesItsOldVotersAlone(Replica):
     """Asks only those who are voters after the change."""
