--- a/hopsail/controlplane/configuration_feed.py
+++ b/hopsail/controlplane/configuration_feed.py
@@ -42,9 +42,8 @@
 
     @property
     def is_current(self) -> bool:
-        """Whether the feed tells the state's configuration, or there is none."""
-        fed = self._table.revision if self._table is not None else 0
-        return fed >= self._state().revision
+        """Whether the journal tells the state's configuration, or there is none; also while it calls back."""
+        return int(self._journal.get(Topic.CONFIGURATION, REVISION) or 0) >= self._state().revision
 
     def publish(self) -> None:
         """Feeds the state's configuration if it is newer than what has been fed."""
--- a/tests/test_controlplane_configuration_feed.py
+++ b/tests/test_controlplane_configuration_feed.py
@@ -99,6 +99,22 @@
     assert (join_items(stage.items), stage.taken, stage.later) == (whole(3, 4), [3], [])
 
 
+@pytest.mark.parametrize("count", [4, 95])
+def test_the_feed_is_current_from_the_moment_that_it_tells_the_revision(stage, count):
+    seen = []
+    stage.journal.subscribe(lambda: seen.append((stage.items.get("revision"), stage.feed.is_current)))
+    assert stage.feed.is_current
+    stage.put(whole(3, count))
+    assert not stage.feed.is_current
+    stage.feed.publish()
+    stage.finish()
+    stage.patch(Upsert={"Routes": [route("r-new")]})
+    assert not stage.feed.is_current
+    stage.feed.publish()
+    assert seen[-2:] == [(b"3", True), (b"4", True)]
+    assert all(current == (revision is not None) for revision, current in seen)
+
+
 def test_a_large_configuration_is_fed_in_slices_and_tells_its_revision_last(stage):
     stage.put(whole(3, 95))
     stage.feed.publish()
--- a/tests/test_old_configurations.py
+++ b/tests/test_old_configurations.py
@@ -21,6 +21,7 @@
 SECOND = 1000 * MILLISECOND
 SOON = 600 * MILLISECOND
 SCHEDULES = 60
+REVISION = (Topic.CONFIGURATION, "revision")
 
 
 def others(simulation, name):
@@ -190,6 +191,23 @@
     assert plane.ready_at - settled_at < SOON
 
 
+def test_the_leaders_word_comes_with_its_configuration():
+    """After a loss of power of all, data planes whose polls wait are ready with the first reply."""
+    simulation, operators = started()
+    acknowledged(simulation, operators)
+    simulation.run(SECOND)
+    for name in simulation.nodes:
+        simulation.crash(name)
+    for name in simulation.nodes:
+        simulation.start(name)
+    plane = simulation.data_plane(list(simulation.nodes))
+    processes = [simulation.process(name) for name in simulation.nodes]
+    simulation.run_until(lambda: any(process.journal.get(*REVISION) for process in processes))
+    fed_at = simulation.now
+    simulation.run_until(lambda: plane.ready)
+    assert plane.ready_at - fed_at <= 2 * simulation.network.delay_most
+
+
 def test_a_loss_of_power_that_leaves_one_process_lets_data_planes_serve():
     simulation, operators = started()
     newest = acknowledged(simulation, operators)
