--- a/hopsail/replication/membership_changes.py
+++ b/hopsail/replication/membership_changes.py
@@ -33,9 +33,10 @@
         reply of the one before a lost disk would be taken for the newest, and the present one be ignored.
         """
         others = [identity for identity in self.members.all if identity != self.identity]
-        self._former.update(
-            {identity: progress for identity, progress in self._progress.items() if identity not in others}
-        )
+        for identity, progress in self._progress.items():
+            if identity not in others:
+                progress.transfer = None  # a snapshot that nobody waits for any more
+                self._former[identity] = progress
         self._progress = {identity: self._progress_of(identity) for identity in others}
         while len(self._former) > MOST_FORMER:
             del self._former[next(iter(self._former))]
--- a/tests/test_replication_joint.py
+++ b/tests/test_replication_joint.py
@@ -606,6 +606,23 @@
     simulation.check_survival()
 
 
+def test_nothing_is_kept_of_a_snapshot_on_its_way_to_one_that_goes():
+    simulation, leader, _ = settled(spares=0, snapshot_after=5)
+    replica = simulation.nodes[leader].replica
+    for _ in range(2 * RETAINED):
+        simulation.propose(leader)
+        simulation.run(8 * MILLISECOND)
+    simulation.propose_members(leader, replica.voters, ("away",))
+    progress = replica._progress["away"]
+    simulation.run_until(lambda: not replica._is_changing)
+    replica._on_append_entries_reply("away", AppendEntriesReply(replica.term, False, 0, 0, 1, 0, 7, True))
+    simulation._work(simulation.nodes[leader])
+    assert progress.needs_snapshot
+    simulation.run(100 * MILLISECOND)
+    simulation.propose_members(leader, replica.voters, ())
+    assert progress.transfer is None
+
+
 def test_a_new_voter_may_be_behind_and_still_nothing_is_lost():
     """The second loss right after the swap takes the disk of one of the two that hold the last entries."""
     for seed in range(4):
