A control process has no majority's word while a committed configuration waits to be applied

The word counted once the replica had handed the entry out; a large configuration is then still prepared in steps, and the feed is current by the state of before. Seen by reading; no run showed it.

--- a/hopsail/controlplane/part.py
+++ b/hopsail/controlplane/part.py
@@ -66,6 +66,11 @@
         """The index of the last entry that the state contains."""
         return self._unapplied[0].index - 1 if self._unapplied else self.replica.applied_index
 
+    @property
+    def has_applied_all(self) -> bool:
+        """Whether the state contains all that is known to be committed."""
+        return not self._unapplied
+
     def propose(self, now: int, command: Command, done: Done) -> bool:
         """Puts the command into the log; `done(None)` when it is not known what becomes of it.
 
--- a/hopsail/controlplane/plane.py
+++ b/hopsail/controlplane/plane.py
@@ -196,7 +196,7 @@
             self.journal,
             part.replica,
             self.channel,
-            lambda: self.configuration_feed.is_current,
+            lambda: part.has_applied_all and self.configuration_feed.is_current,
             lambda: set(self._alive_controls()),
             self._told,
         )
--- a/tests/test_controlplane_steps.py
+++ b/tests/test_controlplane_steps.py
@@ -213,6 +213,14 @@
     assert prepared.part.state.encode() == plain.part.state.encode()
 
 
+def test_a_state_lacks_what_is_committed_until_it_is_prepared():
+    driven = Driven()
+    driven.commit(entry(1, put(0, configuration(1))), entry(2, put(1, large(2))))
+    assert not driven.part.has_applied_all and driven.part.state.revision == 1
+    driven.finish()
+    assert driven.part.has_applied_all and driven.part.state.revision == 2
+
+
 def test_no_snapshot_is_taken_of_a_state_that_lacks_committed_entries():
     driven, taken = Driven(), []
     driven.replica.compact = lambda index, data: taken.append(index)
