Simulation of the control side: mutations of each guard, short schedules, lures, slow disks, cut links

Thirteen guards are taken out one at a time; the checker notices each within 60 short schedules. New steps: a data plane that reaches only a cut-off control process, links cut between two members, all disks slow, strikes right after an acknowledgement, freezes inside of a call.

--- a/tests/simulation/disk.py
+++ b/tests/simulation/disk.py
@@ -26,6 +26,10 @@
         self.writing: bytes | None = None  # handed over, not synced yet
         self.stalled: list = []  # what goes on when the disk does
 
+    def duration(self) -> int:
+        """Of the next write."""
+        return self.random.randint(self.delay // 2, self.delay)
+
     def wipe(self) -> None:
         """All is gone."""
         self.records, self.writing = [], None
@@ -125,7 +129,7 @@
             return
         self._busy = True
         self.disk.writing = self._jobs[0][0]
-        self.disk.clock.at(self.disk.clock.now + self.disk.delay, self._ready)
+        self.disk.clock.at(self.disk.clock.now + self.disk.duration(), self._ready)
 
     def _ready(self) -> None:
         if self.machine.life != self.life or not self.machine.runs:
--- a/tests/simulation/draw.py
+++ b/tests/simulation/draw.py
@@ -3,8 +3,11 @@
 from dataclasses import replace
 from random import Random
 
+from hopsail.controlplane.parts import part_of_service
+
 from . import steps
 from .disk import FULL, STALLED, WORKING
+from .outside import SERVICES
 from .play import Schedule
 from .world import WorldRules
 
@@ -18,7 +21,10 @@
     "kill": 3,
     "freeze": 3,
     "cut": 4,
+    "link": 2,
+    "lure": 1,
     "disk": 2,
+    "disks": 1,
     "clock": 1,
     "replace": 2,
     "core_down": 1,
@@ -26,17 +32,28 @@
     "tamper": 3,
     "rough": 1,
 }
+PROFILES = {
+    "usual": KINDS,
+    "power": {"changes": 10, "kill": 3, "core_down": 10, "disks": 6, "disk": 1, "tamper": 1},
+    "leaders": {"changes": 10, "read": 6, "resend": 4, "kill": 2, "freeze": 5, "cut": 5, "link": 5},
+    "weights": {"name": 10, "changes": 1, "kill": 5, "freeze": 4, "cut": 4, "link": 2, "replace": 1},
+    "members": {"changes": 8, "replace": 6, "kill": 3, "cut": 2, "core_down": 1, "name": 1},
+    "edges": {"changes": 10, "lure": 5, "edge": 5, "cut": 2, "kill": 1, "tamper": 2, "name": 2},
+}
 PAUSES = (150, 500, 1500)  # ms between two steps, at most; one for each schedule
+LONG_PAUSES = {"power": (800, 2500), "members": (1500, 3000)}  # in place of those
 LONG_PAUSE, LONG_PAUSE_SHARE = 5000, 0.1  # in which machines that are back stop counting as lost
 
 
-def draw(seed: int, length: int = 16, strict: bool = False) -> Schedule:
-    """The schedule of a seed."""
+def draw(seed: int, length: int = 16, strict: bool = False, profile: str = "") -> Schedule:
+    """The schedule of a seed; of the seed's own profile if none is named."""
     random = Random(f"control/{seed}")
+    names = list(PROFILES)
+    profile = profile or names[seed % len(names)]
     losses = 2 if random.random() < 0.15 else 1
     rules = WorldRules(losses, fence_checked=random.random() < 0.5, strict=strict)
-    weights = {kind: weight * random.choice((0.3, 1, 1, 3)) for kind, weight in KINDS.items()}
-    pause, at, drawn = random.choice(PAUSES), 0, []
+    weights = {kind: weight * random.choice((0.3, 1, 1, 3)) for kind, weight in PROFILES[profile].items()}
+    pause, at, drawn = random.choice(LONG_PAUSES.get(profile, PAUSES)), 0, []
     for _ in range(length):
         kind = random.choices(list(weights), list(weights.values()))[0]
         at += random.randint(0, LONG_PAUSE if random.random() < LONG_PAUSE_SHARE else pause)
@@ -44,6 +61,50 @@
     return Schedule(random.getrandbits(32), rules, tuple(drawn))
 
 
+# Short schedules around one kind of trouble: they show soon that a guard is out.
+
+
+def draw_strike(seed: int) -> Schedule:
+    """Power is lost everywhere right after an acknowledgement, while disks are slow."""
+    random = Random(f"strike/{seed}")
+    wiped = (random.randrange(3),) if random.random() < 0.6 else ()
+    strike = steps.CoreDown(100, True, wiped, 300, after_ack=True)
+    return Schedule(seed, WorldRules(), (steps.SlowDisks(0, 150, 20_000), strike, steps.Changes(200)))
+
+
+def draw_election(seed: int) -> Schedule:
+    """Power is lost everywhere while votes are being stored."""
+    random = Random(f"election/{seed}")
+    slow = steps.SlowDisks(0, 150, 20_000)
+    kill = steps.Kill(100, -1, True, False, 6000)
+    return Schedule(seed, WorldRules(), (slow, kill, steps.CoreDown(random.randint(500, 1500), True, (), 50)))
+
+
+def draw_thaw(seed: int) -> Schedule:
+    """A leader is stopped while others go on without it."""
+    random = Random(f"thaw/{seed}")
+    freeze = steps.Freeze(100, -1, random.randrange(4), 3000, random.random() < 0.3)
+    return Schedule(seed, WorldRules(), (freeze, steps.Changes(1200), steps.Changes(1700)))
+
+
+def draw_link(seed: int) -> Schedule:
+    """A follower and the leader do not reach each other, one way or both."""
+    random = Random(f"link/{seed}")
+    outward, inward = random.choice(((True, True), (False, True)))
+    links = [
+        steps.CutLink(100 + 7000 * n, random.randrange(3), -1 - n, outward, inward, 2000) for n in range(3)
+    ]
+    return Schedule(seed, WorldRules(), tuple(links))
+
+
+def draw_hand_over(seed: int) -> Schedule:
+    """The holder of a roll-out dies in the middle of it."""
+    random = Random(f"hand over/{seed}")
+    model = random.randrange(len(SERVICES))
+    kill = steps.Kill(random.randint(200, 1200), -1 - part_of_service(SERVICES[model]), False, False, 5000)
+    return Schedule(seed, WorldRules(fence_checked=False), (steps.NameWeights(0, model), kill))
+
+
 def without(schedule: Schedule, left_out: set[int]) -> Schedule:
     """A schedule without some of its steps, by number."""
     kept = tuple(step for number, step in enumerate(schedule.steps) if number not in left_out)
@@ -78,13 +139,24 @@
 
 
 def _kill(random: Random, at: int) -> steps.Step:
-    return steps.Kill(at, _who(random), random.random() < 0.5, random.random() < 0.3, _lasts(random))
+    power, wipe, after_ack = random.random() < 0.5, random.random() < 0.3, random.random() < 0.3
+    return steps.Kill(at, _who(random), power, wipe, _lasts(random), after_ack)
+
+
+def _lure(random: Random, at: int) -> steps.Step:
+    gap = random.choice((200, 3000, 6500, 8000))
+    return steps.Lure(at, _who(random), random.randrange(2), gap, gap + random.choice((500, 2000)))
+
+
+def _link(random: Random, at: int) -> steps.Step:
+    outward, inward = random.choice(((True, True), (True, False), (False, True)))
+    return steps.CutLink(at, _who(random), _who(random), outward, inward, _lasts(random))
 
 
 def _core_down(random: Random, at: int) -> steps.Step:
-    power = random.random() < 0.6
+    power = random.random() < 0.7
     wiped = tuple(random.sample(range(5), random.choice((0, 0, 1, 2)))) if power else ()
-    return steps.CoreDown(at, power, wiped, random.choice((100, 500, 2000)))
+    return steps.CoreDown(at, power, wiped, random.choice((100, 500, 2000)), random.random() < 0.6)
 
 
 _DRAWN = {
@@ -94,9 +166,16 @@
     "read": lambda random, at: steps.ReadBack(at),
     "lose_answers": lambda random, at: steps.LoseAnswers(at, random.randint(1, 4)),
     "kill": _kill,
-    "freeze": lambda random, at: steps.Freeze(at, _who(random), random.randint(0, 6), _lasts(random)),
+    "freeze": lambda random, at: steps.Freeze(
+        at, _who(random), random.randint(0, 6), _lasts(random), random.random() < 0.3
+    ),
     "cut": _cut,
+    "link": _link,
+    "lure": _lure,
     "disk": _disk,
+    "disks": lambda random, at: steps.SlowDisks(
+        at, random.choice((20, 80, 150)), random.choice((1000, 4000, 20_000))
+    ),
     "clock": lambda random, at: steps.StepClock(
         at, _who(random), random.choice((-1, 1)) * random.choice((100, 5000, 3_600_000))
     ),
--- a/tests/simulation/invariants.py
+++ b/tests/simulation/invariants.py
@@ -96,13 +96,17 @@
         self.newest = 0  # revision acknowledged
         self.naming_parts: dict[tuple[str, int], int] = {}  # model and revision -> the part that took it
         self.named: dict[str, int] = {}  # model -> revision acknowledged
+        self.violation: Violation | None = None  # the first one
         self.faults: list[str] = []
+        self.on_confirmed: list = []  # what is done at the next acknowledgement
         self.figures = {"orders": 0, "reads": 0, "votes": 0, "ready": 0}
 
     def fail(self, invariant: Invariant, text: str) -> None:
         """An invariant does not hold."""
         if invariant in self.enforced:
-            raise Violation(invariant, f"at {self.world.played_ms} ms: {text}")
+            violation = Violation(invariant, f"at {self.world.played_ms} ms: {text}")
+            self.violation = self.violation or violation  # the programs catch what their callbacks raise
+            raise violation
 
     def fault(self, text: str) -> None:
         """A program has caught an exception of its own."""
@@ -181,6 +185,9 @@
         if change.data not in self.taken:
             self.fail(Invariant.KEPT, f"{change} is confirmed and was not applied")
         confirmed.append(change)
+        waiting, self.on_confirmed = self.on_confirmed, []
+        for act in waiting:
+            act()
         if change.revision > self.newest:
             self.newest = change.revision
             self.acknowledged.append((self.world.clock.now, change.revision))
@@ -228,6 +235,8 @@
 
     def after(self, machine) -> None:
         """A process has done something."""
+        if self.violation is not None:
+            raise self.violation
         if self.faults:
             self.fail(Invariant.NO_FAULT, self.faults[0])
             self.faults.clear()
--- /dev/null
+++ b/tests/simulation/mutations.py
@@ -0,0 +1,208 @@
+"""Guards taken out of the programs one at a time, and the invariant by which the checker must notice it."""
+
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import Any, NamedTuple
+
+from hopsail.configuration.followed import REVISION, FollowedConfiguration
+from hopsail.controlplane.commands import CommandKind, Result
+from hopsail.controlplane.configuration_state import ConfigurationState
+from hopsail.controlplane.part import Part
+from hopsail.controlplane.rollouts import Rollouts
+from hopsail.controlplane.service_state import ServiceState
+from hopsail.replication.replica import Replica
+
+from .draw import draw_election, draw_hand_over, draw_link, draw_strike, draw_thaw
+from .invariants import Invariant
+from .play import Schedule
+
+
+class Mutation(NamedTuple):
+    """`changed(original)` takes the place of a class's attribute."""
+
+    name: str
+    owner: type
+    attribute: str
+    changed: Callable[[Any], Any]
+    invariant: Invariant
+    draw: Callable[[int], Schedule]
+
+
+@contextmanager
+def mutated(mutation: Mutation) -> Iterator[None]:
+    """The guard is out inside of the block."""
+    original = getattr(mutation.owner, mutation.attribute)
+    setattr(mutation.owner, mutation.attribute, mutation.changed(original))
+    try:
+        yield
+    finally:
+        setattr(mutation.owner, mutation.attribute, original)
+
+
+def _forgets_what_was_taken(original):
+    def apply(self, command):
+        result = original(self, command)
+        self.taken.clear()
+        return result
+
+    return apply
+
+
+def _compares_no_base(original):
+    return lambda self, command: original(self, command._replace(base=self.revision))
+
+
+def _answers_before_the_entry_is_applied(original):
+    def propose(self, now, command, done):
+        accepted = original(self, now, command, lambda result: None)
+        if accepted:
+            done(Result(200, value=0))
+        return accepted
+
+    return propose
+
+
+def _ignores_the_lease(original):
+    return lambda self, now: self._has_committed_in_term
+
+
+def _elects_beside_a_leader(original):
+    return lambda self: False
+
+
+def _acknowledges_before_sync(original):
+    return lambda self: self._verified_index
+
+
+def _sends_before_sync(original):
+    return lambda self, peer, message: self._send(peer, message)
+
+
+def _votes_while_recovering(original):
+    return lambda self: True
+
+
+def _votes_for_short_logs(original):
+    return lambda self, message: True
+
+
+def _reads_without_a_round(original):
+    def read_ready(self, token):
+        if not self.is_leader or token.term != self.term:
+            return None
+        return self.applied_index >= token.index
+
+    return read_ready
+
+
+def _does_not_wait_for_the_lease(original):
+    return lambda self, now, service, duty: False
+
+
+def _takes_a_fence_of_its_own(original):
+    """As if each holder counted for itself, from one on."""
+
+    def apply(self, index, command):
+        result = original(self, index, command)
+        if command.kind is not CommandKind.ACQUIRE_DUTY:
+            return result
+        self.duties[command.subject] = self.duties[command.subject]._replace(fence=1)
+        return Result(200, value=1)
+
+    return apply
+
+
+def _takes_older_configurations(original):
+    def apply(self, source, changes, value_of):
+        told = value_of(REVISION)
+        if self.table is not None and told is not None and int(told) < self.table.revision:
+            self.table.revision = -1
+        return original(self, source, changes, value_of)
+
+    return apply
+
+
+MUTATIONS = (
+    Mutation(
+        "digests are forgotten",
+        ConfigurationState,
+        "apply",
+        _forgets_what_was_taken,
+        Invariant.NOT_REFUSED,
+        draw_thaw,
+    ),
+    Mutation(
+        "the base is not compared",
+        ConfigurationState,
+        "judge",
+        _compares_no_base,
+        Invariant.ONE_ORDER,
+        draw_strike,
+    ),
+    Mutation(
+        "answered before the entry is applied",
+        Part,
+        "propose",
+        _answers_before_the_entry_is_applied,
+        Invariant.KEPT,
+        draw_strike,
+    ),
+    Mutation("the lease is ignored", Replica, "lease_valid", _ignores_the_lease, Invariant.KEPT, draw_thaw),
+    Mutation(
+        "elects beside a leader",
+        Replica,
+        "_hears_leader",
+        _elects_beside_a_leader,
+        Invariant.ONE_LEADER,
+        draw_link,
+    ),
+    Mutation(
+        "acknowledges before sync",
+        Replica,
+        "_acknowledged_index",
+        _acknowledges_before_sync,
+        Invariant.KEPT,
+        draw_strike,
+    ),
+    Mutation(
+        "sends before sync",
+        Replica,
+        "_send_when_durable",
+        _sends_before_sync,
+        Invariant.ONE_LEADER,
+        draw_election,
+    ),
+    Mutation(
+        "votes while recovering", Replica, "_may_vote", _votes_while_recovering, Invariant.KEPT, draw_strike
+    ),
+    Mutation(
+        "votes for short logs", Replica, "_is_up_to_date", _votes_for_short_logs, Invariant.KEPT, draw_strike
+    ),
+    Mutation(
+        "reads without a round", Replica, "read_ready", _reads_without_a_round, Invariant.READS, draw_thaw
+    ),
+    Mutation(
+        "does not wait for the lease",
+        Rollouts,
+        "_must_wait",
+        _does_not_wait_for_the_lease,
+        Invariant.ONE_HOLDER,
+        draw_hand_over,
+    ),
+    Mutation(
+        "fence not from the log",
+        ServiceState,
+        "apply",
+        _takes_a_fence_of_its_own,
+        Invariant.FENCES_RISE,
+        draw_hand_over,
+    ),
+    Mutation(
+        "takes older configurations",
+        FollowedConfiguration,
+        "apply",
+        _takes_older_configurations,
+        Invariant.NEVER_BACK,
+        draw_thaw,
+    ),
+)
--- a/tests/simulation/network.py
+++ b/tests/simulation/network.py
@@ -28,12 +28,20 @@
 
 @dataclass(frozen=True)
 class Cut:
-    """A machine's messages of some direction to some others are lost. `scope`: all, core, edge, hosts."""
+    """A machine's messages of some direction to some others are lost.
+
+    `scope`: all, a kind (core, edge, hosts), or the address of one; `spared`: one reached all the same.
+    """
 
     host: str
     scope: str
     outward: bool
     inward: bool
+    spared: str = ""
+
+    def covers(self, other: str, kind: str) -> bool:
+        """Whether it lies between its machine and another."""
+        return other != self.spared and self.scope in ("all", kind, other)
 
 
 class Network:
@@ -43,25 +51,28 @@
         self.clock, self.random, self.kind_of = clock, random, kind_of
         self.weather = CALM
         self.cuts: list[Cut] = []
-        self.held: list[Callable[[], None]] = []
+        self.held: list[tuple[str, str, Callable[[], None]]] = []
         self.sent = 0
         self.tampered: dict[int, str] = {}  # number of a message -> lost, doubled or late
 
     def is_cut(self, sender: str, receiver: str) -> bool:
         """Whether nothing gets from one to the other."""
         for cut in self.cuts:
-            if cut.host == sender and cut.outward and cut.scope in ("all", self.kind_of(receiver)):
+            if cut.host == sender and cut.outward and cut.covers(receiver, self.kind_of(receiver)):
                 return True
-            if cut.host == receiver and cut.inward and cut.scope in ("all", self.kind_of(sender)):
+            if cut.host == receiver and cut.inward and cut.covers(sender, self.kind_of(sender)):
                 return True
         return False
 
-    def mend(self, host: str | None = None) -> None:
-        """Ends the cuts of one machine, or all; what was held on its way arrives."""
-        self.cuts = [cut for cut in self.cuts if host is not None and cut.host != host]
+    def mend(self, *ended: Cut) -> None:
+        """Ends some cuts; what was held on its way arrives."""
+        self.cuts = [cut for cut in self.cuts if cut not in ended]
         held, self.held = self.held, []
-        for deliver in held:
-            self.clock.at(self.clock.now + self._delay(), deliver)
+        for sender, receiver, deliver in held:
+            if self.is_cut(sender, receiver):
+                self.held.append((sender, receiver, deliver))
+            else:
+                self.clock.at(self.clock.now + self._delay(), deliver)
 
     def send(self, sender: str, receiver: str, deliver: Callable[[], None]) -> None:
         """Has `deliver` called later, once, twice or not at all."""
@@ -69,7 +80,7 @@
         tampering = self.tampered.pop(self.sent, None) if self.tampered else None
         if self.cuts and self.is_cut(sender, receiver):
             if self.random.random() < HELD_SHARE:
-                self.held.append(deliver)
+                self.held.append((sender, receiver, deliver))
             return
         if tampering == "lost" or (self.weather.loss and self.random.random() < self.weather.loss):
             return
--- a/tests/simulation/operators.py
+++ b/tests/simulation/operators.py
@@ -96,10 +96,11 @@
             content = {"Revision": self._number, "Routes": [], "Services": services, "Tenants": tenants}
         return Change(self._number, base, patch, json.dumps(content).encode(), self.world.clock.now)
 
-    def resend(self, back: int) -> None:
-        """Sends a change once more that was confirmed before."""
+    def resend(self, back: int, machine=None) -> None:
+        """Sends a change once more that was confirmed before, to a machine or any."""
         if self.confirmed:
-            self._call_change(self.confirmed[-1 - back % len(self.confirmed)], lambda status: None)
+            change = self.confirmed[-1 - back % len(self.confirmed)]
+            self._call_change(change, lambda status: None, machine)
 
     def name(self, model: str) -> None:
         """Names the next version of a model's weights."""
@@ -140,9 +141,9 @@
 
         self._call_change(change, answered)
 
-    def _call_change(self, change: Change, answered) -> None:
+    def _call_change(self, change: Change, answered, machine=None) -> None:
         method = "PATCH" if change.patch else "PUT"
-        machine = self.random.choice(self.world.listed_core())
+        machine = machine or self.random.choice(self.world.listed_core())
         self._call(
             machine, method, CONFIGURATION_PATH, change.base, change.body, lambda s, _: answered(s), change
         )
@@ -187,7 +188,7 @@
                 if door is not None:
                     door.handle(request_of(method, path, base, body), exchange)
 
-            machine.have(take)
+            machine.have_call(take)
 
         clock = self.world.clock
         clock.at(clock.now + SILENCE, lambda: finish(None, b""))
--- a/tests/simulation/play.py
+++ b/tests/simulation/play.py
@@ -1,11 +1,12 @@
 """Plays a schedule in a world: the same for the same seed and steps."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from functools import singledispatch
 
 from . import steps
 from .clock import MILLISECOND
-from .network import CALM, ROUGH
+from .network import CALM, ROUGH, Cut
 from .outside import MODELS
 from .substitutes import substituted
 from .world import World, WorldRules
@@ -42,6 +43,13 @@
     raise TypeError(f"no such step: {step}")
 
 
+def _now_or_after_ack(step: steps.Kill | steps.CoreDown, world: World, strike: Callable[[], None]) -> None:
+    if step.after_ack:
+        world.when_acknowledged(strike)
+    else:
+        strike()
+
+
 @play_step.register
 def _(step: steps.Changes, world: World) -> None:
     known = [0, *(revision for _, revision in world.checker.acknowledged)]
@@ -72,23 +80,46 @@
 
 @play_step.register
 def _(step: steps.Kill, world: World) -> None:
-    seat = world.seat_of(step.who)
-    if world.may_lose(seat):
-        world.kill(seat, step.power, step.wipe, step.lasts)
+    def strike() -> None:
+        seat = world.seat_of(step.who)
+        if world.may_lose(seat):
+            world.kill(seat, step.power, step.wipe, step.lasts)
+
+    _now_or_after_ack(step, world, strike)
 
 
 @play_step.register
 def _(step: steps.Freeze, world: World) -> None:
     seat = world.seat_of(step.who)
     if world.may_lose(seat):
-        world.freeze(seat, step.stale_reads, step.lasts)
+        world.freeze(seat, step.stale_reads, step.in_call, step.lasts)
 
 
 @play_step.register
 def _(step: steps.CutOff, world: World) -> None:
     seat = world.seat_of(step.who)
     if world.may_lose(seat):
-        world.cut_off(seat, step.scope, step.outward, step.inward, step.lasts)
+        world.cut_off(seat, Cut(seat.machine.host, step.scope, step.outward, step.inward), step.lasts)
+
+
+@play_step.register
+def _(step: steps.CutLink, world: World) -> None:
+    seat, other = world.seat_of(step.who), world.seat_of(step.other)
+    if seat is not other and world.may_lose(seat):
+        cut = Cut(seat.machine.host, other.machine.host, step.outward, step.inward)
+        world.cut_off(seat, cut, step.lasts)
+
+
+@play_step.register
+def _(step: steps.Lure, world: World) -> None:
+    seat = world.seat_of(step.who)
+    if world.may_lose(seat):
+        world.lure(seat, world.edges[step.edge % len(world.edges)], step.gap, step.lasts)
+
+
+@play_step.register
+def _(step: steps.SlowDisks, world: World) -> None:
+    world.slow_disks(step.delay, step.lasts)
 
 
 @play_step.register
@@ -112,10 +143,14 @@
 
 @play_step.register
 def _(step: steps.CoreDown, world: World) -> None:
-    if not any(world.is_lost(seat) for seat in world.seats):
-        wiped = [world.seats[number % len(world.seats)] for number in step.wiped[: world.rules.losses]]
+    def strike() -> None:
+        whole = not any(world.is_lost(seat) for seat in world.seats)
+        numbers = step.wiped[: world.rules.losses] if whole else ()
+        wiped = [world.seats[number % len(world.seats)] for number in numbers]
         world.core_down(step.power, wiped, step.lasts)
 
+    _now_or_after_ack(step, world, strike)
+
 
 @play_step.register
 def _(step: steps.RestartEdge, world: World) -> None:
--- a/tests/simulation/steps.py
+++ b/tests/simulation/steps.py
@@ -54,21 +54,27 @@
 
 @dataclass(frozen=True)
 class Kill(Step):
-    """A process ends at once; `power`: its machine loses power; `wipe`: its disk is lost with it."""
+    """A process ends at once; `power`: its machine loses power; `wipe`: its disk is lost with it.
+
+    `after_ack`: as soon as the next change is acknowledged."""
 
     who: int
     power: bool
     wipe: bool
     lasts: int
+    after_ack: bool = False
 
 
 @dataclass(frozen=True)
 class Freeze(Step):
-    """A process is stopped, inside of what it does, after so many readings of its clock."""
+    """A process is stopped, inside of what it does, after so many readings of its clock.
+
+    `in_call`: when the next call comes to it."""
 
     who: int
     stale_reads: int
     lasts: int
+    in_call: bool = False
 
 
 @dataclass(frozen=True)
@@ -82,6 +88,37 @@
     lasts: int
 
 
+@dataclass(frozen=True)
+class CutLink(Step):
+    """The messages between two machines of the control side are lost."""
+
+    who: int
+    other: int
+    outward: bool
+    inward: bool
+    lasts: int
+
+
+@dataclass(frozen=True)
+class Lure(Step):
+    """A control process is cut off from the others, and a data plane begins anew that reaches only this one.
+
+    The data plane begins `gap` ms after the cut."""
+
+    who: int
+    edge: int
+    gap: int
+    lasts: int
+
+
+@dataclass(frozen=True)
+class SlowDisks(Step):
+    """All disks take up to `delay` ms for a write."""
+
+    delay: int
+    lasts: int
+
+
 @dataclass(frozen=True)
 class DiskTrouble(Step):
     """A disk is slow (`delay` in ms), full or stalled."""
@@ -114,11 +151,14 @@
 
 @dataclass(frozen=True)
 class CoreDown(Step):
-    """All control processes end at once, by a kill or a loss of power; `wiped` seats lose their disks."""
+    """All control processes end at once, by a kill or a loss of power; `wiped` seats lose their disks.
+
+    No disk is lost while another machine counts as lost."""
 
     power: bool
     wiped: tuple[int, ...]
     lasts: int
+    after_ack: bool = False
 
 
 @dataclass(frozen=True)
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -14,6 +14,7 @@
 SYNC = 4 * SECOND  # for which a machine counts as lost after it is back
 LENIENT_SYNC = 25 * SECOND  # for which one that was replaced does, where the world is not strict
 GRACE = 8 * SECOND  # after SIGTERM
+ASKED_BEFORE = 100  # ms before a machine thaws or is in reach again, operators come to it
 LOOK_EVERY = 500 * MILLISECOND
 BEGIN_WITHIN = 10 * SECOND
 END_WITHIN = 25 * SECOND
@@ -233,38 +234,77 @@
         machine.kill(power)
         if wipe:
             machine.disk.wipe()
-        self.after(lasts, lambda: self._again(seat, machine))
+        self.after(lasts + self.random.randint(0, 300), lambda: self._again(seat, machine))
 
     def _again(self, seat: Seat, machine: Machine) -> None:
         if seat.machine is machine:
             machine.start()
         self.regain(seat)
 
-    def freeze(self, seat: Seat, stale_reads: int, lasts: int) -> None:
+    def freeze(self, seat: Seat, stale_reads: int, in_call: bool, lasts: int) -> None:
         """A machine's process stands still."""
         machine = seat.machine
         self.lose(seat)
-        machine.freeze(stale_reads)
+        machine.freeze(stale_reads, in_call)
+        if in_call:
+            self._ask(machine)
 
         def thaw() -> None:
             machine.thaw()
             self.regain(seat)
 
+        self.after(max(0, lasts - ASKED_BEFORE), lambda: self._ask(machine))
         self.after(lasts, thaw)
 
-    def cut_off(self, seat: Seat, scope: str, outward: bool, inward: bool, lasts: int) -> None:
+    def _ask(self, machine: Machine) -> None:
+        """Operators come to a machine that may know little."""
+        self.operators.read(machine)
+        self.operators.resend(0, machine)
+        self.operators.resend(1, machine)
+
+    def cut_off(self, seat: Seat, cut: Cut, lasts: int) -> None:
         """A machine is cut off from others."""
-        host = seat.machine.host
+        machine = seat.machine
         self.lose(seat)
-        self.network.cuts.append(Cut(host, scope, outward, inward))
+        self._cut(cut, lasts)
+        self.after(lasts // 2, lambda: self._ask(machine))
+        self.after(max(0, lasts - ASKED_BEFORE), lambda: self._ask(machine))
+        self.after(lasts, lambda: self.regain(seat))
+
+    def _cut(self, cut: Cut, lasts: int) -> None:
+        self.network.cuts.append(cut)
 
         def mend() -> None:
-            self.network.mend(host)
+            self.network.mend(cut)
             self.network_mended_at = self.clock.now
-            self.regain(seat)
 
         self.after(lasts, mend)
 
+    def lure(self, seat: Seat, edge: Machine, gap: int, lasts: int) -> None:
+        """A machine is cut off from the others, and a data plane begins anew that reaches only that one."""
+        host = seat.machine.host
+        self.cut_off(seat, Cut(host, "core", True, True), lasts)
+
+        def begin() -> None:
+            edge.kill(power=False)
+            self._cut(Cut(edge.host, "core", True, True, spared=host), max(1, lasts - gap))
+            edge.start()
+
+        self.after(gap, begin)
+
+    def slow_disks(self, delay: int, lasts: int) -> None:
+        """All disks are slow."""
+        for seat in self.seats:
+            self._slow_disk(seat.machine, delay, lasts)
+
+    def _slow_disk(self, machine: Machine, delay: int, lasts: int) -> None:
+        machine.disk.set(machine.disk.condition, delay * MILLISECOND)
+        self.after(lasts, lambda: machine.disk.set(machine.disk.condition, USUAL_DELAY))
+
+    def when_acknowledged(self, act) -> None:
+        """Has something done as soon as the next change is acknowledged."""
+        self.checker.on_confirmed.append(lambda: self.clock.at(self.clock.now, act))
+
     def trouble_disk(self, seat: Seat, condition: str, delay: int, lasts: int) -> None:
         """A machine's disk is not what it should be."""
         machine = seat.machine
@@ -291,9 +331,9 @@
 
         def leave() -> None:
             self.trouble_at = self.clock.now
+            old.gone = True
             old.stop_in_order()
-            life = old.life
-            self.after(GRACE // MILLISECOND, lambda: old.ended(life))
+            self.after(GRACE // MILLISECOND, lambda: old.kill(power=False))
 
         if planned:
             self.leaving.append(old)
@@ -301,7 +341,7 @@
             self.after(gap, leave)
         else:
             old.kill(power=True)
-            old.disk.wipe()
+            old.gone = True
             self.after(gap, arrive)
 
     def core_down(self, power: bool, wiped: list[Seat], lasts: int) -> None:
@@ -321,8 +361,9 @@
 
     def heal(self) -> None:
         """Ends all faults."""
-        self.network.mend()
+        self.network.mend(*self.network.cuts)
         self.network.weather = CALM
+        self.checker.on_confirmed.clear()
         self.network.tampered.clear()
         self.operators.lost_answers = 0
         self.network_mended_at = self.trouble_at = self.clock.now
@@ -334,6 +375,9 @@
 
     def check_end(self) -> None:
         """All is healed: everybody catches up in time, and what was acknowledged is read back everywhere."""
+        if self.checker.on_confirmed:
+            self.operators.change()
+            self.run(SECOND)
         self.run_until(self._faults_are_over, FAULTS_END_WITHIN)
         self.heal()
         if not self.run_until(lambda: not self.operators.pending, END_WITHIN):
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -1,23 +1,46 @@
-"""The simulation of the whole control side: random schedules hold every invariant."""
+"""The simulation of the whole control side: random schedules hold every invariant, and each one can fail.
+
+A mutation takes one guard out of the programs; the checker must notice it within so many seeds."""
 
 import pytest
-from simulation.draw import draw
-from simulation.play import play
+from simulation import steps
+from simulation.draw import draw, draw_election, draw_hand_over, draw_link, draw_strike, draw_thaw, without
+from simulation.invariants import Invariant, Violation
+from simulation.mutations import MUTATIONS, mutated
+from simulation.play import Schedule, play
+from simulation.shrink import breaks, shrink, violation_of
+from simulation.world import WorldRules
 
+from hopsail.controlplane import plane
 from hopsail.controlplane.part import Part
+from hopsail.rpc.channel import Channel
+
+SEEDS, BATCH = 90, 10
+MUTATION_SEEDS = 60
+SHORT = (draw_strike, draw_election, draw_thaw, draw_link, draw_hand_over)
+
 
-SEEDS = 100
-BATCH = 10
+def explained(schedule: Schedule) -> None:
+    """Plays a schedule; one that fails is told by its shortest part."""
+    violation = violation_of(schedule)
+    if violation is not None:
+        pytest.fail(f"{violation}\n{shrink(schedule, breaks(violation.invariant))}")
 
 
 @pytest.mark.parametrize("first", range(0, SEEDS, BATCH))
 def test_schedules(first):
     for seed in range(first, first + BATCH):
-        play(draw(seed))
+        explained(draw(seed))
+
+
+@pytest.mark.parametrize("kind", SHORT)
+def test_short_schedules(kind):
+    for seed in range(12):
+        explained(kind(seed))
 
 
 def test_the_schedules_order_read_vote_and_bring_data_planes_into_service():
-    figures = [play(draw(seed)).checker.figures for seed in range(6)]
+    figures = [play(draw(seed)).checker.figures for seed in range(12)]
     for name in figures[0]:
         assert sum(one[name] for one in figures) > 5, name
 
@@ -29,8 +52,50 @@
 
 
 def test_nothing_of_the_simulation_stays_in_place():
-    from hopsail.controlplane import plane
-    from hopsail.rpc.channel import Channel
-
     play(draw(3))
     assert plane.Channel is Channel and plane.Part is Part
+
+
+# Each invariant can fail.
+
+
+@pytest.mark.parametrize("mutation", MUTATIONS, ids=lambda mutation: mutation.name)
+def test_a_guard_that_is_out_is_noticed(mutation):
+    with mutated(mutation):
+        for seed in range(MUTATION_SEEDS):
+            violation = violation_of(mutation.draw(seed))
+            if violation is not None and violation.invariant is mutation.invariant:
+                return
+    pytest.fail(f"{MUTATION_SEEDS} schedules do not show it")
+
+
+# The shortest schedule.
+
+
+def test_a_schedule_is_shortened_to_the_steps_that_are_needed():
+    schedule = draw(4, length=24)
+    kinds = {type(step) for step in schedule.steps}
+    needed = schedule.steps[5], schedule.steps[17]
+
+    def fails(shorter: Schedule) -> bool:
+        return all(step in shorter.steps for step in needed)
+
+    assert len(kinds) > 3
+    assert shrink(schedule, fails).steps == needed
+
+
+def test_steps_can_be_left_out():
+    schedule = draw(4)
+    assert without(schedule, {0, 2}).steps == (schedule.steps[1], *schedule.steps[3:])
+
+
+def test_a_failing_schedule_is_shortened_and_fails_the_same_way():
+    mutation = next(one for one in MUTATIONS if one.name == "digests are forgotten")
+    noise = (steps.ReadBack(50), steps.StepClock(60, 1, 100), steps.NameWeights(700, 0))
+    resent = (steps.Changes(100), steps.Resend(1500))
+    schedule = Schedule(1, WorldRules(), noise[:2] + resent[:1] + noise[2:] + resent[1:])
+    with mutated(mutation):
+        shortest = shrink(schedule, breaks(Invariant.NOT_REFUSED))
+        with pytest.raises(Violation):
+            play(shortest)
+    assert set(shortest.steps) <= set(resent)
