--- a/tests/simulation/mutations.py
+++ b/tests/simulation/mutations.py
@@ -10,9 +10,21 @@
 from hopsail.controlplane.part import Part
 from hopsail.controlplane.rollouts import Rollouts
 from hopsail.controlplane.service_state import ServiceState
+from hopsail.controlplane.voters import Voters
+from hopsail.feed.follower import Follower
 from hopsail.replication.replica import Replica
 
-from .draw import draw_election, draw_hand_over, draw_link, draw_strike, draw_thaw
+from .draw import (
+    draw_cut_leader,
+    draw_election,
+    draw_hand_over,
+    draw_link,
+    draw_lure,
+    draw_replacement,
+    draw_second_loss,
+    draw_strike,
+    draw_thaw,
+)
 from .invariants import Invariant
 from .play import Schedule
 
@@ -122,6 +134,41 @@
     return apply
 
 
+def _takes_any_first_configuration(original):
+    return lambda self, longest_ago: True
+
+
+def _refuses_what_it_proposes(original):
+    def propose(self, now, command, done):
+        accepted = original(self, now, command, lambda result: None)
+        if accepted:
+            done(Result(412))
+        return accepted
+
+    return propose
+
+
+def _keeps_entries_of_its_own(original):
+    def store_entries(self, message):
+        for position, entry in enumerate(message.entries):
+            if entry.index > self.log.last_index:
+                self.log.append(message.entries[position:])
+                return
+
+    return store_entries
+
+
+def _changes_no_members(original):
+    return lambda self, now: None
+
+
+def _fails(original):
+    def told(self, change):
+        raise ValueError("a fault of the program")
+
+    return told
+
+
 MUTATIONS = (
     Mutation(
         "digests are forgotten",
@@ -205,4 +252,40 @@
         Invariant.NEVER_BACK,
         draw_thaw,
     ),
+    Mutation(
+        "any first configuration is taken",
+        Follower,
+        "is_confirmed",
+        _takes_any_first_configuration,
+        Invariant.FRESH,
+        draw_lure,
+    ),
+    Mutation(
+        "refuses what it proposes",
+        Part,
+        "propose",
+        _refuses_what_it_proposes,
+        Invariant.TRUE_REFUSAL,
+        draw_strike,
+    ),
+    Mutation(
+        "keeps entries that are not the leader's",
+        Replica,
+        "_store_entries",
+        _keeps_entries_of_its_own,
+        Invariant.SAME_LOG,
+        draw_cut_leader,
+    ),
+    Mutation(
+        "members are not changed", Voters, "check", _changes_no_members, Invariant.RECOVERS, draw_replacement
+    ),
+    Mutation(
+        "members are not changed in time",
+        Voters,
+        "check",
+        _changes_no_members,
+        Invariant.AVAILABLE,
+        draw_second_loss,
+    ),
+    Mutation("a callback fails", Rollouts, "told", _fails, Invariant.NO_FAULT, draw_hand_over),
 )
