--- a/benchmarks/control_schedules.py
+++ b/benchmarks/control_schedules.py
@@ -1,10 +1,10 @@
 """Plays many schedules of the simulation of the whole control side, and prints the shortest one that fails.
 
-    PYTHONPATH=.:tests python benchmarks/control_schedules.py --seeds 0..2000 --jobs 4 [--steps 16] [--strict]
+    PYTHONPATH=.:tests python benchmarks/control_schedules.py --seeds 0..2000 --jobs 4 [--steps 16]
         [--profile NAME]
 
-`--strict` enforces what waits for changes of the programs, too. `--shrink N`: of how many failing
-seeds the shortest schedule is looked for. Prints a line for each failing seed, and figures of all."""
+`--shrink N`: of how many failing seeds the shortest schedule is looked for. Prints a line for each failing
+seed, and figures of all."""
 
 import argparse
 import sys
@@ -30,13 +30,13 @@
     seconds: float
 
 
-def play_seed(seed: int, length: int, strict: bool, profile: str) -> Played:
+def play_seed(seed: int, length: int, profile: str) -> Played:
     """Plays one schedule."""
     began = process_time()
     invariant = text = ""
     figures: dict[str, int] = {}
     try:
-        figures = play(draw(seed, length, strict, profile)).checker.figures
+        figures = play(draw(seed, length, profile)).checker.figures
     except Violation as violation:
         invariant, text = violation.invariant.name, str(violation)
     except Exception as error:  # a fault of a program or of the simulation: told like a violation
@@ -44,9 +44,9 @@
     return Played(seed, invariant, text, figures, process_time() - began)
 
 
-def print_shortest(failed: Played, length: int, strict: bool, profile: str) -> None:
+def print_shortest(failed: Played, length: int, profile: str) -> None:
     """Looks for a shortest schedule that breaks the same invariant."""
-    schedule = draw(failed.seed, length, strict, profile)
+    schedule = draw(failed.seed, length, profile)
     if failed.invariant in Invariant.__members__:
         schedule = shrink(schedule, breaks(Invariant[failed.invariant]))
     print(f"shortest of seed {failed.seed}: {schedule}", flush=True)
@@ -59,13 +59,12 @@
     parser.add_argument("--steps", type=int, default=16)
     parser.add_argument("--shrink", type=int, default=1)
     parser.add_argument("--profile", default="", choices=["", *PROFILES])
-    parser.add_argument("--strict", action="store_true")
     chosen = parser.parse_args()
     first, _, last = chosen.seeds.partition("..")
     seeds = range(int(first), int(last or int(first) + 1))
     began, failed, figures, cost = monotonic(), [], Counter(), 0.0
     with Pool(chosen.jobs) as pool:
-        work = partial(play_seed, length=chosen.steps, strict=chosen.strict, profile=chosen.profile)
+        work = partial(play_seed, length=chosen.steps, profile=chosen.profile)
         for played in pool.imap_unordered(work, seeds, chunksize=4):
             cost += played.seconds
             figures.update(played.figures)
@@ -73,7 +72,7 @@
                 failed.append(played)
                 print(f"seed {played.seed}: {played.text}", flush=True)
     for played in sorted(failed)[: chosen.shrink]:
-        print_shortest(played, chosen.steps, chosen.strict, chosen.profile)
+        print_shortest(played, chosen.steps, chosen.profile)
     kinds = Counter(played.invariant for played in failed)
     print(f"{len(seeds)} schedules, {len(failed)} failed: {dict(kinds)}; {dict(figures)}")
     print(f"{monotonic() - began:.1f} s, {1000 * cost / len(seeds):.0f} ms of processor time each")
--- a/tests/simulation/draw.py
+++ b/tests/simulation/draw.py
@@ -45,13 +45,13 @@
 LONG_PAUSE, LONG_PAUSE_SHARE = 5000, 0.1  # in which machines that are back stop counting as lost
 
 
-def draw(seed: int, length: int = 16, strict: bool = False, profile: str = "") -> Schedule:
+def draw(seed: int, length: int = 16, profile: str = "") -> Schedule:
     """The schedule of a seed; of the seed's own profile if none is named."""
     random = Random(f"control/{seed}")
     names = list(PROFILES)
     profile = profile or names[seed % len(names)]
     losses = 2 if random.random() < 0.15 else 1
-    rules = WorldRules(losses, fence_checked=random.random() < 0.5, strict=strict)
+    rules = WorldRules(losses, fence_checked=random.random() < 0.5)
     weights = {kind: weight * random.choice((0.3, 1, 1, 3)) for kind, weight in PROFILES[profile].items()}
     pause, at, drawn = random.choice(LONG_PAUSES.get(profile, PAUSES)), 0, []
     for _ in range(length):
@@ -134,7 +134,7 @@
     replace = steps.Replace(100, random.randrange(3), random.random() < 0.5, 1000)
     kill = steps.Kill(6500, random.choice((-1, 0, 1, 2)), True, True, 9000)
     changes = (steps.Changes(900), steps.Changes(8000))
-    return Schedule(seed, WorldRules(strict=True), (replace, kill, *changes))
+    return Schedule(seed, WorldRules(), (replace, kill, *changes))
 
 
 def without(schedule: Schedule, left_out: set[int]) -> Schedule:
--- a/tests/simulation/invariants.py
+++ b/tests/simulation/invariants.py
@@ -43,10 +43,6 @@
     NO_FAULT = "no callback fails"
 
 
-UNFINISHED: frozenset[Invariant] = frozenset({Invariant.AVAILABLE})
-"""Not enforced unless asked for: they wait for changes of the programs."""
-
-
 class Violation(AssertionError):
     """Something happened that must never happen."""
 
@@ -88,8 +84,8 @@
 class Checker:
     """Raises Violation as soon as an invariant does not hold."""
 
-    def __init__(self, world, enforced: frozenset[Invariant]):
-        self.world, self.enforced = world, enforced
+    def __init__(self, world):
+        self.world = world
         self.entries: dict[tuple[int, int], tuple] = {}  # part and index -> what is committed there
         self.carried_out: set[tuple[int, int]] = set()
         self.model = ConfigurationState()  # what the configuration's entries make of nothing
@@ -112,10 +108,9 @@
 
     def fail(self, invariant: Invariant, text: str) -> None:
         """An invariant does not hold."""
-        if invariant in self.enforced:
-            violation = Violation(invariant, f"at {self.world.played_ms} ms: {text}")
-            self.violation = self.violation or violation  # the programs catch what their callbacks raise
-            raise violation
+        violation = Violation(invariant, f"at {self.world.played_ms} ms: {text}")
+        self.violation = self.violation or violation  # the programs catch what their callbacks raise
+        raise violation
 
     def fault(self, text: str) -> None:
         """A program has caught an exception of its own."""
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -7,14 +7,13 @@
 
 from .clock import MILLISECOND, SECOND, Clock
 from .disk import USUAL_DELAY, WORKING
-from .invariants import AVAILABLE_WITHIN, UNFINISHED, Checker, Invariant
+from .invariants import AVAILABLE_WITHIN, Checker, Invariant
 from .machines import CONTROL_PORT, FLEET_PORT, FRONT_PORT, READY_PORT, Machine
 from .network import CALM, Cut, Network
 from .operators import HOST as OPERATOR, Operators
 from .outside import PLATFORM, Outside
 
 SYNC = 4 * SECOND  # for which a machine counts as lost after it is back
-LENIENT_SYNC = 25 * SECOND  # for which one that was replaced does, where the world is not strict
 GRACE = 8 * SECOND  # after SIGTERM
 ASKED_BEFORE = 100  # ms before a machine thaws or is in reach again, operators come to it
 RETURNED_FOR = 2500  # ms
@@ -26,17 +25,11 @@
 
 @dataclass(frozen=True)
 class WorldRules:
-    """How a world is made. Not `strict`: what waits for changes of the programs is not enforced."""
+    """How a world is made."""
 
     losses: int = 1
     edges: int = 2
     fence_checked: bool = True
-    strict: bool = False
-
-    @property
-    def enforced(self) -> frozenset[Invariant]:
-        """The invariants that are checked."""
-        return frozenset(Invariant) if self.strict else frozenset(Invariant) - UNFINISHED
 
 
 class Seat:
@@ -57,7 +50,7 @@
         self.clock = Clock()
         self.kinds = {OPERATOR: "operator"}
         self.network = Network(self.clock, Random(self.random.random()), self._kind_of)
-        self.checker = Checker(self, rules.enforced)
+        self.checker = Checker(self)
         self.outside = Outside(self)
         self.operators = Operators(self, Random(self.random.random()))
         self.machines: dict[str, Machine] = {}
@@ -207,8 +200,7 @@
     def may_lose(self, seat: Seat) -> bool:
         """Whether a machine may be lost now beside those that are."""
         others = sum(self.is_lost(other) for other in self.seats if other is not seat)
-        settles = not self.rules.strict and self.clock.now < seat.back_at  # its predecessor still votes
-        return others < self.rules.losses and not seat.lost and not settles
+        return others < self.rules.losses and not seat.lost
 
     def lose(self, seat: Seat) -> None:
         """A machine is lost from now on."""
@@ -329,8 +321,6 @@
             seat.machine = new
             new.start()
             self.regain(seat)
-            if not self.rules.strict:
-                seat.back_at += LENIENT_SYNC - SYNC
 
         def leave() -> None:
             self.trouble_at = self.clock.now
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -12,6 +12,7 @@
     draw_link,
     draw_lure,
     draw_replacement,
+    draw_second_loss,
     draw_strike,
     draw_thaw,
     without,
@@ -27,7 +28,7 @@
 from hopsail.replication.messages import RequestVoteReply
 from hopsail.rpc.channel import Channel
 
-SEEDS, BATCH = 60, 10
+SEEDS, BATCH = 60, 6
 MUTATION_SEEDS = 60
 SHORT = (
     draw_strike,
@@ -38,6 +39,7 @@
     draw_cut_leader,
     draw_lure,
     draw_replacement,
+    draw_second_loss,
 )
 
 
