--- a/hopsail/controlplane/__main__.py
+++ b/hopsail/controlplane/__main__.py
@@ -2,6 +2,7 @@
 
 import sys
 
+from .. import early  # noqa: F401, I001  # first: it notes the time of the start
 from ..process import main
 from .plane import ControlPlane
 
--- a/hopsail/controlplane/replicas.py
+++ b/hopsail/controlplane/replicas.py
@@ -50,7 +50,8 @@
             members = Members(tuple(sorted(f"{host}:{port}" for host, port in self.plane.seeds)))
             durable = DurableState(members=members if bootstrapping else Members(), recovered=bootstrapping)
         rules = ReplicaRules(self.plane.identity)
-        replica = Replica(rules, self.plane.random, self.loop.now(), durable, recovering)
+        now, started_at = self.loop.now(), self.plane.started_at
+        replica = Replica(rules, self.plane.random, now, durable, recovering, started_at)
         if number == CONFIGURATION_PART:
             state, decode_state = ConfigurationState(), ConfigurationState.decode
             apply = _apply_configuration
--- a/hopsail/early.py
+++ b/hopsail/early.py
@@ -1,10 +1,12 @@
-"""Signals that come before the loop can hear them: while the program is imported and its configuration read.
+"""What happens before the loop runs: the process's start, and signals that come while it is being imported.
 
 Unheard, each of them would end the process, which is a crash. What has come is kept, and acted on as soon as
 the loop takes signals over."""
 
 import signal
+from time import monotonic_ns
 
+started_at = monotonic_ns()  # by the steady clock; a program that needs it imports this module first
 KEPT = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 heard: set[int] = set()
 
--- a/hopsail/process.py
+++ b/hopsail/process.py
@@ -6,6 +6,7 @@
 import sys
 from collections.abc import Mapping
 from pathlib import Path
+from time import monotonic_ns
 
 from . import early, system_log
 from .configuration.codes import ResultCode, SettingsError
@@ -47,6 +48,7 @@
     def __init__(self, settings: ProcessSettings):
         self.settings = settings
         self.loop = Loop()
+        self.started_at = self.loop.now()  # ns; what ran here before had ended by then
         self.counters = Counters(settings.node_name)
         self.stopping = False
         self.settings_changed_at = _settings_changed_at()
@@ -156,6 +158,7 @@
         sys.exit(FAULTY_SETTINGS)
     system_log.use()
     running = program(settings)
+    running.started_at = running.loop.now() - (monotonic_ns() - early.started_at)
     try:
         running.start()
     except (OSError, StartError) as error:
--- a/hopsail/replication/core.py
+++ b/hopsail/replication/core.py
@@ -27,7 +27,13 @@
     """Fields of a replica; `now` is the time of the call under way."""
 
     def __init__(
-        self, rules: ReplicaRules, random: Random, now: int, durable: DurableState, recovering: bool
+        self,
+        rules: ReplicaRules,
+        random: Random,
+        now: int,
+        durable: DurableState,
+        recovering: bool,
+        started_at: int | None = None,
     ):
         self.rules = rules
         self.identity = rules.identity
@@ -51,23 +57,31 @@
         self._ask_at = 0
         self._held_index: int | None = None
         self._let_go = False
-        self._start_follower_state(now)
+        self._start_follower_state(now if started_at is None else min(now, started_at))
         self._start_leader_state()
         if durable.term == 0 and not self.recovering:
             self._leader_heard_at = NEVER  # it has answered nobody yet: nobody relies on its silence
             self._election_at = now + random.randint(rules.heartbeat, rules.election_least)
             self._change_hard_state()
 
-    def _start_follower_state(self, now: int) -> None:
-        self._leader_heard_at = self._promise_at_start(now)
+    def _start_follower_state(self, started_at: int) -> None:
+        self._leader_heard_at = self._promise_at_start(started_at)
         self._verified_index = 0
         self._acknowledgement: tuple[str, int, int] | None = None
         self._votes: set[str] = set()
-        self._reset_election_timer()
+        self._election_at = self._first_election_at()
+
+    def _promise_at_start(self, started_at: int) -> int:
+        """When a leader was last heard of, at the latest: an earlier life may have promised not to vote.
+
+        That one had ended when this process started."""
+        return started_at
 
-    def _promise_at_start(self, now: int) -> int:
-        """When a leader was last heard of: an earlier incarnation may have promised it not to vote."""
-        return now
+    def _first_election_at(self) -> int:
+        """Soon after the promise is over: where all have restarted, nobody leads."""
+        over = max(self.now, self._leader_heard_at + self.rules.election_least)
+        spread = (self.rules.election_most - self.rules.election_least) // 2
+        return over + self.random.randint(0, spread)
 
     def _start_leader_state(self) -> None:
         self._progress: dict[str, Progress] = {}
--- a/hopsail/replication/following.py
+++ b/hopsail/replication/following.py
@@ -18,8 +18,8 @@
 class Following(ReplicaCore):
     """Takes the log from the leader of the term."""
 
-    def _start_follower_state(self, now: int) -> None:
-        super()._start_follower_state(now)
+    def _start_follower_state(self, started_at: int) -> None:
+        super()._start_follower_state(started_at)
         self._pieces = PieceReceiver(self.rules.most_snapshot_bytes)
 
     def _on_append_entries(self, leader: str, message: AppendEntries) -> None:
