--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -3,17 +3,20 @@
 from dataclasses import dataclass
 from random import Random
 
+from hopsail.controlplane.parts import PARTS
+
 from .clock import MILLISECOND, SECOND, Clock
 from .disk import USUAL_DELAY, WORKING
-from .invariants import AVAILABLE_WITHIN, UNFINISHED, Checker, Invariant
+from .invariants import AVAILABLE_WITHIN, Checker, Invariant
 from .machines import CONTROL_PORT, FLEET_PORT, FRONT_PORT, READY_PORT, Machine
 from .network import CALM, Cut, Network
 from .operators import HOST as OPERATOR, Operators
 from .outside import PLATFORM, Outside
 
 SYNC = 4 * SECOND  # for which a machine counts as lost after it is back
-LENIENT_SYNC = 25 * SECOND  # for which one that was replaced does, where the world is not strict
 GRACE = 8 * SECOND  # after SIGTERM
+ASKED_BEFORE = 100  # ms before a machine thaws or is in reach again, operators come to it
+RETURNED_FOR = 2500  # ms
 LOOK_EVERY = 500 * MILLISECOND
 BEGIN_WITHIN = 10 * SECOND
 END_WITHIN = 25 * SECOND
@@ -22,17 +25,11 @@
 
 @dataclass(frozen=True)
 class WorldRules:
-    """How a world is made. Not `strict`: what waits for changes of the programs is not enforced."""
+    """How a world is made."""
 
     losses: int = 1
     edges: int = 2
     fence_checked: bool = True
-    strict: bool = False
-
-    @property
-    def enforced(self) -> frozenset[Invariant]:
-        """The invariants that are checked."""
-        return frozenset(Invariant) if self.strict else frozenset(Invariant) - UNFINISHED
 
 
 class Seat:
@@ -53,7 +50,7 @@
         self.clock = Clock()
         self.kinds = {OPERATOR: "operator"}
         self.network = Network(self.clock, Random(self.random.random()), self._kind_of)
-        self.checker = Checker(self, rules.enforced)
+        self.checker = Checker(self)
         self.outside = Outside(self)
         self.operators = Operators(self, Random(self.random.random()))
         self.machines: dict[str, Machine] = {}
@@ -203,8 +200,7 @@
     def may_lose(self, seat: Seat) -> bool:
         """Whether a machine may be lost now beside those that are."""
         others = sum(self.is_lost(other) for other in self.seats if other is not seat)
-        settles = not self.rules.strict and self.clock.now < seat.back_at  # its predecessor still votes
-        return others < self.rules.losses and not seat.lost and not settles
+        return others < self.rules.losses and not seat.lost
 
     def lose(self, seat: Seat) -> None:
         """A machine is lost from now on."""
@@ -233,38 +229,77 @@
         machine.kill(power)
         if wipe:
             machine.disk.wipe()
-        self.after(lasts, lambda: self._again(seat, machine))
+        self.after(lasts + self.random.randint(0, 300), lambda: self._again(seat, machine))
 
     def _again(self, seat: Seat, machine: Machine) -> None:
         if seat.machine is machine:
             machine.start()
         self.regain(seat)
 
-    def freeze(self, seat: Seat, stale_reads: int, lasts: int) -> None:
+    def freeze(self, seat: Seat, stale_reads: int, in_call: bool, lasts: int) -> None:
         """A machine's process stands still."""
         machine = seat.machine
         self.lose(seat)
-        machine.freeze(stale_reads)
+        machine.freeze(stale_reads, in_call)
+        if in_call:
+            self._ask(machine)
 
         def thaw() -> None:
             machine.thaw()
             self.regain(seat)
 
+        self.after(max(0, lasts - ASKED_BEFORE), lambda: self._ask(machine))
         self.after(lasts, thaw)
 
-    def cut_off(self, seat: Seat, scope: str, outward: bool, inward: bool, lasts: int) -> None:
+    def _ask(self, machine: Machine) -> None:
+        """Operators come to a machine that may know little."""
+        self.operators.read(machine)
+        self.operators.resend(0, machine)
+        self.operators.resend(1, machine)
+
+    def cut_off(self, seat: Seat, cut: Cut, lasts: int) -> None:
         """A machine is cut off from others."""
-        host = seat.machine.host
+        machine = seat.machine
         self.lose(seat)
-        self.network.cuts.append(Cut(host, scope, outward, inward))
+        self._cut(cut, lasts)
+        self.after(lasts // 2, lambda: self._ask(machine))
+        self.after(max(0, lasts - ASKED_BEFORE), lambda: self._ask(machine))
+        self.after(lasts, lambda: self.regain(seat))
+
+    def _cut(self, cut: Cut, lasts: int) -> None:
+        self.network.cuts.append(cut)
 
         def mend() -> None:
-            self.network.mend(host)
+            self.network.mend(cut)
             self.network_mended_at = self.clock.now
-            self.regain(seat)
 
         self.after(lasts, mend)
 
+    def lure(self, seat: Seat, edge: Machine, gap: int, lasts: int) -> None:
+        """A machine is cut off from the others, and a data plane begins anew that reaches only that one."""
+        host = seat.machine.host
+        self.cut_off(seat, Cut(host, "core", True, True), lasts)
+
+        def begin() -> None:
+            edge.kill(power=False)
+            self._cut(Cut(edge.host, "core", True, True, spared=host), max(1, lasts - gap))
+            edge.start()
+
+        self.after(gap, begin)
+
+    def slow_disks(self, delay: int, lasts: int) -> None:
+        """All disks are slow."""
+        for seat in self.seats:
+            self._slow_disk(seat.machine, delay, lasts)
+
+    def _slow_disk(self, machine: Machine, delay: int, lasts: int) -> None:
+        machine.disk.set(machine.disk.condition, delay * MILLISECOND)
+        self.after(lasts, lambda: machine.disk.set(machine.disk.condition, USUAL_DELAY))
+
+    def when_acknowledged(self, act) -> None:
+        """Has something done as soon as the next change is acknowledged."""
+        self.checker.on_confirmed.append(lambda: self.clock.at(self.clock.now, act))
+
     def trouble_disk(self, seat: Seat, condition: str, delay: int, lasts: int) -> None:
         """A machine's disk is not what it should be."""
         machine = seat.machine
@@ -277,7 +312,7 @@
 
         self.after(lasts, mend)
 
-    def replace(self, seat: Seat, planned: bool, gap: int) -> None:
+    def replace(self, seat: Seat, planned: bool, gap: int, returns: int = 0) -> None:
         """A new machine takes the place of another one."""
         old, new = seat.machine, self._new_machine("core")
         self.lose(seat)
@@ -286,14 +321,12 @@
             seat.machine = new
             new.start()
             self.regain(seat)
-            if not self.rules.strict:
-                seat.back_at += LENIENT_SYNC - SYNC
 
         def leave() -> None:
             self.trouble_at = self.clock.now
+            old.gone = True
             old.stop_in_order()
-            life = old.life
-            self.after(GRACE // MILLISECOND, lambda: old.ended(life))
+            self.after(GRACE // MILLISECOND, lambda: old.kill(power=False))
 
         if planned:
             self.leaving.append(old)
@@ -301,13 +334,43 @@
             self.after(gap, leave)
         else:
             old.kill(power=True)
-            old.disk.wipe()
+            old.gone = True
             self.after(gap, arrive)
+            if returns:
+                self.leaving.append(old)
+                self.after(returns, lambda: self._return(old))
+
+    def _return(self, machine: Machine) -> None:
+        """A machine that was replaced is there again for a while."""
+        terms = self._terms()
+        troubled_at = self.trouble_at
+        machine.gone = False
+        machine.start()
+
+        def end() -> None:
+            quiet = self.trouble_at == troubled_at and self.clock.now - troubled_at >= AVAILABLE_WITHIN
+            if quiet and self.network.weather == CALM and None not in terms and terms != self._terms():
+                text = f"terms {terms} become {self._terms()} while {machine.name} is back"
+                self.checker.fail(Invariant.REMOVED, text)
+            machine.kill(power=False)
+            machine.gone = True
+            self.trouble_at = self.clock.now
+
+        self.after(RETURNED_FOR, end)
+
+    def _terms(self) -> list[int | None]:
+        """The term of each part's leader."""
+        leaders = [self.leader(part) for part in range(PARTS)]
+        return [
+            leader.program.parts[part].replica.term if leader is not None else None
+            for part, leader in enumerate(leaders)
+        ]
 
     def core_down(self, power: bool, wiped: list[Seat], lasts: int) -> None:
         """All control processes end at once."""
         for machine in self.leaving:
             machine.kill(power)
+            self.after(lasts, machine.start)  # unless it was told to end
         for seat in self.seats:
             self.kill(seat, power, seat in wiped, lasts)
 
@@ -321,8 +384,9 @@
 
     def heal(self) -> None:
         """Ends all faults."""
-        self.network.mend()
+        self.network.mend(*self.network.cuts)
         self.network.weather = CALM
+        self.checker.on_confirmed.clear()
         self.network.tampered.clear()
         self.operators.lost_answers = 0
         self.network_mended_at = self.trouble_at = self.clock.now
@@ -334,6 +398,9 @@
 
     def check_end(self) -> None:
         """All is healed: everybody catches up in time, and what was acknowledged is read back everywhere."""
+        if self.checker.on_confirmed:
+            self.operators.change()
+            self.run(SECOND)
         self.run_until(self._faults_are_over, FAULTS_END_WITHIN)
         self.heal()
         if not self.run_until(lambda: not self.operators.pending, END_WITHIN):
