Test of a busy disk thread: sizes are taken in that thread

It looked at the folder from outside while the thread removed files, and failed once in a run of the whole suite (FileNotFoundError). It now looks after each of the 300 writes, where it had looked after each collection.

--- a/tests/test_replication_storage.py
+++ b/tests/test_replication_storage.py
@@ -303,13 +303,14 @@
 def test_busy_disk_thread_compacts_before_garbage_fills_the_disk(tmp_path, monkeypatch):
     monkeypatch.setattr(storage, "MOST_GARBAGE", 20_000)
     thread = DiskThread(reopened(tmp_path))
-    started, release = threading.Event(), threading.Event()
+    started, release, sizes = threading.Event(), threading.Event(), []
     real = Storage.write
 
     def wait_first(self, batch):
         started.set()
         release.wait(30)
         real(self, batch)
+        sizes.append(sum(path.stat().st_size for path in tmp_path.glob("*.dat")))  # in the disk's thread
 
     monkeypatch.setattr(Storage, "write", wait_first)
     for index in range(1, 301):
@@ -317,13 +318,13 @@
         thread.submit([PartWrite("p0", Ready(snapshot_to_store=state))], index)
     assert started.wait(30)
     release.set()
-    ended, largest = [], 0
+    ended = []
     while len(ended) < 300:
         assert select.select([thread.descriptor], [], [], 30)[0]
         ended += thread.collect()
-        largest = max(largest, sum(path.stat().st_size for path in tmp_path.glob("*.dat")))
     thread.close()
-    assert not any(error for _, error in ended) and largest < 150_000
+    assert not any(error for _, error in ended)
+    assert len(sizes) == 300 and max(sizes) < 150_000
     assert reopened(tmp_path).load("p0").snapshot.index == 300
 
 
