Ports that are told in advance come from outside of the range that the system deals from

A member's addresses were ports that the system had dealt out and taken back; until the process bound them, any other socket could get them: the members' own listeners at port 0, the hub's fronts, calls to the doors. The process then ended with "listen: [Errno 98] Address already in use", which nothing told.

Ruled out: the view's protocol (all others agreed within the bound), the time that a start takes (the process had ended), the one line of early.py.

Change: load/ports.py gives ports below /proc's ip_local_port_range, each once, free for TCP and UDP; the mesh and the rig take theirs there. The fixture first asks whether a process has ended, which tells its log.

--- a/hopsail/load/mesh.py
+++ b/hopsail/load/mesh.py
@@ -21,7 +21,8 @@
 from ..net.stream import Stream, dial
 from ..peers.faults import spoilt
 from ..peers.rules import Rules, bounds
-from .processes import ROOT, RigFault, free_port
+from .ports import free_address
+from .processes import ROOT, RigFault
 from .scripted import SETTINGS, instance, update
 
 STARTS = 4.0  # seconds for a process to be up: it counts towards the bound after a start
@@ -31,12 +32,6 @@
 LATE_PART, LATEST = 0.02, 0.2  # so many of them are late, by up to so much of a period
 
 
-def free_place():
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()
-
-
 class Front:
     """Where others reach a member: what comes here is for it, and what it sends comes from here."""
 
@@ -133,7 +128,7 @@
 class Member:
     def __init__(self, name, owner):
         self.name, self.owner, self.process, self.still = name, owner, None, False
-        self.listen, self.operator = free_place(), ("127.0.0.1", free_port())
+        self.listen, self.operator = free_address(), free_address()
 
 
 class Mesh:
@@ -215,7 +210,7 @@
         if member.process is not None and member.process.poll() is None:
             self._end(member)
         if moved:
-            member.listen, member.operator = free_place(), ("127.0.0.1", free_port())
+            member.listen, member.operator = free_address(), free_address()
             self.hub.join(name, member.listen)
         self._launch(member, self.hub.fronts[name].place)
         self.changed_at[name] = self.now()
--- a/hopsail/load/processes.py
+++ b/hopsail/load/processes.py
@@ -4,7 +4,6 @@
 import os
 import resource
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
@@ -34,18 +33,6 @@
         resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
 
 
-def free_port():
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return sock.getsockname()[1]
-
-
-def free_datagrams():
-    """host:port where nobody takes datagrams yet."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return "{}:{}".format(*sock.getsockname())
-
-
 class Child:
     """A process of `load/child.py`; `heard(word, at, *values)` gets each line that it tells."""
 
--- a/hopsail/load/rig.py
+++ b/hopsail/load/rig.py
@@ -24,7 +24,8 @@
 from ..net.stream import Stream, dial
 from .child import FOLDER
 from .generator import CLIENTS, Load, loopback, settings
-from .processes import Child, RigFault, descriptors, end, free_datagrams, free_port
+from .ports import free_address, free_port
+from .processes import Child, RigFault, descriptors, end
 from .scripted import instance
 from .standins import RESETS, SILENT, WELL, DiscoveryStandin
 
@@ -233,7 +234,7 @@
         descriptors(max(2 * ways + 4 * CONNECTIONS, 8 * (fleet.balancers + fleet.caches)))
         self.played, self.seed, self.ending = played, seed, False
         self.halted = halted  # whether somebody wants it to end
-        self.peers = [free_datagrams() for _ in range(fleet.balancers)] if peers else []
+        self.peers = ["{}:{}".format(*free_address()) for _ in range(fleet.balancers)] if peers else []
         self.key = secrets.token_hex(32)
         self.loop, self.trace, self.failed = Loop(), [], None
         self.entries, self.generation, self.load = {}, 1, None
--- a/tests/test_mesh.py
+++ b/tests/test_mesh.py
@@ -31,7 +31,9 @@
 def fleet():
     with Mesh(5, seed=3, stewards=3) as mesh:
         judge = faults.Judge(mesh)
-        assert judge.settle(mesh.names, why="the start"), judge.violations
+        settled = judge.settle(mesh.names, why="the start")
+        assert not mesh.failed()  # first: a process that has ended tells why
+        assert settled, judge.violations
         yield mesh, judge
 
 
