Nothing is written on a connection that comes up after the deadline

After a pause of the process one round of the loop deals with sockets before timers. A connection that had been dialed before the pause came up, and its request went out: at a host with 1 ms to go, long after the client had given up, and for a one-shot call, such as an order, under a fence that another process may have held since. The check in _try does not see this one, as it comes before the dial.

Ruled out: timers before sockets for all, which would call connections and leases late that are not.

What gives the bytes of a request is asked at that moment anyway; it may now say None. The timer that is due then ends the request.

--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -126,9 +126,14 @@
             connection.carry(partial(self._encoded, placed), attempt)
         plane.attempt_began(self, attempt)
 
-    def _encoded(self, placed) -> bytes:
-        """The request's bytes, made when they are written: the host is told the time that is left then."""
-        left = max(1, (self.deadline - self.plane.loop.now()) // MILLISECOND)
+    def _encoded(self, placed) -> bytes | None:
+        """The request's bytes, made when they are written: the host is told the time that is left then.
+
+        None after the deadline: after a pause of the process, connections come up before its timers act."""
+        left_ns = self.deadline - self.plane.loop.now()
+        if left_ns <= 0:
+            return None
+        left = max(1, left_ns // MILLISECOND)
         headers = [
             (name, value) for name, value in end_to_end(self.request.headers) if name not in OWN_HEADERS
         ]
--- a/hopsail/http/client.py
+++ b/hopsail/http/client.py
@@ -48,7 +48,7 @@
     def __init__(self, loop, sock, address, pool: "ConnectionPool"):
         self.address, self.pool = address, pool
         self.listener: Listener | None = None
-        self.request: bytes | Callable[[], bytes] | None = None  # to be written once the connection is up
+        self.request: bytes | Callable[[], bytes | None] | None = None  # to be written once it is up
         self.written_at: int | None = None  # ns
         self.taken_before = 0  # `gone_out` when the request was written
         self.used = False
@@ -59,8 +59,10 @@
         super().__init__(loop, sock, dialing=True)
         self.timer = loop.at(loop.now() + CONNECT_TIME, self._not_up)
 
-    def carry(self, request: bytes | Callable[[], bytes], listener: Listener) -> None:
-        """Sends a request as soon as the connection is up: its bytes, or what gives them at that moment."""
+    def carry(self, request: bytes | Callable[[], bytes | None], listener: Listener) -> None:
+        """Sends a request as soon as the connection is up: its bytes, or what gives them at that moment.
+
+        None instead of bytes: too late, nothing is written; whoever asked has a timer that is due."""
         self.listener, self.request = listener, request
         self.written_at, self.until_close = None, False
         self.parser = httptools.HttpResponseParser(self)
@@ -72,6 +74,8 @@
     def _write_request(self):
         request, self.request = self.request, None
         data = request if isinstance(request, bytes) else request()
+        if data is None:
+            return
         self.bodiless = data.startswith(b"HEAD ")  # its answer ends with the head, whatever length is stated
         self.written_at, self.taken_before = self.loop.now(), self.gone_out
         self.write(data)
@@ -350,5 +354,7 @@
         if not any(name == "host" for name, _ in named):
             named.insert(0, ("host", f"{address[0]}:{address[1]}"))
         call.connection = connection
-        call.timer = self.loop.at(self.loop.now() + timeout, call.give_up)
-        connection.carry(encode_request(method, target, named, body), call)
+        until = self.loop.now() + timeout
+        call.timer = self.loop.at(until, call.give_up)
+        data = encode_request(method, target, named, body)
+        connection.carry(lambda: data if self.loop.now() < until else None, call)
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -349,3 +349,12 @@
     assert len(journey.pool.made) == 1
     journey.loop.forward(0)
     assert journey.over() == 504
+
+
+def test_a_connection_that_came_up_after_the_deadline_carries_nothing():
+    journey = Journey(manners=["silent"])
+    journey.loop.time += 4 * SECOND  # a pause of the process: sockets' events come before its timers
+    journey.host().up()
+    assert not journey.host().sent
+    journey.loop.forward(0)
+    assert journey.over() == 504 and not journey.host().open
