A request goes on no connection that has carried its id

The id of an answer tells whose it is only while no two requests on one connection share it. They did in two cases. Two instances may stand on the list at one address: after the first said 421 and a host elsewhere declined too, the third attempt went on the first one's idle connection, where a second 421 counted as the word of a host that ran the request. And a client may use an id twice.

Ruled out: remembering all ids of a connection (memory), and a fresh connection for every further attempt (a slot for a moment each).

A connection remembers the last 16 ids that it carried; a request whose id is among them gets a fresh one.

--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -3,7 +3,7 @@
 from enum import Enum, auto
 from functools import partial
 
-from ..http.client import Failure
+from ..http.client import ClientConnection, Failure
 from ..http.message import ResponseHead, encode_request, end_to_end, whole_number
 from ..http.server import Exchange
 from ..routing.admission import Verdict
@@ -116,7 +116,7 @@
         if placed is None:
             self._give_up(Refusal.NO_HOST)
             return
-        connection = plane.pool.take(placed.host.address)
+        connection = self._connection_to(placed.host.address)
         attempt = Attempt(self, self.identifier, placed.host, plane.loop.now())
         attempt.work, attempt.connection = placed.work, connection
         self.attempt = attempt
@@ -126,6 +126,18 @@
             connection.carry(partial(self._encoded, placed), attempt)
         plane.attempt_began(self, attempt)
 
+    def _connection_to(self, address: tuple[str, int]) -> ClientConnection | None:
+        """One on which no late answer bears this request's id: a client may use one twice, and a host may
+        have the address of one that was asked before."""
+        connection = self.plane.pool.take(address)
+        if connection is None or connection.name_call(self.identifier):
+            return connection
+        connection.abandon()
+        connection = self.plane.pool.take(address, fresh=True)
+        if connection is not None:
+            connection.name_call(self.identifier)
+        return connection
+
     def _encoded(self, placed) -> bytes | None:
         """The request's bytes, made when they are written: the host is told the time that is left then.
 
--- a/hopsail/http/client.py
+++ b/hopsail/http/client.py
@@ -17,6 +17,7 @@
 IDLE_PER_ADDRESS = 32
 MOST_BODY = 32 << 20  # bytes of a one-shot answer
 MOST_HEAD = 64 << 10
+RECENT_CALLS = 16  # whose identifiers a connection remembers
 REPEATABLE_METHODS = frozenset(("GET", "HEAD"))  # of one-shot calls
 RESET_AT_CLOSE = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # struct linger: on, 0 s
 
@@ -45,6 +46,8 @@
 class ClientConnection(Stream):
     """A connection to one address that carries one call at a time."""
 
+    recent: tuple[str, ...] = ()  # identifiers of the last calls
+
     def __init__(self, loop, sock, address, pool: "ConnectionPool"):
         self.address, self.pool = address, pool
         self.listener: Listener | None = None
@@ -71,6 +74,12 @@
         if not self.dialing:
             self._write_request()
 
+    def name_call(self, identifier: str) -> bool:
+        """Notes the next call's identifier; False if a recent one had it: its late answer looks alike."""
+        known = identifier in self.recent
+        self.recent = (*self.recent[1 - RECENT_CALLS :], identifier)
+        return not known
+
     def _write_request(self):
         request, self.request = self.request, None
         data = request if isinstance(request, bytes) else request()
