A stream is not taken up after an event that no host can be told of

A resumable stream that broke off was asked for anew with the last number that the client had. Data that came after it without a number (or with an id that is none) was told again by the next host, and a stream without any number from its start: the client got events twice in one answer that looked whole. And an event that ended with two ends of lines of different kinds was joined to the next, whose number was then lost.

Ruled out: leaving out events without a number at the second host, since the last event of a stream may be one.

Such a stream is now cut off like one that may not be taken up, until a numbered event follows; comments and fields without data do not count.

--- a/hopsail/dataplane/events.py
+++ b/hopsail/dataplane/events.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 MOST_EVENT = 1 << 20  # bytes of one event
-_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
+_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")  # two ends of lines, of one kind or not
 
 
 class Event(NamedTuple):
@@ -12,6 +12,11 @@
     data: bytes
     identifier: int | None
 
+    @property
+    def has_data(self) -> bool:
+        """Whether it says anything: comments and fields alone may come twice."""
+        return any(line.startswith(b"data") for line in self.data.splitlines())
+
 
 class EventError(ValueError):
     """An event is longer than the bound."""
--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -65,6 +65,7 @@
         self.has_place = False  # at the gate of its service
         self.splitter: EventSplitter | None = None  # of an answer that may be taken up at another host
         self.passing: Attempt | None = None  # whose answer the client is getting
+        self.unnumbered = False  # the client has an event that no `Last-Event-Id` tells a host of
         self.last_event = whole_number(self.request.header(LAST_EVENT_ID))
         self.timer = plane.loop.at(deadline, self._deadline_passed)
         exchange.on_gone(self._client_gone)
@@ -186,7 +187,8 @@
         """What the client has of its answer."""
         if not self.exchange.started:
             return Begun.NOTHING
-        return Begun.PART if self.splitter is None else Begun.EVENTS
+        resumable = self.splitter is not None and not self.unnumbered
+        return Begun.EVENTS if resumable else Begun.PART
 
     def _completed(self) -> None:
         if self.splitter is not None:
@@ -258,6 +260,7 @@
                 if self.last_event is not None and event.identifier <= self.last_event:
                     continue
                 self.last_event = event.identifier
+            self.unnumbered = event.identifier is None and (self.unnumbered or event.has_data)
             whole += event.data
         self.exchange.send(bytes(whole))
 
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -358,3 +358,38 @@
     assert not journey.host().sent
     journey.loop.forward(0)
     assert journey.over() == 504 and not journey.host().open
+
+
+UNNUMBERED = b"data: no id\n\n"
+NO_NUMBER = b"id: x7\ndata: an id that does not rise\n\n"
+COMMENT = b": a comment, to keep the connection\n\n"
+
+
+@pytest.mark.parametrize("before", [b"", events(1, 2)], ids=["at first", "after others"])
+@pytest.mark.parametrize("last", [UNNUMBERED, NO_NUMBER, COMMENT + UNNUMBERED + COMMENT])
+def test_a_stream_whose_last_event_no_host_can_be_told_of_is_not_taken_up(before, last):
+    journey = Journey(RESUMABLE)
+    journey.host().says(EVENTS_HEAD + chunk(before + last))
+    journey.host().ends()
+    assert journey.over() == "cut" and bytes(journey.client.body) == before + last
+    assert len(journey.pool.made) == 1
+
+
+def test_an_event_with_a_number_lets_a_stream_be_taken_up_again():
+    journey = Journey(RESUMABLE)
+    journey.host().says(EVENTS_HEAD + chunk(UNNUMBERED + events(1, 2) + COMMENT))
+    journey.host().ends()
+    assert journey.host(1).told("last-event-id") == "2"
+    journey.host(1).says(EVENTS_HEAD + chunk(events(3, 3)) + LAST_CHUNK)
+    assert bytes(journey.client.body) == UNNUMBERED + events(1, 2) + COMMENT + events(3, 3)
+    assert journey.over() == 200
+
+
+def test_events_whose_lines_end_in_two_manners_are_not_doubled():
+    first, second = b"id: 1\ndata: one\n\r\n", b"id: 2\ndata: two\r\n\n"
+    journey = Journey(RESUMABLE)
+    journey.host().says(EVENTS_HEAD + chunk(first + second + b"id: 3\nda"))
+    journey.host().ends()
+    assert journey.host(1).told("last-event-id") == "2"
+    journey.host(1).says(EVENTS_HEAD + chunk(events(3, 3)) + LAST_CHUNK)
+    assert journey.over() == 200 and bytes(journey.client.body) == first + second + events(3, 3)
