A pipelined request's time counts from when it came

Its deadline was counted from its turn, after the answers before it: a host was told the whole of the client's time, of which the wait had taken a part, and the client's deadline passed unnoticed here.

The server notes when a request was whole and the exchange begins then; the change in hopsail/http/server.py is these two lines.

--- a/hopsail/http/message.py
+++ b/hopsail/http/message.py
@@ -38,6 +38,7 @@
     body: bytes
     version: str = "1.1"
     keep_alive: bool = True
+    came_at: int | None = None  # ns, when all of it had come; a pipelined one then waits for its turn
 
     def header(self, name: str) -> str | None:
         return header_of(self.headers, name)
--- a/hopsail/http/server.py
+++ b/hopsail/http/server.py
@@ -47,7 +47,8 @@
 
     def __init__(self, connection: "ServerConnection", request: Request):
         self.connection, self.request = connection, request
-        self.began = connection.loop.now()  # ns, when the whole request had come
+        # ns, when the whole request had come: its time goes on while it waits for answers before its own.
+        self.began = connection.loop.now() if request.came_at is None else request.came_at
         self.started = self.ended = self.gone = False
         self.sized = False  # the length was told, no chunks
         self.bodiless = request.method == "HEAD"  # the answer ends with its head
@@ -198,6 +199,7 @@
             bytes(self.body),
             self.parser.get_http_version(),
             self.parser.should_keep_alive(),
+            self.loop.now(),
         )
         self._begin_message()
         self.waiting.append(request)
