Each report of a roll-out goes on a connection of its own

Answers to one-shot calls bear no id. A report that a host told twice stood for the next one on the connection: it showed the state before the last order, so that the order was sent again.

A call whose headers say Connection: close goes on a connection that has carried nothing and carries nothing after it, whatever the host does; reports say so. Ruled out: telling reports apart by CallSeq, which a host forgets at a restart.

--- a/hopsail/controlplane/rollouts.py
+++ b/hopsail/controlplane/rollouts.py
@@ -4,6 +4,7 @@
 
 from ..feed.topics import Topic
 from ..hosts.instance import Phase
+from ..http.client import CLOSE
 from ..routing.lanes import Lane, divide
 from ..weights.eligibility import SeenLoad, held_revision
 from ..weights.load import HostLoadError, decode_load, encode_load, merge_load
@@ -227,6 +228,5 @@
             rollout.report_answered(self.plane.loop.now(), action.host, report, action.serial)
 
         self.plane.counters.add("reports")
-        self.plane.http.call(
-            tuple(action.address), "GET", REPORT_PATH, [(TARGET, action.host)], b"", CALL_TIMEOUT, answered
-        )
+        headers = [(TARGET, action.host), CLOSE]  # an earlier report told twice is not taken for this one
+        self.plane.http.call(tuple(action.address), "GET", REPORT_PATH, headers, b"", CALL_TIMEOUT, answered)
--- a/hopsail/http/client.py
+++ b/hopsail/http/client.py
@@ -19,6 +19,7 @@
 MOST_HEAD = 64 << 10
 RECENT_CALLS = 16  # whose identifiers a connection remembers
 REPEATABLE_METHODS = frozenset(("GET", "HEAD"))  # of one-shot calls
+CLOSE = ("connection", "close")  # header of a call that shares its connection with no other
 RESET_AT_CLOSE = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # struct linger: on, 0 s
 
 
@@ -47,6 +48,7 @@
     """A connection to one address that carries one call at a time."""
 
     recent: tuple[str, ...] = ()  # identifiers of the last calls
+    carries_more = True  # after the call under way
 
     def __init__(self, loop, sock, address, pool: "ConnectionPool"):
         self.address, self.pool = address, pool
@@ -160,7 +162,7 @@
 
     def _complete(self):
         listener, self.listener = self.listener, None
-        clean = self.parser is not None and self.keep_alive and not self.until_close
+        clean = self.parser is not None and self.keep_alive and not self.until_close and self.carries_more
         listener.complete()
         if clean and self.open and not self.unsent:
             self.pool.rest(self)
@@ -336,8 +338,9 @@
 class HttpClient:
     """One-shot calls with whole answers; `done(None)` when there is none in time.
 
-    The answer to a call bears no id. One that may not be repeated goes on a connection of its own, where no
-    late answer to an earlier call can pass for its own, and is not left on its way when it is given up."""
+    The answer to a call bears no id. One that may not be repeated, or says that its connection is to be
+    closed (`CLOSE`), goes on a connection that has carried nothing, where no late answer to an earlier call
+    can pass for its own. What may not be repeated is not left on its way when it is given up."""
 
     def __init__(self, loop, pool: ConnectionPool | None = None):
         self.loop, self.pool = loop, pool or ConnectionPool(loop)
@@ -355,7 +358,7 @@
         """`timeout` in ns. `done` is called once, never from inside this call."""
         repeatable = method in REPEATABLE_METHODS
         call = _Call(repeatable, done)
-        connection = self.pool.take(address, fresh=not repeatable)
+        connection = self.pool.take(address, fresh=not repeatable or CLOSE in headers)
         if connection is None:
             self.loop.soon(call.failed, Failure.NOT_SENT)
             return
@@ -363,6 +366,7 @@
         if not any(name == "host" for name, _ in named):
             named.insert(0, ("host", f"{address[0]}:{address[1]}"))
         call.connection = connection
+        connection.carries_more = CLOSE not in headers
         until = self.loop.now() + timeout
         call.timer = self.loop.at(until, call.give_up)
         data = encode_request(method, target, named, body)
--- a/tests/test_controlplane_rollouts.py
+++ b/tests/test_controlplane_rollouts.py
@@ -12,6 +12,7 @@
 from hopsail.controlplane.service_state import ServiceState
 from hopsail.feed.journal import Journal
 from hopsail.hosts.instance import Address, Instance, ModelRevision, Phase
+from hopsail.http.client import CLOSE
 from hopsail.http.message import Response
 from hopsail.net.counters import Counters
 
@@ -102,6 +103,22 @@
     assert (order["Owner"], order["FenceToken"]) == (duty.owner, duty.fence)
 
 
+def test_each_report_goes_on_a_connection_of_its_own(plane):
+    """An earlier report that is told twice would stand for the next one on its connection."""
+    closing = []
+    call = plane.http.call
+
+    def noted(address, method, path, headers, *rest):
+        if method == "GET":
+            closing.append(CLOSE in headers)
+        call(address, method, path, headers, *rest)
+
+    plane.http.call = noted
+    plane.name(2)
+    plane.run(4000 * MS)
+    assert closing and all(closing)
+
+
 def test_orders_and_reports_name_the_host_that_they_are_for(plane):
     """Its address may have passed to another host, or the same one may have started anew."""
     plane.name(2)
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -6,7 +6,7 @@
 
 from hopsail.dataplane.execution import Outcome
 from hopsail.dataplane.forward import Forwarding
-from hopsail.http.client import RECENT_CALLS, HttpClient
+from hopsail.http.client import CLOSE, RECENT_CALLS, HttpClient
 from hopsail.http.message import Request
 from hopsail.http.server import Exchange
 from hopsail.routing.choice import HostState
@@ -84,3 +84,31 @@
     runner.settle()
     peer = host.accepted()
     assert peer.quiet() == b"" and answers == [None]
+
+
+def test_a_report_told_twice_does_not_stand_for_the_next(runner):  # noqa: F811
+    host, done = Host(runner), []
+    client = HttpClient(runner.loop, host.pool)
+
+    def report(number):
+        client.call(host.address, "GET", "/-/report", [CLOSE], done=done.append)
+        peer = host.accepted()
+        peer.receives(b"connection: close", b"\r\n\r\n")
+        peer.send(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nnew-%d" % number)
+        runner.until(lambda: len(done) == number, "a report")
+        return peer
+
+    first = report(1)
+    first.ends()
+    report(2)
+    assert [answer.body for answer in done] == [b"new-1", b"new-2"]
+
+
+def test_a_report_goes_on_no_connection_that_has_carried_another_call(runner):  # noqa: F811
+    host, done = Host(runner), []
+    client = HttpClient(runner.loop, host.pool)
+    client.call(host.address, "GET", "/-/kv-events", done=done.append)
+    host.accepted().receives(b"/-/kv-events").send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    runner.until(lambda: done, "an answer")
+    client.call(host.address, "GET", "/-/report", [CLOSE], done=done.append)
+    host.accepted().receives(b"/-/report")
