A tenant's name that Latin-1 lacks fails no hosts, and none ends its header

The head of a request is made when its connection is up. Where the tenant's name had a letter that Latin-1 lacks, that raised, which ended the connection: it counted as a host that could not be reached, six times a request, and these hosts were then passed over for everybody. A name with a line's end would have added headers, or a request.

The name is told in UTF-8. A request whose tenant's name has a control character gets 503 and the promise. All seven new tests fail with the old code.

--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -4,7 +4,7 @@
 from functools import partial
 
 from ..http.client import ClientConnection, Failure
-from ..http.message import ResponseHead, encode_request, end_to_end, whole_number
+from ..http.message import ResponseHead, encode_request, end_to_end, header_text, whole_number
 from ..http.server import Exchange
 from ..routing.admission import Verdict
 from .attempt import Attempt
@@ -43,6 +43,7 @@
     DECLINED = auto()
     NO_CONNECTION = auto()
     OVERLOAD = auto()
+    UNNAMED_TENANT = auto()  # no header can hold its tenant's name
     ENDING = auto()  # the process ends before the request could
 
 
@@ -52,6 +53,7 @@
     def __init__(self, plane, exchange: Exchange, route: dict, tenant: dict | None, deadline: int):
         self.plane, self.exchange, self.request = plane, exchange, exchange.request
         self.route, self.tenant = route, tenant
+        self.tenant_text = header_text(tenant["Name"]) if tenant is not None else None
         self.deadline = deadline  # ns, the earlier of the client's and the route's
         self.prompt: Prompt = read_prompt(self.request)
         self.identifier = self.request.header(ATTEMPT_ID) or ""
@@ -75,6 +77,9 @@
         if not self.plane.may_begin(self):
             self._give_up(Refusal.ENDING)
             return
+        if self.tenant is not None and self.tenant_text is None:
+            self._give_up(Refusal.UNNAMED_TENANT)
+            return
         self.service = self.plane.pick_service(self.route)
         self.plane.budget.request(self.plane.loop.now(), self.service)
         verdict = self.plane.offer(self)
@@ -155,8 +160,8 @@
             headers.append((LAST_EVENT_ID, str(self.last_event)))
         headers.append(("hopsail-deadline-ms", str(left)))
         headers.append(("hopsail-target-instance", placed.host.identifier))
-        if self.tenant is not None:
-            headers.append(("hopsail-tenant", self.tenant["Name"]))
+        if self.tenant_text is not None:
+            headers.append(("hopsail-tenant", self.tenant_text))
         headers += placed.headers
         return encode_request(self.request.method, self.request.target, headers, self.request.body)
 
--- a/hopsail/http/message.py
+++ b/hopsail/http/message.py
@@ -29,6 +29,13 @@
     return None
 
 
+def header_text(text: str) -> str | None:
+    """A text as a header's value whose bytes are UTF-8; None when it would end the header."""
+    if any(character < " " for character in text):
+        return None
+    return text.encode("utf-8", "surrogatepass").decode("latin-1")
+
+
 class Request(NamedTuple):
     """A request that has been read whole."""
 
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -393,3 +393,19 @@
     assert journey.host(1).told("last-event-id") == "2"
     journey.host(1).says(EVENTS_HEAD + chunk(events(3, 3)) + LAST_CHUNK)
     assert journey.over() == 200 and bytes(journey.client.body) == first + second + events(3, 3)
+
+
+@pytest.mark.parametrize("name", ["Łódź", "acme é", "\N{SNOWMAN}"])
+def test_a_tenant_of_any_letters_is_told_in_utf_8(name):
+    journey = Journey(tenant={"Name": name})
+    told = journey.host().told("hopsail-tenant")
+    assert told.encode("latin-1").decode() == name
+    journey.host().says(answer())
+    assert journey.over() == 200
+
+
+@pytest.mark.parametrize("name", ["a\r\nhopsail-tenant: b", "a\n", "a\rb", "\0"])
+def test_a_tenant_whose_name_would_end_its_header_is_not_told(name):
+    journey = Journey(tenant={"Name": name})
+    assert not journey.pool.made and journey.over() == 503
+    assert journey.client.header(NOT_EXECUTED) is not None
