--- a/hopsail/dataplane/attempt.py
+++ b/hopsail/dataplane/attempt.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from ..http.client import ClientConnection, Failure
+from ..http.connection import ClientConnection, Failure
 from ..http.message import ResponseHead
 from .execution import ATTEMPT_ID, Outcome, declines, is_replaced, outcome_of
 
--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -3,7 +3,7 @@
 from enum import Enum, auto
 from functools import partial
 
-from ..http.client import ClientConnection, Failure
+from ..http.connection import ClientConnection, Failure
 from ..http.message import ResponseHead, encode_request, end_to_end, header_text, whole_number
 from ..http.server import Exchange
 from ..routing.admission import Verdict
--- a/hopsail/dataplane/plane.py
+++ b/hopsail/dataplane/plane.py
@@ -8,8 +8,8 @@
 from ..feed.follower import Follower
 from ..feed.journal import Change
 from ..feed.topics import DATA_PLANE_TOPICS
-from ..http.client import ConnectionPool
 from ..http.message import Request, whole_number
+from ..http.pool import ConnectionPool
 from ..http.server import Exchange, HttpServer, ServerLimits
 from ..net.log import say
 from ..process import FLEET, MILLISECOND, Program
--- a/tests/test_callers_simulation.py
+++ b/tests/test_callers_simulation.py
@@ -28,8 +28,9 @@
 from hopsail.dataplane.execution import NOT_EXECUTED
 from hopsail.dataplane.forward import Forwarding
 from hopsail.dataplane.placement import Placed
-from hopsail.http.client import ClientConnection, ConnectionPool
+from hopsail.http.connection import ClientConnection
 from hopsail.http.message import Request
+from hopsail.http.pool import ConnectionPool
 from hopsail.http.server import Exchange
 
 KINDS = [IDEMPOTENT, MUTATING, STREAM, RESUMABLE]
--- a/tests/test_dataplane_forward.py
+++ b/tests/test_dataplane_forward.py
@@ -20,7 +20,7 @@
 from hopsail.feed.journal import Change
 from hopsail.feed.topics import Topic
 from hopsail.hosts.instance import Address, Instance, ModelRevision, Phase, encode
-from hopsail.http.client import ClientConnection
+from hopsail.http.connection import ClientConnection
 from hopsail.http.message import Request
 from hopsail.http.server import Exchange
 from hopsail.routing.admission import Verdict
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -5,15 +5,10 @@
 import pytest
 
 from hopsail.http import server as server_module
-from hopsail.http.client import (
-    CONNECT_TIME,
-    IDLE_TIME,
-    MILLISECOND,
-    ConnectionPool,
-    Failure,
-    HttpClient,
-)
+from hopsail.http.client import HttpClient
+from hopsail.http.connection import CONNECT_TIME, MILLISECOND, Failure
 from hopsail.http.message import Request, encode_request, end_to_end, header_of
+from hopsail.http.pool import IDLE_TIME, ConnectionPool
 from hopsail.http.server import FIRST_WORD_MS, LINGER_TIME, HttpServer, ServerLimits
 from hopsail.net.loop import Loop
 from hopsail.net.stream import listening
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -6,7 +6,8 @@
 
 from hopsail.dataplane.execution import Outcome
 from hopsail.dataplane.forward import Forwarding
-from hopsail.http.client import CLOSE, RECENT_CALLS, HttpClient
+from hopsail.http.client import CLOSE, HttpClient
+from hopsail.http.connection import RECENT_CALLS
 from hopsail.http.message import Request
 from hopsail.http.server import Exchange
 from hopsail.routing.choice import HostState
