Roll-out: hosts, places, retries and actions in files of their own

rollout.py had 380 lines and several jobs. model_hosts.py knows the hosts and who is behind the target, places.py how many may load at once, retries.py when a host that failed may be begun again, outbox.py numbers what is to be done; rollout.py keeps the fence and what follows from each answer. Nothing behaves differently, and no test was changed.

--- a/hopsail/weights/rollout.py
+++ b/hopsail/weights/rollout.py
@@ -8,11 +8,14 @@
 from collections.abc import Iterable
 from typing import Any
 
-from hopsail.hosts.instance import Phase
-from hopsail.weights.actions import Action, Announce, AskReport, HostInfo, SendOrder, order_body
+from hopsail.weights.actions import Action, Announce, AskReport, HostInfo, SendOrder
 from hopsail.weights.load import HostLoad, LoadPhase
+from hopsail.weights.model_hosts import ModelHosts
+from hopsail.weights.outbox import Outbox
+from hopsail.weights.places import Places, held
 from hopsail.weights.progress import Progress, Stage
 from hopsail.weights.report import LoadReport, read_report
+from hopsail.weights.retries import Retries
 from hopsail.weights.rules import RolloutRules
 
 __all__ = [
@@ -30,8 +33,6 @@
 
 FAR_FUTURE = 1 << 62
 MIN_STEP_NS = 1_000_000
-HURRY_FACTOR = 2
-GROUP_DIVISOR = 2  # at most one half of a group loads at once
 
 STATUS_HELD = 200
 STATUS_ACCEPTED = 202
@@ -44,35 +45,21 @@
     """A fence was given that is not above the last one."""
 
 
-class _Retry:
-    """When a host that failed may be begun again, and how often in a row it has failed."""
-
-    __slots__ = ("not_before", "failures")
-
-    def __init__(self) -> None:
-        self.not_before = 0
-        self.failures = 0
-
-
 class Rollout:
     """Brings the hosts of one model to the target revision while this process holds the fence."""
 
     def __init__(self, owner: str, rules: RolloutRules, model: str) -> None:
-        self._owner = owner
         self._rules = rules
         self._model = model
         self._held = False
         self._fence = 0
         self._fence_lost = False
         self._send_from = 0
-        self._serial = 0
-        self._target = 0
-        self._target_since = 0
-        self._hosts: dict[str, HostInfo] = {}
-        self._learned: dict[str, int] = {}
-        self._retries: dict[str, _Retry] = {}
+        self._hosts = ModelHosts()
+        self._places = Places(rules, self._hosts)
+        self._retries = Retries(rules)
         self._progress: dict[str, Progress] = {}
-        self._pending: list[Action] = []
+        self._outbox = Outbox(owner, model)
         self._starts_from = 0
         self._next_reorder_at = 0
         self._due = FAR_FUTURE
@@ -100,7 +87,7 @@
     @property
     def behind(self) -> int:
         """How many serving hosts do not hold the target yet."""
-        return sum(1 for host in self._hosts.values() if self._is_behind(host))
+        return len(self._hosts.behind())
 
     def acquire(self, now: int, fence: int, previous_owner_other: bool) -> None:
         """Hold a new, higher fence; raises `FenceError`.
@@ -131,12 +118,8 @@
 
     def update(self, now: int, hosts: Iterable[HostInfo], target: int, target_since: int) -> None:
         """Take the known hosts of the model and the target, named at `target_since`; a target only rises."""
-        if target > self._target:
-            self._target = target
-            self._target_since = target_since
-        self._hosts = {host.identifier: host for host in hosts if host.phase is Phase.SERVING}
-        self._learned = {name: held for name, held in self._learned.items() if name in self._hosts}
-        self._retries = {name: retry for name, retry in self._retries.items() if name in self._hosts}
+        self._hosts.update(hosts, target, target_since)
+        self._retries.keep(self._hosts)
         for identifier, progress in list(self._progress.items()):
             self._update_progress(identifier, progress)
         self._wake(now)
@@ -150,9 +133,7 @@
             self._due = self._next_due(now)
         else:
             self._due = self._next_look(now)
-        actions = self._pending
-        self._pending = []
-        return actions
+        return self._outbox.take()
 
     def order_answered(self, now: int, host: str, status: int | None, serial: int | None = None) -> None:
         """Take the status of an order (None: no answer); one that is no longer awaited is ignored."""
@@ -176,8 +157,8 @@
 
     def _clear(self) -> None:
         self._progress = {}
-        self._retries = {}
-        self._pending = []
+        self._retries.clear()
+        self._outbox.clear()
 
     def _wake(self, now: int) -> None:
         self._due = min(self._due, now)
@@ -253,39 +234,34 @@
         if now < self._next_reorder_at:
             progress.due_at = self._next_reorder_at
             return
-        self._next_reorder_at = now + self._rules.unnamed_retry_ns // self._limit(now)
+        self._next_reorder_at = now + self._rules.unnamed_retry_ns // self._places.limit(now)
         self._order(now, progress)
 
     def _order(self, now: int, progress: Progress) -> None:
-        if progress.revision != self._target:
-            progress.revision = self._target
+        if progress.revision != self._hosts.target:
+            progress.revision = self._hosts.target
             self._announce(now, progress, progress.announced)
         progress.orders += 1
         progress.ordered_at = now
-        progress.await_answer(Stage.ORDERING, self._next_serial(), now, self._rules)
-        body = order_body(self._model, progress.revision, self._owner, self._fence)
-        host = progress.host
-        self._pending.append(SendOrder(host.identifier, host.address, body, progress.serial))
+        progress.await_answer(Stage.ORDERING, self._outbox.next_serial(), now, self._rules)
+        self._outbox.order(progress.host, progress.revision, self._fence, progress.serial)
 
     def _ask(self, now: int, progress: Progress) -> None:
-        progress.await_answer(Stage.ASKING, self._next_serial(), now, self._rules)
-        host = progress.host
-        self._pending.append(AskReport(host.identifier, host.address, progress.serial))
+        progress.await_answer(Stage.ASKING, self._outbox.next_serial(), now, self._rules)
+        self._outbox.ask(progress.host, progress.serial)
 
     def _finish(self, progress: Progress, revision: int) -> None:
         identifier = progress.host.identifier
-        self._learned[identifier] = max(revision, self._learned.get(identifier, 0))
+        self._hosts.learn(identifier, revision)
         self._progress.pop(identifier, None)
-        self._retries.pop(identifier, None)
+        self._retries.forget(identifier)
         self._publish(identifier, LoadPhase.DONE, revision)
 
     def _abandon(self, now: int, progress: Progress, pause_ns: int) -> None:
         """Let the host be used again; begin anew after a pause, behind the others."""
         identifier = progress.host.identifier
         self._progress.pop(identifier, None)
-        retry = self._retries.setdefault(identifier, _Retry())
-        retry.failures += 1
-        retry.not_before = now + min(pause_ns * retry.failures, max(pause_ns, self._rules.retry_max_ns))
+        self._retries.failed(now, identifier, pause_ns)
         self._publish(identifier, LoadPhase.IDLE, progress.revision)
 
     def _announce(self, now: int, progress: Progress, phase: LoadPhase) -> None:
@@ -294,71 +270,31 @@
         self._publish(progress.host.identifier, phase, progress.revision)
 
     def _publish(self, identifier: str, phase: LoadPhase, revision: int) -> None:
-        load = HostLoad(phase, revision, self._fence, self._next_serial())
-        self._pending.append(Announce(identifier, load))
-
-    def _next_serial(self) -> int:
-        self._serial += 1
-        return self._serial
+        self._outbox.announce(identifier, phase, revision, self._fence)
 
     def _start_hosts(self, now: int) -> None:
         if now < self._starts_from:
             return
-        waiting = self._waiting()
-        free = self._limit(now, len(waiting)) - self._places_held()
+        waiting = self._hosts.behind(self._progress)
+        loading = self._progress.values()
+        free = self._places.limit(now, len(waiting)) - held(loading)
         if free <= 0 or not waiting:
             return
-        ready = [host for host in waiting if self._retry_at(host) <= now]
+        ready = [host for host in waiting if self._retries.not_before(host.identifier) <= now]
         for host in sorted(ready, key=self._preference):
-            if free > 0 and self._group_has_room(now, host.group, len(waiting)):
+            if free > 0 and self._places.group_has_room(now, host.group, len(waiting), loading):
                 self._start(now, host)
                 free -= 1
 
-    def _group_has_room(self, now: int, group: str, waiting: int) -> bool:
-        """Whether one more host of the group may load; in a hurry the bound is given up."""
-        members = [host for host in self._hosts.values() if host.group == group]
-        hurries = self._limit(now, waiting) > self._rules.at_once(len(self._hosts))
-        if not group or hurries:
-            return True
-        loading = [progress for progress in self._progress.values() if progress.host.group == group]
-        held = sum(1 for progress in loading if progress.holds_place)
-        return held < max(1, len(members) // GROUP_DIVISOR)
-
     def _start(self, now: int, host: HostInfo) -> None:
-        progress = Progress(host, now, self._target, self._rules)
+        progress = Progress(host, now, self._hosts.target, self._rules)
         self._progress[host.identifier] = progress
         self._announce(now, progress, LoadPhase.PREPARING)
 
-    def _waiting(self) -> list[HostInfo]:
-        """Return the hosts behind the target that are not being loaded."""
-        return [
-            host
-            for identifier, host in self._hosts.items()
-            if identifier not in self._progress and self._is_behind(host)
-        ]
-
-    def _is_behind(self, host: HostInfo) -> bool:
-        return max(host.revision, self._learned.get(host.identifier, 0)) < self._target
-
     def _preference(self, host: HostInfo) -> tuple[int, bool, int, str]:
         """Begin with hosts that have not failed, that perhaps load already, that are least busy."""
-        retry = self._retries.get(host.identifier)
-        return (retry.failures if retry else 0, not host.loading, host.in_flight, host.identifier)
-
-    def _retry_at(self, host: HostInfo) -> int:
-        retry = self._retries.get(host.identifier)
-        return retry.not_before if retry else 0
-
-    def _places_held(self) -> int:
-        return sum(1 for progress in self._progress.values() if progress.holds_place)
-
-    def _limit(self, now: int, waiting: int = 0) -> int:
-        """Return how many hosts may hold a place; more when the waiting ones would miss the deadline."""
-        limit = max(1, self._rules.at_once(len(self._hosts)))
-        left_ns = self._target_since + self._rules.deadline_ns - now
-        waves_left = max(1, left_ns // self._rules.wave_ns)
-        needed = -(-waiting // waves_left)
-        return min(max(limit, needed), limit * HURRY_FACTOR)
+        failures = self._retries.failures(host.identifier)
+        return (failures, not host.loading, host.in_flight, host.identifier)
 
     def _next_look(self, now: int) -> int:
         """Return when to look again while no order may be sent."""
@@ -368,9 +304,9 @@
 
     def _next_due(self, now: int) -> int:
         due = min((self._progress_due(progress) for progress in self._progress.values()), default=FAR_FUTURE)
-        waiting = self._waiting()
-        if waiting and self._places_held() < self._limit(now, len(waiting)):
-            earliest = min(self._retry_at(host) for host in waiting)
+        waiting = self._hosts.behind(self._progress)
+        if waiting and held(self._progress.values()) < self._places.limit(now, len(waiting)):
+            earliest = min(self._retries.not_before(host.identifier) for host in waiting)
             due = min(due, max(earliest, self._starts_from))
         return max(due, now + MIN_STEP_NS)
 
