A fence that is lost for one model is lost for all models of its service

Models of a service share one fence.

The roll-outs of a service now end together, and a new fence is acquired: one order. Ruled out: keeping the lost fence's number apart, which the state of the duty knows anyway.

--- a/hopsail/controlplane/rollouts.py
+++ b/hopsail/controlplane/rollouts.py
@@ -132,12 +132,19 @@
         if not behind and not running.rollout.loading:
             self._release(part, service, model)
             return
-        if running.rollout.fence_lost:
-            del self.running[(service, model)]
+        if self._fence_lost(service):
             return
         for action in running.rollout.step(now, part.replica.lease_valid(now)):
             self._act(running.rollout, action)
 
+    def _fence_lost(self, service: str) -> bool:
+        """Ends the roll-outs of a service once a host of any has seen a higher fence: they share theirs."""
+        ours = [key for key in self.running if key[0] == service]
+        lost = any(self.running[key].rollout.fence_lost for key in ours)
+        for key in ours if lost else ():
+            del self.running[key]
+        return lost
+
     # The duty.
 
     def _acquire(self, part, service: str, model: str) -> None:
--- a/tests/test_controlplane_rollouts.py
+++ b/tests/test_controlplane_rollouts.py
@@ -171,3 +171,44 @@
     assert plane.orders
     assert all(order["FenceToken"] > old + 1 for _, order in plane.orders)
     assert plane.orders[0][0] - passed >= LEASE_MS * MS
+
+
+class TwoModels(Plane):
+    """Its host has two models and has seen a fence that is higher than the first one given out here."""
+
+    MODELS = (MODEL, "m-2")
+
+    def __init__(self):
+        super().__init__()
+        services = [{"Name": SERVICE, "Runtime": {"Models": [{"Name": name} for name in self.MODELS]}}]
+        self.table = RouteTable({"Revision": 1, "Routes": [], "Services": services})
+        self.seen_fence, self.refused = None, []
+
+    @classmethod
+    def listed(cls, revision: int) -> Instance:
+        models = tuple(ModelRevision(name, revision) for name in cls.MODELS)
+        return Instance("i-1", SERVICE, Address("10.0.0.1", 8080), "z", 8, Phase.SERVING, 0, models, "v1")
+
+    def _call(self, address, method, path, headers, body, timeout, done) -> None:
+        if method == "GET":
+            done(None)
+            return
+        order = json.loads(body)
+        self.orders.append((self.now, order))
+        self.seen_fence = self.seen_fence or order["FenceToken"] + 1
+        fenced = order["FenceToken"] < self.seen_fence
+        if fenced:
+            self.refused.append(order["FenceToken"])
+        done(Response(412 if fenced else 202, [], b""))
+
+
+def test_a_lost_fence_is_lost_for_all_models_of_its_service():
+    plane = TwoModels()
+    for model in plane.MODELS:
+        plane.part.apply(Command(CommandKind.NAME_REVISION, 0, model, 2, "", b""))
+        plane.rollouts.wake()
+        plane.run(2 * STEP)
+    plane.run(20_000 * MS)
+    assert len(plane.refused) == 1, "an order under a fence that was known to be lost"
+    ordered = {order["Model"] for _, order in plane.orders if order["FenceToken"] >= plane.seen_fence}
+    assert ordered == set(plane.MODELS)
