--- a/hopsail/controlplane/rollouts.py
+++ b/hopsail/controlplane/rollouts.py
@@ -4,6 +4,7 @@
 
 from ..feed.topics import Topic
 from ..hosts.instance import Phase
+from ..http.client import CLOSE
 from ..routing.lanes import Lane, divide
 from ..weights.eligibility import SeenLoad, held_revision
 from ..weights.load import HostLoadError, decode_load, encode_load, merge_load
@@ -131,12 +132,19 @@
         if not behind and not running.rollout.loading:
             self._release(part, service, model)
             return
-        if running.rollout.fence_lost:
-            del self.running[(service, model)]
+        if self._fence_lost(service):
             return
         for action in running.rollout.step(now, part.replica.lease_valid(now)):
             self._act(running.rollout, action)
 
+    def _fence_lost(self, service: str) -> bool:
+        """Ends the roll-outs of a service once a host of any has seen a higher fence: they share theirs."""
+        ours = [key for key in self.running if key[0] == service]
+        lost = any(self.running[key].rollout.fence_lost for key in ours)
+        for key in ours if lost else ():
+            del self.running[key]
+        return lost
+
     # The duty.
 
     def _acquire(self, part, service: str, model: str) -> None:
@@ -227,6 +235,5 @@
             rollout.report_answered(self.plane.loop.now(), action.host, report, action.serial)
 
         self.plane.counters.add("reports")
-        self.plane.http.call(
-            tuple(action.address), "GET", REPORT_PATH, [(TARGET, action.host)], b"", CALL_TIMEOUT, answered
-        )
+        headers = [(TARGET, action.host), CLOSE]  # an earlier report told twice is not taken for this one
+        self.plane.http.call(tuple(action.address), "GET", REPORT_PATH, headers, b"", CALL_TIMEOUT, answered)
--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -3,8 +3,8 @@
 from enum import Enum, auto
 from functools import partial
 
-from ..http.client import Failure
-from ..http.message import ResponseHead, encode_request, end_to_end, whole_number
+from ..http.connection import ClientConnection, Failure
+from ..http.message import ResponseHead, encode_request, end_to_end, header_text, whole_number
 from ..http.server import Exchange
 from ..routing.admission import Verdict
 from .attempt import Attempt
@@ -43,6 +43,7 @@
     DECLINED = auto()
     NO_CONNECTION = auto()
     OVERLOAD = auto()
+    UNNAMED_TENANT = auto()  # no header can hold its tenant's name
     ENDING = auto()  # the process ends before the request could
 
 
@@ -52,6 +53,7 @@
     def __init__(self, plane, exchange: Exchange, route: dict, tenant: dict | None, deadline: int):
         self.plane, self.exchange, self.request = plane, exchange, exchange.request
         self.route, self.tenant = route, tenant
+        self.tenant_text = header_text(tenant["Name"]) if tenant is not None else None
         self.deadline = deadline  # ns, the earlier of the client's and the route's
         self.prompt: Prompt = read_prompt(self.request)
         self.identifier = self.request.header(ATTEMPT_ID) or ""
@@ -65,6 +67,7 @@
         self.has_place = False  # at the gate of its service
         self.splitter: EventSplitter | None = None  # of an answer that may be taken up at another host
         self.passing: Attempt | None = None  # whose answer the client is getting
+        self.unnumbered = False  # the client has an event that no `Last-Event-Id` tells a host of
         self.last_event = whole_number(self.request.header(LAST_EVENT_ID))
         self.timer = plane.loop.at(deadline, self._deadline_passed)
         exchange.on_gone(self._client_gone)
@@ -74,6 +77,9 @@
         if not self.plane.may_begin(self):
             self._give_up(Refusal.ENDING)
             return
+        if self.tenant is not None and self.tenant_text is None:
+            self._give_up(Refusal.UNNAMED_TENANT)
+            return
         self.service = self.plane.pick_service(self.route)
         self.plane.budget.request(self.plane.loop.now(), self.service)
         verdict = self.plane.offer(self)
@@ -116,7 +122,7 @@
         if placed is None:
             self._give_up(Refusal.NO_HOST)
             return
-        connection = plane.pool.take(placed.host.address)
+        connection = self._connection_to(placed.host.address)
         attempt = Attempt(self, self.identifier, placed.host, plane.loop.now())
         attempt.work, attempt.connection = placed.work, connection
         self.attempt = attempt
@@ -126,9 +132,26 @@
             connection.carry(partial(self._encoded, placed), attempt)
         plane.attempt_began(self, attempt)
 
-    def _encoded(self, placed) -> bytes:
-        """The request's bytes, made when they are written: the host is told the time that is left then."""
-        left = max(1, (self.deadline - self.plane.loop.now()) // MILLISECOND)
+    def _connection_to(self, address: tuple[str, int]) -> ClientConnection | None:
+        """One on which no late answer bears this request's id: a client may use one twice, and a host may
+        have the address of one that was asked before."""
+        connection = self.plane.pool.take(address)
+        if connection is None or connection.name_call(self.identifier):
+            return connection
+        connection.abandon()
+        connection = self.plane.pool.take(address, fresh=True)
+        if connection is not None:
+            connection.name_call(self.identifier)
+        return connection
+
+    def _encoded(self, placed) -> bytes | None:
+        """The request's bytes, made when they are written: the host is told the time that is left then.
+
+        None after the deadline: after a pause of the process, connections come up before its timers act."""
+        left_ns = self.deadline - self.plane.loop.now()
+        if left_ns <= 0:
+            return None
+        left = max(1, left_ns // MILLISECOND)
         headers = [
             (name, value) for name, value in end_to_end(self.request.headers) if name not in OWN_HEADERS
         ]
@@ -137,8 +160,8 @@
             headers.append((LAST_EVENT_ID, str(self.last_event)))
         headers.append(("hopsail-deadline-ms", str(left)))
         headers.append(("hopsail-target-instance", placed.host.identifier))
-        if self.tenant is not None:
-            headers.append(("hopsail-tenant", self.tenant["Name"]))
+        if self.tenant_text is not None:
+            headers.append(("hopsail-tenant", self.tenant_text))
         headers += placed.headers
         return encode_request(self.request.method, self.request.target, headers, self.request.body)
 
@@ -169,7 +192,8 @@
         """What the client has of its answer."""
         if not self.exchange.started:
             return Begun.NOTHING
-        return Begun.PART if self.splitter is None else Begun.EVENTS
+        resumable = self.splitter is not None and not self.unnumbered
+        return Begun.EVENTS if resumable else Begun.PART
 
     def _completed(self) -> None:
         if self.splitter is not None:
@@ -241,6 +265,7 @@
                 if self.last_event is not None and event.identifier <= self.last_event:
                     continue
                 self.last_event = event.identifier
+            self.unnumbered = event.identifier is None and (self.unnumbered or event.has_data)
             whole += event.data
         self.exchange.send(bytes(whole))
 
