Install and start from a large state in steps

A whole configuration's indexes were one turn as well.

Keys are shared between items, as json.loads does. A state that cannot be decoded no longer lets entries be applied to the one before it.

A worker thread was ruled out (it holds the interpreter's lock while it parses); so was another format, which old disks would have to be read beside.

The simulation of control processes decodes in steps as the process does.

--- a/hopsail/configuration/indexed.py
+++ b/hopsail/configuration/indexed.py
@@ -7,6 +7,7 @@
 from hopsail.configuration.changes import ConfigurationChanges, ListChanges
 from hopsail.configuration.checker import (
     NAMED_LISTS,
+    STEP_ITEMS,
     patched_field,
     place_of,
     raising_first,
@@ -50,19 +51,35 @@
 
     def __init__(self, configuration: Configuration) -> None:
         """Takes a checked configuration; its items must not be changed afterwards."""
+        result_of(self._taking(configuration))
+
+    @classmethod
+    def building(cls, configuration: Configuration) -> Generator[None, None, "ConfigurationIndex"]:
+        """The index of a checked configuration, made in steps."""
+        index = cls.__new__(cls)
+        yield from index._taking(configuration)
+        return index
+
+    def _taking(self, configuration: Configuration) -> Generator[None, None, None]:
         self._content: dict[str, Any] = dict(configuration)  # lists of named items as maps by name
-        for field in NAMED_LISTS:
-            if type(self._content.get(field)) is list:
-                self._content[field] = {item["Name"]: item for item in self._content[field]}
         self._routes_by_place: dict[tuple[str, str], str] = {}
         self._routes_by_service: dict[str, set[str]] = {}
         self._tenants_by_key: dict[str, str] = {}
-        for route in self._held("Routes").values():
-            self._add_route(route)
-        for tenant in self._held("Tenants").values():
-            self._add_tenant(tenant)
         self._whole: Configuration | None = configuration
         self._changed: dict[str, dict[str, bool]] | None = None  # field -> name -> whether appended
+        for field in NAMED_LISTS:
+            if type(self._content.get(field)) is list:
+                self._content[field] = yield from self._indexing(field, self._content[field])
+
+    def _indexing(self, field: str, items: list[Any]) -> Generator[None, None, dict[str, Any]]:
+        """The items of a list by name; they are added to the indexes."""
+        by_name: dict[str, Any] = {}
+        for number, item in enumerate(items, 1):
+            by_name[item["Name"]] = item
+            self._add_to_indexes(field, item)
+            if number % STEP_ITEMS == 0:
+                yield
+        return by_name
 
     @property
     def revision(self) -> int:
--- a/hopsail/controlplane/compaction.py
+++ b/hopsail/controlplane/compaction.py
@@ -1,11 +1,13 @@
-"""Encodes a part's state for a snapshot in steps, between which the loop does other work. No I/O."""
+"""Encodes and decodes a part's state in steps, between which the loop does other work. No I/O."""
 
 import json
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Generator, Iterable, Iterator, Mapping
 from itertools import islice
+from sys import intern
 from typing import Any
 
 ITEMS_A_STEP = 64
+ITEMS_READ_A_STEP = 2000
 BYTES_AT_ONCE = 64 << 10
 SLICED_DEPTH = 2  # of mappings in mappings whose values are encoded by themselves
 
@@ -45,10 +47,80 @@
     yield last if before != first else first + last
 
 
+def _sharing_keys(members: list[tuple[str, Any]]) -> dict[str, Any]:
+    """An object whose keys are one string each, however many objects have them."""
+    return {intern(key): value for key, value in members}
+
+
+_read = json.JSONDecoder(object_pairs_hook=_sharing_keys).raw_decode
+
+
 def _json(value: Any) -> bytes:
     return json.dumps(value, separators=(",", ":")).encode()
 
 
+def reading_json(data: bytes) -> Generator[None, None, Any]:
+    """What `json.loads` makes of the output of `json_steps`, in steps; raises ValueError."""
+    text = data.decode()
+    value, end = yield from _reading(text, 0, SLICED_DEPTH)
+    if end != len(text):
+        raise ValueError(f"more follows at {end}")
+    return value
+
+
+Read = Generator[None, None, tuple[Any, int]]  # a value, and where the text goes on
+
+
+def _reading(text: str, start: int, depth: int) -> Read:
+    if text.startswith("[", start):
+        return (yield from _reading_list(text, start + 1))
+    if depth and text.startswith("{", start):
+        return (yield from _reading_object(text, start + 1, depth - 1))
+    return _read(text, start)
+
+
+def _reading_list(text: str, start: int) -> Read:
+    items: list[Any] = []
+    if text.startswith("]", start):
+        return items, start + 1
+    while True:
+        item, start = _read(text, start)
+        items.append(item)
+        if _ends(text, start, "]"):
+            return items, start + 1
+        start += 1
+        if len(items) % ITEMS_READ_A_STEP == 0:
+            yield
+
+
+def _reading_object(text: str, start: int, depth: int) -> Read:
+    members: dict[str, Any] = {}
+    if text.startswith("}", start):
+        return members, start + 1
+    while True:
+        key, start = _read(text, start)
+        if not text.startswith(":", start):
+            raise ValueError(f"no value at {start}")
+        if text.startswith(("[", "{"), start + 1):
+            members[key], start = yield from _reading(text, start + 1, depth)
+        else:
+            members[key], start = _read(text, start + 1)
+        if _ends(text, start, "}"):
+            return members, start + 1
+        start += 1
+        if len(members) % ITEMS_READ_A_STEP == 0:
+            yield
+
+
+def _ends(text: str, position: int, end: str) -> bool:
+    """Whether a list or an object ends there; raises ValueError if it does not go on either."""
+    if text.startswith(end, position):
+        return True
+    if not text.startswith(",", position):
+        raise ValueError(f"neither end nor comma at {position}")
+    return False
+
+
 class Compaction:
     """The snapshot of a state as it was after the entry at `index`."""
 
--- a/hopsail/controlplane/configuration_state.py
+++ b/hopsail/controlplane/configuration_state.py
@@ -17,7 +17,7 @@
 from ..configuration.indexed import ConfigurationIndex
 from ..configuration.types import Configuration, Patch
 from .commands import Command, CommandKind, Result
-from .compaction import json_steps
+from .compaction import json_steps, reading_json
 
 TAKEN_KEPT = 4096  # changes whose bytes' digests are remembered, for calls that are sent again
 LARGE_BYTES = 64 << 10  # of a body whose reading is a step of its own
@@ -97,7 +97,7 @@
         try:
             if command.kind is CommandKind.PUT_CONFIGURATION:
                 content = yield from self._checked_configuration(command.body)
-                index = ConfigurationIndex(content)
+                index = yield from ConfigurationIndex.building(content)
             else:
                 content, index = (yield from self._checked_patch(command.body)), None
         except ConfigurationError as error:
@@ -155,10 +155,16 @@
 
     @classmethod
     def decode(cls, data: bytes) -> "ConfigurationState":
-        state, tree = cls(), json.loads(data)
+        """The state of a snapshot."""
+        return result_of(cls.decoding(data))
+
+    @classmethod
+    def decoding(cls, data: bytes) -> Generator[None, None, "ConfigurationState"]:
+        """`decode` in steps, between which other work may be done."""
+        state, tree = cls(), (yield from reading_json(data))
         state.taken, state.forgotten = tree["taken"], tree["forgotten"]
         if tree["configuration"] is not None:
-            state._index = ConfigurationIndex(tree["configuration"])
+            state._index = yield from ConfigurationIndex.building(tree["configuration"])
         return state
 
 
--- a/hopsail/controlplane/part.py
+++ b/hopsail/controlplane/part.py
@@ -1,7 +1,7 @@
 """One part of the control state in this process: its replica, what it must store, and the state it builds."""
 
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Generator, Iterator
 from typing import Protocol
 
 from ..configuration.codes import ResultCode
@@ -29,7 +29,8 @@
 
     `store(part, ready)` begins a write, `send(part, peer, message)` sends, `applied(part)` tells that the
     state has changed. `prepare(state, command)`, if there is one, does in steps what would make `apply` long,
-    and `later(act)` has the next step done soon: meanwhile entries wait, and all else goes on."""
+    `decoding(data)` does `decode_state` in steps, and `later(act)` has the next step done soon: meanwhile
+    entries wait, and all else goes on. Until a snapshot is decoded `state` is the one before it."""
 
     def __init__(
         self,
@@ -43,13 +44,16 @@
         applied: Callable[["Part"], None],
         prepare: Callable[[PartState, Command], Iterator[None]] | None = None,
         later: Callable[[Callable[[], None]], object] | None = None,
+        decoding: Callable[[bytes], Generator[None, None, PartState]] | None = None,
     ):
         self.number, self.replica, self.state = number, replica, state
         self._decode_state, self._apply = decode_state, apply
         self._store, self._send, self._applied = store, send, applied
         self._prepare, self._later = prepare, later
+        self._decoding = decoding or self._decoding_at_once
+        self._is_installing = False  # `state` is older than the last snapshot installed
         self._unapplied: deque[Entry] = deque()  # committed
-        self._steps: Iterator[None] | None = None  # of the first of them
+        self._steps: Iterator[None] | None = None  # of the first of them, or of a snapshot before them
         self.deciding: dict[Command, list[Callable[[], None]]] = {}  # changes under way here, who waits
         self._pending: dict[int, tuple[int, Done]] = {}  # index -> (term, who waits)
         self._was_leader = False
@@ -63,13 +67,15 @@
 
     @property
     def applied_index(self) -> int:
-        """The index of the last entry that the state contains."""
+        """The index of the last entry that the state contains; 0 while that is being replaced."""
+        if self._is_installing:
+            return 0
         return self._unapplied[0].index - 1 if self._unapplied else self.replica.applied_index
 
     @property
     def has_applied_all(self) -> bool:
         """Whether the state contains all that is known to be committed."""
-        return not self._unapplied
+        return not self._unapplied and not self._is_installing
 
     def propose(self, now: int, command: Command, done: Done) -> bool:
         """Puts the command into the log; `done(None)` when it is not known what becomes of it.
@@ -114,7 +120,7 @@
     def compact(self) -> None:
         """Begins to replace old entries by a snapshot when there are many; `pump` goes on with it."""
         if self._compaction is None:
-            if not self.replica.snapshot_due or self._unapplied:
+            if not self.replica.snapshot_due or not self.has_applied_all:
                 return
             self._compaction = Compaction(self.applied_index, self.state.encode_steps())
         self.pump()
@@ -132,18 +138,32 @@
         self._compaction = None
 
     def _install(self, snapshot: Snapshot) -> bool:
+        """Begins to decode the snapshot's state, which takes the place of the present one at the end."""
         self._unapplied.clear()
         self._steps = None
         self._compaction = None
+        self._is_installing = bool(snapshot.data)
         if not snapshot.data:
             return False
-        self.state = self._decode_state(snapshot.data)
-        return True
+        steps = self._replacing_state(snapshot.data)
+        return not self._begin(steps, self._has_replaced_state) and self._has_replaced_state()
+
+    def _replacing_state(self, data: bytes) -> Generator[None, None, None]:
+        self.state = yield from self._decoding(data)
+        self._is_installing = False
+
+    def _decoding_at_once(self, data: bytes) -> Generator[None, None, PartState]:
+        yield from ()
+        return self._decode_state(data)
+
+    def _has_replaced_state(self) -> bool:
+        """False after a fault: then nothing is applied to the old state, or told from it."""
+        return not self._is_installing
 
     def _apply_committed(self) -> bool:
         """Applies entries in their order, as far as none has to be prepared."""
         changed = False
-        while self._unapplied and self._steps is None:
+        while self._unapplied and self._steps is None and not self._is_installing:
             command = self._command_of(self._unapplied[0])
             if command is not None and self._must_prepare(command):
                 break
@@ -158,21 +178,24 @@
         """Begins to prepare; False when there is nothing left to do for it."""
         if self._prepare is None:
             return False
-        steps = self._prepare(self.state, command)
+        return self._begin(self._prepare(self.state, command), lambda: self._apply_first(command))
+
+    def _begin(self, steps: Iterator[None], end: Callable[[], bool]) -> bool:
+        """Takes the first step; False when that was all, else `end` is called after the last one."""
         if not self._takes_step(steps):
             return False
         self._steps = steps
-        self._later(lambda: self._go_on(steps, command))
+        self._later(lambda: self._go_on(steps, end))
         return True
 
-    def _go_on(self, steps: Iterator[None], command: Command) -> None:
+    def _go_on(self, steps: Iterator[None], end: Callable[[], bool]) -> None:
         if steps is not self._steps:
-            return  # a snapshot has taken the entry's place
+            return  # a snapshot has taken the place of the entry, or of an older one
         if self._takes_step(steps):
-            self._later(lambda: self._go_on(steps, command))
+            self._later(lambda: self._go_on(steps, end))
             return
         self._steps = None
-        changed = self._apply_first(command)
+        changed = end()
         changed |= self._apply_committed()
         if changed:
             self._notify(self._applied, self)
--- a/hopsail/controlplane/replicas.py
+++ b/hopsail/controlplane/replicas.py
@@ -69,6 +69,7 @@
             self._applied,
             ConfigurationState.judging if number == CONFIGURATION_PART else None,
             lambda act: self.plane.after(STEP_PAUSE_MS, act),
+            ConfigurationState.decoding if number == CONFIGURATION_PART else None,
         )
 
     # Time.
--- a/tests/controlplane_simulation.py
+++ b/tests/controlplane_simulation.py
@@ -54,6 +54,7 @@
             self._applied,
             ConfigurationState.judging,
             lambda act: self.after(decisions.STEP_PAUSE_MS, act),
+            ConfigurationState.decoding,
         )
         self.parts = [self.part]
 
--- a/tests/test_controlplane_compaction.py
+++ b/tests/test_controlplane_compaction.py
@@ -4,7 +4,14 @@
 
 import pytest
 
-from hopsail.controlplane.compaction import BYTES_AT_ONCE, ITEMS_A_STEP, Compaction, json_steps
+from hopsail.controlplane.compaction import (
+    BYTES_AT_ONCE,
+    ITEMS_A_STEP,
+    ITEMS_READ_A_STEP,
+    Compaction,
+    json_steps,
+    reading_json,
+)
 from hopsail.controlplane.configuration_state import ConfigurationState
 from hopsail.controlplane.part import Part
 from hopsail.replication.state import Members, Ready, Snapshot
@@ -29,6 +36,52 @@
     assert b"".join(json_steps(tree)) == json.dumps(tree, separators=(",", ":")).encode()
 
 
+def read_in_steps(data: bytes) -> tuple[int, object]:
+    """How many pauses the reading makes, and what is read."""
+    reading, pauses = reading_json(data), 0
+    while True:
+        try:
+            next(reading)
+        except StopIteration as end:
+            return pauses, end.value
+        pauses += 1
+
+
+@pytest.mark.parametrize("tree", TREES)
+def test_what_is_read_in_steps_is_what_was_encoded(tree):
+    data = b"".join(json_steps(tree))
+    assert read_in_steps(data)[1] == tree == json.loads(data)
+
+
+@pytest.mark.parametrize("tree", TREES)
+def test_what_is_cut_short_or_has_more_after_it_is_not_read(tree):
+    data = b"".join(json_steps(tree))
+    for wrong in [data[:end] for end in range(0, len(data), max(1, len(data) // 200))] + [data + b"0"]:
+        with pytest.raises(ValueError):
+            read_in_steps(wrong)
+
+
+@pytest.mark.parametrize("wrong", [b'{"a" 1}', b'{"a":1 "b":2}', b"[1 2]", b'{"a":[1}', b'{"a":{"b":1]}'])
+def test_what_is_no_json_is_not_read(wrong):
+    with pytest.raises(ValueError):
+        read_in_steps(wrong)
+
+
+def test_a_long_list_and_a_long_object_are_read_in_steps():
+    count = 10 * ITEMS_READ_A_STEP
+    long_list = {"configuration": {"Tenants": [{"Name": f"t-{n}"} for n in range(count)]}, "taken": {}}
+    long_object = {"configuration": None, "taken": {str(n): n for n in range(count)}}
+    for tree in (long_list, long_object):
+        pauses, read = read_in_steps(b"".join(json_steps(tree)))
+        assert read == tree and pauses >= 9
+
+
+def test_keys_that_are_alike_are_one_string():
+    _, read = read_in_steps(b'[{"some name":1},{"some name":2}]')
+    first, second = (next(iter(item)) for item in read)
+    assert first is second
+
+
 def test_each_turn_is_short():
     tree = {"configuration": {"Tenants": [{"Name": f"tenant-{n}"} for n in range(48_000)]}, "taken": {}}
     compaction = Compaction(7, json_steps(tree))
--- a/tests/test_controlplane_steps.py
+++ b/tests/test_controlplane_steps.py
@@ -1,8 +1,11 @@
 """A large change is judged and applied in steps: the verdicts stay the same, all else goes on in between."""
 
+import json
 from collections import deque
 
 import pytest
+from controlplane_simulation import Change
+from test_controlplane_cluster import acknowledged, others, started
 from test_controlplane_state import (
     INVALID,
     INVALID_PATCHES,
@@ -15,10 +18,14 @@
 )
 
 from hopsail.configuration.checker import STEP_ITEMS
+from hopsail.configuration.indexed import ConfigurationIndex
+from hopsail.controlplane import decisions
 from hopsail.controlplane.configuration_state import LARGE_BYTES, ConfigurationState
 from hopsail.controlplane.part import FAULTY, Part
+from hopsail.replication import log
 from hopsail.replication.messages import AppendEntriesReply
-from hopsail.replication.state import Members, Ready, Snapshot
+from hopsail.replication.replica import STILL_HEARD
+from hopsail.replication.state import MILLISECOND, Members, Ready, Snapshot
 
 TENANTS = 4 * STEP_ITEMS
 
@@ -133,7 +140,7 @@
 class Driven:
     """A part whose steps are taken one by one."""
 
-    def __init__(self, prepare=ConfigurationState.judging, apply=None):
+    def __init__(self, prepare=ConfigurationState.judging, apply=None, decoding=None):
         self.replica = ScriptedReplica()
         self.sent, self.applied, self.turns = [], [], deque()
         self.part = Part(
@@ -147,6 +154,7 @@
             lambda part: self.applied.append(part.state.revision),
             prepare,
             self.turns.append,
+            decoding,
         )
 
     def commit(self, *entries, **more) -> None:
@@ -262,3 +270,184 @@
     driven.commit(entry(1, put(0, configuration(1))), entry(2, put(0, configuration(3))))
     driven.finish()
     assert (told, driven.part.state.revision) == ([FAULTY], 3)
+
+
+# Installing.
+
+
+def state_of(*commands) -> ConfigurationState:
+    made = ConfigurationState()
+    for command in commands:
+        assert made.apply(command).status == 200
+    return made
+
+
+def snapshot_of(index: int, state: ConfigurationState) -> Snapshot:
+    return Snapshot(index, 1, Members(), state.encode())
+
+
+def installing() -> Driven:
+    """A part with revision 1 at index 1, that has begun to install revision 5 at index 7."""
+    driven = Driven(decoding=ConfigurationState.decoding)
+    driven.commit(entry(1, put(0, configuration(1))))
+    driven.replica.applied_index = 7
+    driven.commit(installed=snapshot_of(7, state_of(put(0, large(5)))))
+    return driven
+
+
+def test_an_index_is_built_in_steps_and_is_the_same():
+    building, pauses = ConfigurationIndex.building(large(3)), 0
+    while True:
+        try:
+            next(building)
+        except StopIteration as end:
+            built = end.value
+            break
+        pauses += 1
+    assert pauses >= TENANTS // STEP_ITEMS
+    assert vars(built) == vars(ConfigurationIndex(large(3)))
+
+
+def test_a_large_snapshot_is_installed_in_steps_between_which_messages_leave():
+    driven, steps = installing(), 0
+    while driven.turns:
+        heartbeat = AppendEntriesReply(1, True, 1, 0, steps, 0, 1, False)
+        driven.commit(messages=[("peer", heartbeat)])
+        assert driven.sent[-1] is heartbeat and len(driven.turns) == 1
+        assert (driven.part.state.configuration, driven.applied) == (configuration(1), [1])
+        assert not driven.part.has_applied_all and driven.part.applied_index == 0
+        driven.step()
+        steps += 1
+    assert steps >= 2 * TENANTS // STEP_ITEMS - 1  # its text, its indexes
+    assert driven.part.has_applied_all and driven.part.applied_index == 7
+    assert (driven.part.state.configuration, driven.applied) == (large(5), [1, 5])
+
+
+def test_a_small_snapshot_is_installed_at_once():
+    driven = Driven(decoding=ConfigurationState.decoding)
+    driven.replica.applied_index = 7
+    driven.commit(installed=snapshot_of(7, state_of(put(0, configuration(4)))))
+    assert not driven.turns and driven.part.has_applied_all
+    assert (driven.part.state.configuration, driven.part.applied_index) == (configuration(4), 7)
+
+
+def test_entries_after_a_snapshot_wait_until_it_is_installed():
+    driven = installing()
+    driven.commit(entry(8, put(5, configuration(6))), entry(9, put(1, configuration(2))))
+    driven.pump(5)
+    assert (driven.part.state.revision, driven.part.applied_index) == (1, 0)
+    driven.finish()
+    assert (driven.part.state.configuration, driven.part.applied_index) == (configuration(6), 9)
+
+
+@pytest.mark.parametrize("steps", range(7))
+def test_a_newer_snapshot_takes_the_place_of_one_that_is_being_installed(steps):
+    driven = installing()
+    for _ in range(steps):
+        driven.step()
+        assert driven.part.state.revision == 1
+    driven.commit(entry(8, put(5, configuration(6))))
+    driven.replica.applied_index = 20
+    driven.commit(installed=snapshot_of(20, state_of(put(0, large(9)))))
+    driven.finish()
+    assert driven.part.has_applied_all and driven.part.applied_index == 20
+    assert (driven.part.state.configuration, driven.applied) == (large(9), [1, 9])
+
+
+def test_no_snapshot_is_taken_while_one_is_installed():
+    driven, taken = installing(), []
+    driven.replica.compact = lambda index, data: taken.append(index)
+    driven.replica.snapshot_due = True
+    driven.part.compact()
+    driven.pump(50)
+    assert taken == []
+    driven.finish()
+    driven.part.compact()
+    driven.replica.snapshot_due = False
+    driven.pump(50)
+    assert taken == [7]
+
+
+@pytest.mark.parametrize("at_once", [True, False])
+def test_nothing_is_applied_to_the_old_state_when_a_snapshot_cannot_be_decoded(at_once):
+    driven = Driven(decoding=None if at_once else ConfigurationState.decoding)
+    driven.commit(entry(1, put(0, configuration(1))))
+    driven.replica.applied_index = 7
+    driven.commit(installed=Snapshot(7, 1, Members(), state_of(put(0, large(5))).encode()[:-1]))
+    driven.commit(entry(8, put(1, configuration(2))))
+    driven.finish()
+    assert not driven.part.has_applied_all and driven.part.applied_index == 0
+    assert (driven.part.state.revision, driven.applied) == (1, [1])
+    driven.replica.applied_index = 9
+    driven.commit(installed=snapshot_of(9, state_of(put(0, configuration(8)))))
+    driven.finish()
+    assert (driven.part.state.revision, driven.part.applied_index) == (8, 9)
+
+
+def taken(simulation, operators, content: dict, is_patch: bool) -> None:
+    """Has a change taken."""
+    change = Change(content["Revision"], operators.newest, json.dumps(content).encode(), is_patch)
+    operators.changes[change.revision] = change
+    operators._number = change.revision
+    operators._send(change)
+    simulation.run_until(lambda: change.result)
+    assert change.result.status == 200
+
+
+@pytest.fixture
+def behind_a_large_state(monkeypatch):
+    """Starts a control side with a large configuration, and a member that needs it after it lost its disk."""
+    monkeypatch.setattr(log, "RETAINED", 1)
+
+    def start(seed: int):
+        simulation, operators = started(seed=seed, snapshot_after=3)
+        acknowledged(simulation, operators)
+        wiped = others(simulation, simulation.settled_leader())[0]
+        simulation.crash(wiped, wipe=True)
+        simulation.run(STILL_HEARD)
+        taken(simulation, operators, large(500), is_patch=False)
+        for revision in range(501, 508):
+            taken(simulation, operators, {"Revision": revision}, is_patch=True)
+        simulation.start(wiped)
+        simulation.run_until(lambda: simulation.process(wiped).part._is_installing)
+        return simulation, operators, wiped
+
+    return start
+
+
+def test_a_member_that_installs_votes_leads_and_tells_nothing_old(monkeypatch, behind_a_large_state):
+    """It takes the lead while it decodes: reads and changes wait for the whole state."""
+    monkeypatch.setattr(decisions, "STEP_PAUSE_MS", 150)
+    for seed in range(5):
+        simulation, operators, wiped = behind_a_large_state(seed)
+        simulation.run_until(lambda name=wiped, s=simulation: not s.nodes[name].replica.recovering)
+        assert simulation.process(wiped).part._is_installing
+        simulation.transfer(simulation.settled_leader())
+        simulation.run_until(simulation.settled_leader)
+        answers = [operators.read(name) for name in simulation.nodes]
+        changes = [operators.change() for _ in range(3)]
+        simulation.run(300 * MILLISECOND)
+        assert simulation.process(wiped).part._is_installing
+        operators.check_end()
+        assert all(answers) and sum(change.result.status == 200 for change in changes) == 1
+
+
+@pytest.mark.parametrize("steps", [0, 1, 3, 6])
+@pytest.mark.parametrize("wipe", [False, True])
+def test_a_restart_while_a_snapshot_is_installed_leaves_the_old_state_or_the_new(
+    behind_a_large_state, steps, wipe
+):
+    simulation, operators, wiped = behind_a_large_state(seed=steps)
+    simulation.run(steps * MILLISECOND)
+    simulation.crash(wiped, wipe=wipe)
+    simulation.start(wiped)
+    seen = set()
+
+    def has_caught_up() -> bool:
+        part = simulation.process(wiped).part
+        seen.add(part.state.revision)
+        return part.has_applied_all and part.state.revision == operators.newest
+
+    simulation.run_until(has_caught_up)
+    assert all(not revision or revision >= 500 for revision in seen)
+    operators.check_end()
