Operators' calls to a leader have a connection of their own

A change that another process passes on (up to 6 MB) was one call in the channel of its acknowledgements. In the model with links of 5 and 120 Mbit/s, and a third member down, the leader lost its lease and its term behind one such call, as the acknowledgements queued after it. A read's answer of several MB likewise came before the word of a majority that a publisher needs.

Calls and reads now go through a second channel. To cut the call into pieces was ruled out: it takes longer than the operator waits in any case, and pieces would have to be kept for a resend that may go elsewhere.

On a connection of its own a long call is not saved by other replies: a timeout closed the connection when nothing had come since the call, so below about 70 Mbit/s it would have been begun anew every 0.7 s. A side that takes more of what the system could not take at once does not count as silent.

--- a/hopsail/controlplane/calls.py
+++ b/hopsail/controlplane/calls.py
@@ -36,7 +36,7 @@
         if leader is None or leader == self.plane.identity:
             self.again()
         else:
-            self.there(self.plane.channel(leader), max(1, self.until - self.plane.loop.now()))
+            self.there(self.plane.command_channel(leader), max(1, self.until - self.plane.loop.now()))
 
     def here(self) -> bool:
         raise NotImplementedError
--- a/hopsail/controlplane/plane.py
+++ b/hopsail/controlplane/plane.py
@@ -56,6 +56,7 @@
         self.random = Random(f"{settings.node_name}/{self.loop.now()}")
         self.journal = Journal(self.random.getrandbits(62) + 1, MOST_ENTRIES)
         self.channels: dict[str, Channel] = {}
+        self.command_channels: dict[str, Channel] = {}
         self.http = HttpClient(self.loop)
         self.table: RouteTable | None = None
         self.configuration_feed = ConfigurationFeed(
@@ -144,10 +145,17 @@
 
     def channel(self, identity: str) -> Channel:
         """The way to another control process."""
-        channel = self.channels.get(identity)
+        return self._channel_of(self.channels, identity)
+
+    def command_channel(self, identity: str) -> Channel:
+        """The way of operators' calls: apart, as acknowledgements must not wait behind a long one."""
+        return self._channel_of(self.command_channels, identity)
+
+    def _channel_of(self, channels: dict[str, Channel], identity: str) -> Channel:
+        channel = channels.get(identity)
         if channel is None:
             host, _, port = identity.rpartition(":")
-            channel = self.channels[identity] = Channel(self.loop, (host, int(port)), FLEET)
+            channel = channels[identity] = Channel(self.loop, (host, int(port)), FLEET)
         return channel
 
     # Other processes and services.
--- a/hopsail/rpc/channel.py
+++ b/hopsail/rpc/channel.py
@@ -29,7 +29,7 @@
 
 
 class _Call:
-    __slots__ = ("argument", "done", "made", "method", "reply_class", "seqid", "timer")
+    __slots__ = ("argument", "done", "made", "method", "reply_class", "seqid", "taken_before", "timer")
 
     def __init__(
         self, seqid: int, method: str, argument: bytes, reply_class: type[Struct], done: Done
@@ -37,6 +37,7 @@
         self.seqid, self.method, self.argument = seqid, method, argument
         self.reply_class, self.done = reply_class, done
         self.made = 0  # ns
+        self.taken_before: int | None = None  # bytes the system had, if it then took no more at once
         self.timer: Timer | None = None
 
 
@@ -166,8 +167,11 @@
                 return self._last_seqid
 
     def _write(self, call: _Call) -> None:
-        self._connection.send(Message(call.method, Kind.CALL, call.seqid, call.argument))
+        connection = self._connection
+        connection.send(Message(call.method, Kind.CALL, call.seqid, call.argument))
         call.argument = b""
+        if connection.unsent and not connection.dialing:
+            call.taken_before = connection.gone_out
 
     def _connect(self) -> None:
         """Makes a connection as soon as one may be made."""
@@ -219,7 +223,9 @@
         self._forget(call)
         self.loop.soon(call.done, None, Timeout(call.method))
         connection = self._connection
-        if connection is not None and connection.came_up and connection.last_received < call.made:
+        if connection is None or not connection.came_up or connection.last_received >= call.made:
+            return
+        if call.taken_before in (None, connection.gone_out):  # else the other side takes a long call slowly
             self.counts.silent_peers += 1
             connection.close()
 
--- a/tests/controlplane_simulation.py
+++ b/tests/controlplane_simulation.py
@@ -95,7 +95,10 @@
         )
 
     def channel(self, identity: str) -> "SimulatedChannel":
-        return SimulatedChannel(self, identity)
+        return self.simulation.channel(self, identity, "replicas")
+
+    def command_channel(self, identity: str) -> "SimulatedChannel":
+        return self.simulation.channel(self, identity, "commands")
 
     def serve(self, method: str, argument, respond) -> None:
         handler = self._command if method == COMMAND else self._read
@@ -156,6 +159,10 @@
             process = self.processes[name] = Process(self, node)
         return process
 
+    def channel(self, process: Process, identity: str, connection: str) -> SimulatedChannel:
+        """One process's channel to another; each has a connection of its own."""
+        return SimulatedChannel(process, identity)
+
     def check_entry(self, index: int, command: Command) -> None:
         """The same entry everywhere."""
         if self.entries.setdefault(index, command.encode()) != command.encode():
--- a/tests/test_rpc_callers.py
+++ b/tests/test_rpc_callers.py
@@ -205,3 +205,45 @@
     sock.sendall(hello_frame() + pack(call) * 2)
     loop.until(lambda: server.counts.malformed_frames)
     assert heard == ["x"]
+
+
+LONG = 12 << 20  # bytes, more than the buffers of the system take at once
+
+
+def long_call(loop, raw, channel):
+    """A call that its sender has not got rid of, on a connection that was up before: outcomes and socket."""
+    first = called(channel)
+    sock = raw.accept()
+    sock.sendall(hello_frame() + reply(*seqids(loop, sock, 1), "x"))
+    loop.until(lambda: first.all)
+    loop.skip(SECOND)
+    outcomes = called(channel, name="x" * LONG)
+    before = -1
+    while before != channel._connection.gone_out:  # until the system takes no more
+        before = channel._connection.gone_out
+        loop.rounds(20)
+    assert channel._connection.unsent and not outcomes.all
+    return outcomes, sock
+
+
+def test_who_takes_a_long_call_slowly_is_not_silent(loop, raw, channel):
+    _, sock = long_call(loop, raw, channel)
+    connection, before = channel._connection, channel._connection.gone_out
+    second = called(channel)
+    sock.setblocking(False)
+    while connection.gone_out == before:
+        sock.recv(1 << 20)
+        loop.rounds()
+    loop.skip(SECOND)
+    loop.until(lambda: second.all)
+    assert second.all == [Timeout]
+    assert channel._connection is connection and channel.counts.silent_peers == 0
+
+
+def test_who_takes_no_more_of_a_long_call_is_silent(loop, raw, channel):
+    long_call(loop, raw, channel)
+    second = called(channel)
+    loop.rounds()
+    loop.skip(SECOND)
+    loop.until(lambda: second.all)
+    assert channel._connection is None and channel.counts.silent_peers == 1
