--- a/tests/test_catching_up.py
+++ b/tests/test_catching_up.py
@@ -3,6 +3,7 @@
 import pytest
 from linked_simulation import SECOND, LinkedSimulation
 
+from hopsail.replication import log as log_of_replicas
 from hopsail.replication import pieces
 from hopsail.replication.log import MOST_RETAINED_BYTES, RETAINED
 from hopsail.replication.core import Role
@@ -447,3 +448,86 @@
     simulation.crash(old)
     simulation.start(old)
     simulation.check_survival()
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_two_members_catch_up_while_the_leader_changes(seed):
+    """Each new leader sends both what they still lack, also one that has just caught up and then dies."""
+    simulation, leader, (one, two, *_) = settled(LEAST_ON_CORE, seed, snapshot_after=10, voters=5)
+    simulation.crash(one, wipe=True)
+    simulation.crash(two)
+    propose(simulation, 200_000, 12)
+    simulation.rate = SLOW * 8
+    simulation.start(one)
+    simulation.start(two)
+    for _ in range(3):
+        simulation.run(400 * MILLISECOND)
+        simulation.transfer(simulation.run_until(simulation.settled_leader))
+    last = simulation.run_until(simulation.settled_leader)
+    simulation.crash(last)
+    simulation.run(500 * MILLISECOND)
+    simulation.start(last)
+    simulation.run_until(lambda: caught_up(simulation, one) and caught_up(simulation, two), 15 * SECOND)
+    simulation.check_survival()
+
+
+def test_leader_that_restarts_with_a_compacted_log_serves_a_member_further_behind():
+    """Its log begins at its snapshot; the member needs that, whoever of the others leads."""
+    simulation, leader, (behind, other) = settled(LEAST_ON_CORE, snapshot_after=20)
+    propose(simulation, 100, 5)
+    simulation.crash(behind)
+    propose(simulation, 100, 100)
+    for name in (leader, other):
+        simulation.crash(name)
+    for name in (leader, other):
+        simulation.start(name)
+    new = simulation.run_until(simulation.settled_leader)
+    log = simulation.nodes[new].replica.log
+    assert log.base_index == log.snapshot_index > 80
+    simulation.start(behind)
+    simulation.run_until(lambda: caught_up(simulation, behind), 3 * SECOND)
+    assert simulation.nodes[behind].replica.log.snapshot_index > 80 and simulation.leader() == new
+    simulation.check_survival()
+
+
+class HoldsChangesOpen(Replica):
+    """Stays in the joint state of a change for as long as the test wants."""
+
+    holds = True
+
+    def _finish_change(self):
+        if not self.holds:
+            super()._finish_change()
+
+
+def test_member_installs_a_snapshot_taken_in_a_joint_state(monkeypatch):
+    """It counts both sets of voters, also after a restart, and the change is finished with its vote."""
+    monkeypatch.setattr(log_of_replicas, "RETAINED", 1)
+    simulation, leader, (behind, leaving, _) = settled(
+        LEAST_ON_CORE, snapshot_after=5, spares=1, factory=HoldsChangesOpen
+    )
+    monkeypatch.setattr(HoldsChangesOpen, "holds", False)
+    simulation.propose_members(leader, (leader, behind, leaving), ("r3",))
+    simulation.run_until(lambda: caught_up(simulation, "r3"))
+    monkeypatch.setattr(HoldsChangesOpen, "holds", True)
+    simulation.crash(behind, wipe=True)
+    simulation.run(11 * SECOND)
+    simulation.propose_members(leader, (leader, behind, "r3"), ())
+    propose(simulation, 100, 20)
+    assert simulation.nodes[leader].replica.log.snapshot.members.is_joint
+    simulation.start(behind)
+    simulation.run_until(lambda: caught_up(simulation, behind), 5 * SECOND)
+    joint = simulation.nodes[behind].replica.log.snapshot.members
+    assert joint.is_joint and set(joint.outgoing) == {leader, behind, leaving}
+    simulation.crash(behind)
+    simulation.start(behind)
+    assert simulation.nodes[behind].replica.members == joint
+    monkeypatch.setattr(HoldsChangesOpen, "holds", False)
+    simulation.crash(leader)
+    new = simulation.run_until(simulation.settled_leader)
+    simulation.run_until(lambda: not simulation.nodes[new].replica.members.is_joint)
+    simulation.start(leader)
+    simulation.run_until(lambda: simulation.settled_leader() and caught_up(simulation, behind))
+    voters = {leader, behind, "r3"}
+    assert all(set(simulation.nodes[name].replica.voters) == voters for name in voters)
+    simulation.check_survival()
--- a/tests/test_storage_power.py
+++ b/tests/test_storage_power.py
@@ -1,5 +1,8 @@
 """Power lost at every write of an installed snapshot, of compactions and of new generations of the files."""
 
+import errno
+import os
+
 import pytest
 from power_model import PowerModel
 
@@ -7,7 +10,7 @@
 from hopsail.replication.messages import Entry, EntryKind
 from hopsail.replication.records import PartWrite
 from hopsail.replication.state import HardState, Members, Ready, Snapshot
-from hopsail.replication.storage import Storage
+from hopsail.replication.storage import Storage, StorageError
 
 PARTS = ("p0", "p1")
 MEMBERS = Members(("a", "b", "c"))
@@ -111,3 +114,70 @@
         kept = ready.snapshot_to_store
         log = [entry for entry in log if entry.index > kept.index]
     return {**before, part: (term, voted_for, recovered, kept, log + ready.entries_to_store)}
+
+
+def refuse(patched, first, calls):
+    """Have the disk refuse these calls, counted from the first: it is full for a while. Returns the count."""
+    made = []
+    for name in ("fsync", "rename", "remove"):
+        real = getattr(os, name)
+
+        def call(*arguments, real=real):
+            made.append(None)
+            if first <= len(made) < first + calls:
+                raise OSError(errno.ENOSPC, "full")
+            return real(*arguments)
+
+        patched.setattr(os, name, call)
+    return made
+
+
+@pytest.mark.parametrize("most_chunk", [chunks.MOST_CHUNK, 700])
+@pytest.mark.parametrize("calls", [1, 4])
+def test_disk_full_in_compactions_and_then_power_lost(tmp_path, monkeypatch, calls, most_chunk):
+    """From each call on the disk is full for a while; then power is lost at any later write."""
+    monkeypatch.setattr(chunks, "MOST_CHUNK", most_chunk)
+    monkeypatch.setattr(storage, "MOST_RECORDS", 0)
+    monkeypatch.setattr(storage, "COMPACTIONS_SKIPPED", 0)
+    first, made = 1, [None]
+    while first <= len(made):
+        folder, copy, allowed = tmp_path / f"data{first}", tmp_path / "copy", []
+
+        def lost(state, copy=copy):
+            copy.mkdir(exist_ok=True)
+            for path in copy.iterdir():
+                path.unlink()
+            for name, data in state.items():
+                (copy / name).write_bytes(data)
+            store = Storage.open(str(copy), PARTS)
+            found = shown(store)
+            store.close()
+            assert not store.corrupt
+            assert found in allowed, (found, allowed)  # noqa: B023
+
+        with monkeypatch.context() as patched:
+            store = Storage.open(str(folder), PARTS)
+            allowed = [shown(store)]
+            PowerModel(folder, patched, lost)
+            made = refuse(patched, first, calls)
+            for step in [*STEPS[3:6], "new generation", STEPS[6]]:
+                before = shown(store)
+                if step != "new generation":
+                    allowed = [before, after(before, *step)]
+                while not done(store, step):
+                    assert shown(store) == before
+                allowed = [shown(store)]
+        first += 7 if most_chunk == 700 else 2
+        store.close()
+        assert shown(Storage.open(str(folder), PARTS)) == allowed[0]
+
+
+def done(store, step):
+    """Whether a step of the test was carried out; it is refused while the disk is full."""
+    try:
+        if step == "new generation":
+            return store.compact_if_needed()
+        store.write([PartWrite(*step)])
+    except StorageError:
+        return False
+    return True
