--- a/hopsail/replication/storage.py
+++ b/hopsail/replication/storage.py
@@ -1,8 +1,8 @@
 """Durable storage for the logs of several parts, in one folder.
 
-Each group commit is one record of the current generation (see `generation.py`). When much of a generation
-is out of date, all that is live is written to a new one, which becomes current by the rename of a small
-file.
+Each group commit is one record of the current generation (see `generation.py`), or, if it is long, several
+that count when the last one is there (see `chunks.py`). When much of a generation is out of date, all that
+is live is written to a new one, which becomes current by the rename of a small file.
 
 After a loss of power, what was written after the last sync may be there, be missing or be torn. As each
 record is synced before the next, that can only be the last one, which is then dropped. A damaged record
