--- a/tests/test_replication.py
+++ b/tests/test_replication.py
@@ -19,6 +19,8 @@
     PieceReply,
     RequestVote,
     RequestVoteReply,
+    RestartQuery,
+    RestartReply,
     TimeoutNow,
     decode,
     encode,
@@ -39,6 +41,9 @@
     PieceReply(3, b"c" * 16, 0, 1 << 15, 11, 1 << 60, 9, True),
     MemberRequest(True),
     LeaveReply(3, 9),
+    RequestVote(3, 7, 2, False, False, 1 << 61),
+    RestartQuery(1 << 61),
+    RestartReply(1 << 61, 1 << 60, True, False, 2, 7),
 ]
 
 
