A data plane that knows no configuration refuses nothing for good

Heads over 16 KiB and bodies over 4 MiB got 431 and 413 from a data plane that knew no configuration yet: the limits that hold until one has come were taken for those of the operators. Its clients do not try again after these. The same holds for 408 by the times that are preset, and the plain 503 without a configuration lacked the promise that nothing has run.

The owner of a server now says what a message beyond the limits gets (beyond_limits, a Rejection of status and headers); the data plane answers 503 with Retry-After and Hopsail-Not-Executed until it has a configuration. What can't be parsed gets 400 as before, whoever owns the server: looked at one by one, all these cases are malformed or ask for another protocol. Other answers of 3xx or 4xx before a configuration were not found: handle() ends with 503 before anything else is judged.

Found beside it: a refused client that sends on for longer than 0.5 s got a reset, which may destroy the answer. The rest of a refused request is now read and dropped for as long as it comes, 10 s at most; of a body with a stated length until its end. What had been read of it is freed at the refusal.

--- a/hopsail/dataplane/plane.py
+++ b/hopsail/dataplane/plane.py
@@ -9,8 +9,8 @@
 from ..feed.journal import Change
 from ..feed.topics import DATA_PLANE_TOPICS
 from ..http.client import ConnectionPool
-from ..http.message import Request, whole_number
-from ..http.server import Exchange, HttpServer, ServerLimits
+from ..http.message import Headers, Request, whole_number
+from ..http.server import Exchange, HttpServer, Rejection, ServerLimits
 from ..net.log import say
 from ..process import FLEET, MILLISECOND, Program
 from ..routing.admission import Verdict
@@ -73,13 +73,19 @@
 
     def start(self) -> None:
         settings = self.settings
-        self.front = HttpServer(self.loop, settings.frontend, self.handle, self.limits, self._refused_unread)
+        self.front = self.listen(settings.frontend)
         self.readiness = HttpServer(self.loop, settings.readiness, self._answer_ready)
         self.join(ROLE)
         self.controls.renew_seeds(self.seeds)
         self._tick()
         say("state", f"data plane {settings.node_name} starts")
 
+    def listen(self, address: tuple[str, int]) -> HttpServer:
+        """A server for clients."""
+        return HttpServer(
+            self.loop, address, self.handle, self.limits, self._refused_unread, self._beyond_limits
+        )
+
     def renewed(self, settings: ProcessSettings) -> None:
         super().renewed(settings)
         self.controls.renew_seeds(self.seeds)
@@ -157,7 +163,7 @@
             return
         table = self.view.table
         if table is None:
-            self._end(exchange, 503, [("retry-after", f"{self._unready_retry_after():.3f}")])
+            self._end(exchange, 503, self._unready_headers())
             return
         host = request.header("host")
         named = [name for name, _ in request.headers if name in ("host", "hopsail-attempt-id")]
@@ -183,6 +189,12 @@
     def _refused_unread(self, status: int) -> None:
         self.counters.add(f"answers.{status}")
 
+    def _beyond_limits(self, status: int) -> Rejection:
+        """The answer to a request beyond the limits: without a configuration, they are not known."""
+        if self.view.table is None:
+            return Rejection(503, tuple(self._unready_headers()))
+        return Rejection(status)
+
     def _tenant(self, request: Request) -> dict | None:
         value = request.header("authorization") or ""
         if not value.lower().startswith(BEARER):
@@ -296,6 +308,10 @@
         crowded = self.gates.retry_after_ms(forwarding.service) / 1000
         return max(crowded, self.random.uniform(LEAST_RETRY_AFTER, MOST_RETRY_AFTER))
 
+    def _unready_headers(self) -> Headers:
+        """Of an answer that nothing has run, as this process knows no configuration."""
+        return [("retry-after", f"{self._unready_retry_after():.3f}"), (NOT_EXECUTED, "1")]
+
     def _unready_retry_after(self) -> float:
         """Seconds until this process should know of configuration and hosts."""
         up_for = (self.loop.now() - self.began) / (1000 * MILLISECOND)
--- a/hopsail/http/server.py
+++ b/hopsail/http/server.py
@@ -2,8 +2,10 @@
 
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from contextlib import suppress
 from dataclasses import dataclass
+from typing import NamedTuple
 
 import httptools
 
@@ -17,6 +19,7 @@
 ACCEPTED_AT_ONCE = 64  # in one round of the loop
 PIPELINED = 8  # requests read ahead on a connection
 LINGER_TIME = 500 * MILLISECOND  # a refused client gets to read its answer before the socket goes
+LONGEST_LINGER = 10_000 * MILLISECOND  # while the rest of its request still comes
 FIRST_WORD_MS = 250  # for a client whose connection has just been accepted when the server shuts
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 BODILESS = frozenset((204, 304))  # statuses whose answers end with the head (RFC 9112, section 6.3)
@@ -34,6 +37,13 @@
     connections: int = 2048
 
 
+class Rejection(NamedTuple):
+    """The answer to a request that is not read whole."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...] = ()
+
+
 class _Reject(Exception):
     """A message that is refused while it is read."""
 
@@ -146,8 +156,11 @@
         self.drained: Callable[[], None] | None = None
         self.timer = None
         self.lingering = False
+        self.linger_until: int | None = None  # ns, once the answer is out and the sending side is shut
+        self.oversized = False  # the body is longer than allowed, and dropped as it comes
+        self.rest_expected = True  # of a request that was refused
         self.refusal: int | None = None  # status for what can't be read; it follows the answers still due
-        self.refusal_headers: Headers = []
+        self.refusal_headers: Sequence[tuple[str, str]] = ()
         self.used = False  # a request has come on it
         self._begin_message()
         super().__init__(loop, sock)
@@ -172,7 +185,8 @@
     def on_headers_complete(self):
         self.head_read = True
         if self.server.limits.body_bytes < self._stated_length():
-            raise _Reject(413)
+            self.oversized = True
+            return
         self.expecting = any(
             name == "expect" and value.lower() == "100-continue" for name, value in self.headers
         )
@@ -185,11 +199,16 @@
             self.write(CONTINUE)
 
     def on_body(self, body: bytes):
+        if self.oversized:
+            return
         self.body += body
         if len(self.body) > self.server.limits.body_bytes:
             raise _Reject(413)
 
     def on_message_complete(self):
+        if self.oversized:
+            self.rest_expected = False
+            raise _Reject(413)
         self.reading = False
         request = Request(
             self.parser.get_method().decode("latin-1"),
@@ -222,6 +241,7 @@
 
     def received(self, data):
         if self.lingering or self.refusal is not None:
+            self._drop(data)
             return
         in_head = self._in_head
         try:
@@ -231,12 +251,15 @@
             self._refuse(400)
             return
         except httptools.HttpParserError as error:
-            self._refuse(_rejected_status(error))
+            self._refuse_unread(_rejected_status(error))
+            return
+        if self.oversized:
+            self._refuse_unread(413)
             return
         if in_head and self._in_head:
             self.unended_head += len(data)
             if self.unended_head > self.server.limits.header_bytes:
-                self._refuse(431)
+                self._refuse_unread(431)
                 return
         if len(self.waiting) > PIPELINED:
             self.pause(True)
@@ -244,6 +267,14 @@
             self._next()
             self._renew_timer()
 
+    def _drop(self, data):
+        """Reads the rest of what was refused: unread, it would turn the connection's end into a reset."""
+        if self.oversized and self.rest_expected:
+            with suppress(httptools.HttpParserError):
+                self.parser.feed_data(data)
+        if self.refusal is not None and self.rest_expected and self.linger_until is not None:
+            self._linger()
+
     @property
     def _in_head(self) -> bool:
         return self.reading and not self.head_read
@@ -315,7 +346,7 @@
     def _slow(self):
         """The rest of a message has not come in time."""
         self.timer = None
-        self._refuse(408)
+        self._refuse_unread(408)
 
     @property
     def busy(self) -> bool:
@@ -340,13 +371,21 @@
     def refuse_half_read(self, status: int, headers: Headers):
         """Answers a request whose rest has not come yet."""
         if self.reading and self.exchange is None and not self.waiting and not self.lingering:
-            self.refusal_headers = headers
+            self._refuse(status, headers)
+
+    def _refuse_unread(self, status: int):
+        """Answers a message that can't be parsed (400), or is beyond the limits."""
+        if status == 400:
+            self.rest_expected = False  # where it ends is not known
             self._refuse(status)
+        else:
+            self._refuse(*self.server.beyond_limits(status))
 
-    def _refuse(self, status: int):
+    def _refuse(self, status: int, headers: Sequence[tuple[str, str]] = ()):
         """Answers a message that can't be read, after those before it, and ends the connection."""
         self.server.refused(status)
-        self.refusal = status
+        self.refusal, self.refusal_headers = status, headers
+        self._begin_message()  # what was read of it is not kept
         self._next()
         if self.exchange is None and not self.waiting and not self.lingering:
             self._write_refusal()
@@ -373,7 +412,13 @@
         except OSError:
             self.close()
             return
-        self._wait(LINGER_TIME // MILLISECOND, self._idle)
+        self.linger_until = self.loop.now() + LONGEST_LINGER
+        self._linger()
+
+    def _linger(self):
+        """Closes when nothing more has come for a while, or too much."""
+        longest = self.linger_until - self.loop.now()
+        self._wait(max(0, min(LINGER_TIME, longest)) // MILLISECOND, self._idle)
 
     def written(self):
         if self.lingering and self.exchange is None:
@@ -403,7 +448,10 @@
 
 
 class HttpServer:
-    """Listens at an address and calls `handle(request, exchange)` for each request."""
+    """Listens at an address and calls `handle(request, exchange)` for each request.
+
+    A message that can't be parsed is answered with 400. `beyond_limits(status)` gives the answer to one that
+    is longer or slower than the limits allow, for which the status would be 408, 413 or 431."""
 
     def __init__(
         self,
@@ -412,9 +460,10 @@
         handle: Callable[[Request, Exchange], None],
         limits: ServerLimits | None = None,
         refused: Callable[[int], None] = lambda status: None,
+        beyond_limits: Callable[[int], Rejection] = Rejection,
     ):
         self.loop, self.handle, self.limits = loop, handle, limits or ServerLimits()
-        self.refused = refused
+        self.refused, self.beyond_limits = refused, beyond_limits
         self.draining = False
         self.listening = True
         self.connections: dict[ServerConnection, None] = {}
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 on loopback sockets: what a server takes, refuses and answers, and what a client takes in."""
 
 import socket
+from contextlib import suppress
 
 import pytest
 
@@ -14,7 +15,14 @@
     HttpClient,
 )
 from hopsail.http.message import Request, encode_request, end_to_end, header_of
-from hopsail.http.server import FIRST_WORD_MS, LINGER_TIME, HttpServer, ServerLimits
+from hopsail.http.server import (
+    FIRST_WORD_MS,
+    LINGER_TIME,
+    LONGEST_LINGER,
+    HttpServer,
+    Rejection,
+    ServerLimits,
+)
 from hopsail.net.loop import Loop
 from hopsail.net.stream import listening
 
@@ -427,6 +435,114 @@
     assert not service.server.connections
 
 
+def lengthy(body=b"a" * 10):
+    """What is longer or slower than `LITTLE` allows, as one sends it: (the refusal's status, its bytes)."""
+    return {
+        "head": (431, request("/a", "X: " + "a" * 2000) + request("/2")),
+        "head of many lines": (431, request("/a", *[f"X-{number}: a" for number in range(200)])),
+        "head without an end": (431, b"GET /a HTTP/1.1\r\nX: " + b"a" * 3000),
+        "target": (431, request("/" + "a" * 2000)),
+        "body": (413, post("/a", body) + request("/2")),
+        "body half come": (413, post("/a", body)[:-3]),
+        "body in chunks": (413, in_chunks(b"a\r\n" + body + b"\r\n0\r\n\r\n") + request("/2")),
+        "slow head": (408, b"GET /a HTTP/1.1\r\n"),
+        "slow body": (408, post("/a", b"abcde")[:-1]),
+    }
+
+
+LITTLE = {"header_bytes": 1000, "body_bytes": 9, "header_wait_ms": 1000, "idle_timeout_ms": 1000}
+
+
+def slow_down(runner, status):
+    runner.settle()
+    if status == 408:
+        runner.forward(1001 * MILLISECOND)
+
+
+@pytest.mark.parametrize("name", lengthy())
+def test_what_is_beyond_the_limits_is_answered_as_the_owner_says(runner, name):
+    status, data = lengthy()[name]
+    asked = []
+
+    def elsewhere(status):
+        asked.append(status)
+        return Rejection(503, (("retry-after", "0.300"),))
+
+    service = Service(runner, echo, **LITTLE)
+    service.server.beyond_limits = elsewhere
+    client = service.client(data[: len(data) // 2])
+    runner.settle()
+    client.send(data[len(data) // 2 :])  # a head without an end is known for one by its second piece
+    slow_down(runner, status)
+    got = client.ends()
+    assert got.startswith(b"HTTP/1.1 503 ") and got.endswith(b"\r\n\r\n") and got.count(b"HTTP/1.1") == 1
+    assert b"retry-after: 0.300" in got and b"content-length: 0" in got and b"connection: close" in got
+    assert asked == [status] and service.refused == [503]
+    assert not client.reset and not service.exchanges
+
+
+@pytest.mark.parametrize("name", MALFORMED)
+def test_the_owner_is_not_asked_what_a_malformed_request_gets(runner, name):
+    service = Service(runner, echo)
+    service.server.beyond_limits = lambda status: Rejection(503)
+    assert service.client(MALFORMED[name]).ends().startswith(b"HTTP/1.1 400 ")
+
+
+STILL_SENT = {
+    "stated": request("/a", f"Content-Length: {1 << 20}", method="POST"),
+    "in chunks": in_chunks(b"100000\r\n" + b"a" * 10),
+    "head": request("/a", "X: " + "a" * 2000, "Y: b")[:-2],
+}
+
+
+@pytest.mark.parametrize("name", STILL_SENT)
+def test_a_refused_client_that_sends_on_has_its_answer_without_a_reset(runner, name):
+    service = Service(runner, echo, header_bytes=1000, body_bytes=9)
+    client = service.client(STILL_SENT[name])
+    runner.until(lambda: service.refused, "the refusal")
+    for _ in range(8):
+        runner.forward(LINGER_TIME - 100 * MILLISECOND)
+        client.send(b"a" * 1000)
+        runner.settle()
+    (connection,) = service.server.connections
+    assert not connection.body and not connection.waiting
+    got = client.ends()
+    assert got.endswith(b"\r\n\r\n") and got.count(b"HTTP/1.1") == 1 and not client.reset
+    runner.forward(LINGER_TIME + MILLISECOND)
+    assert not service.server.connections
+
+
+def test_a_refused_client_that_has_sent_all_is_waited_for_no_longer_than_others(runner):
+    service = Service(runner, echo, body_bytes=9)
+    client = service.client(request("/a", "Content-Length: 2000", method="POST"))
+    runner.until(lambda: service.refused, "the refusal")
+    client.send(b"a" * 2000)
+    runner.settle()
+    runner.forward(LINGER_TIME // 2)
+    client.send(request("/2"))
+    runner.settle()
+    runner.forward(LINGER_TIME // 2 + MILLISECOND)
+    assert not service.server.connections and not service.exchanges
+
+
+def test_a_refused_client_that_never_ends_is_not_waited_for_forever(runner):
+    service = Service(runner, echo, body_bytes=9)
+    client = service.client(STILL_SENT["in chunks"])
+    runner.until(lambda: service.refused, "the refusal")
+    step = LINGER_TIME - 100 * MILLISECOND
+    for _ in range(LONGEST_LINGER // step - 5):
+        runner.forward(step)
+        client.send(b"a" * 1000)
+        runner.settle()
+    assert service.server.connections
+    for _ in range(6):
+        runner.forward(step)
+        with suppress(ConnectionError):
+            client.send(b"a" * 1000)
+        runner.settle()
+    assert not service.server.connections
+
+
 def test_a_client_that_takes_nothing_after_a_last_answer_does_not_hold_its_connection(runner):
     service = Service(runner, idle_timeout_ms=5000)
     service.client(request("/a", "Connection: close"))
--- a/tests/test_rules_of_pages.py
+++ b/tests/test_rules_of_pages.py
@@ -2,6 +2,8 @@
 
 import json
 import signal
+import socket
+from contextlib import suppress
 
 import pytest
 from test_dataplane_forward import (
@@ -28,6 +30,7 @@
     headers_of,
     instance,
 )
+from test_http import LOCAL, RawPeer, Runner, in_chunks, post, request
 
 from hopsail.configuration.process import parse_settings
 from hopsail.controlplane.rollouts import ORDER_PATH, TARGET, Rollouts
@@ -122,6 +125,65 @@
     assert client.status == 503 and client.header("retry-after") and not plane.pool.made
 
 
+BEYOND = {
+    "head": request("/a/b", "X: " + "a" * (64 << 10)),
+    "head of many lines": request("/a/b", *[f"X-{number}: {'a' * 100}" for number in range(1000)]),
+    "head without an end": request("/a/b", "X: " + "a" * (1 << 20))[:-4],
+    "body": post("/a/b", b"a" * (5 << 20)),
+    "body in chunks": in_chunks(b"500000\r\n" + b"a" * (5 << 20) + b"\r\n0\r\n\r\n"),
+}
+
+
+@pytest.fixture
+def clients():
+    """A data plane on sockets of its own: what comes of the bytes that a client sends."""
+    runner = Runner()
+    plane = DataPlane(parse_settings(SETTINGS))
+    plane.loop.close()
+    plane.loop = runner.loop
+    plane.front = runner.own(plane.listen(LOCAL))
+
+    def sends(data):
+        peer = RawPeer(runner, socket.create_connection(plane.front.sock.getsockname()))
+        rest = memoryview(data)
+
+        def sent():
+            nonlocal rest
+            with suppress(BlockingIOError):
+                rest = rest[peer.sock.send(rest) :]
+            return not rest
+
+        runner.until(sent, "all to be sent")
+        return peer
+
+    sends.plane = plane
+    yield sends
+    runner.close()
+
+
+@pytest.mark.parametrize("name", BEYOND)
+def test_a_process_without_a_configuration_knows_no_limits(clients, name):
+    client = clients(BEYOND[name])
+    got = client.ends()
+    assert got.startswith(b"HTTP/1.1 503 ") and got.endswith(b"\r\n\r\n") and got.count(b"HTTP/1.1") == 1
+    assert b"\r\nretry-after: " in got and b"\r\nhopsail-not-executed: 1\r\n" in got
+    assert b"\r\ncontent-length: 0\r\n" in got and b"\r\nconnection: close\r\n" in got
+    assert not client.reset
+
+
+@pytest.mark.parametrize("name", BEYOND)
+def test_the_limits_of_a_configuration_bind_once_it_is_known(clients, name):
+    feed(clients.plane.view, CONFIGURATION)
+    client = clients(BEYOND[name])
+    assert client.ends()[:13] in (b"HTTP/1.1 413 ", b"HTTP/1.1 431 ") and not client.reset
+
+
+@pytest.mark.parametrize("method", ["GET", "POST", "DELETE"])
+def test_a_process_without_a_configuration_promises_that_nothing_has_run(clients, method):
+    got = bytes(clients(request("/a/b", method=method)).receives(b"\r\n\r\n").got)
+    assert got.startswith(b"HTTP/1.1 503 ") and b"\r\nhopsail-not-executed: 1\r\n" in got
+
+
 # MIXED: a stamp only with its host's own status
 
 
