Word of a majority for who applies changes late all the time

Words wait until what was committed at their asking is applied. Of more than eight the oldest was dropped, and a leader's own word took the place of all that waited. So a member that asks 20 times a second and applies 0.5 s behind the leader, and a leader that applies later than it commits, never had any word while changes came without a pause: no data plane could start by them before its patience was over.

The oldest words stay now; the newest takes the place of the one before it if that is within 250 ms of its own predecessor, or if eight wait. An age is then at most some 250 ms above the lag. Ruled out: longer queues (a leader's fill within some ms), dropping every other word (leaves gaps of half the lag).

--- a/hopsail/controlplane/contact.py
+++ b/hopsail/controlplane/contact.py
@@ -22,6 +22,7 @@
 ASK_EVERY = 250 * MILLISECOND
 ASK_AGAIN_AFTER = 50 * MILLISECOND  # while there is no word, or it is old
 ASK_WITHIN = 1700 * MILLISECOND  # as for a poll on the same connection, which ends when nothing comes
+WORD_SPACING = 250 * MILLISECOND
 MOST_WAITING = 8  # answers whose index is not applied yet
 NEVER = -1
 LONGEST_AGE_MS = 1 << 30
@@ -64,7 +65,7 @@
         self._loop, self._replica, self._channel, self._is_fed = loop, replica, channel, is_fed
         self._longest_ago, self._regained = longest_ago, regained
         self._confirmed_at: int | None = None  # ns
-        self._waiting: deque[_Word] = deque(maxlen=MOST_WAITING)
+        self._waiting: deque[_Word] = deque()
         self._ask_at = 0  # ns
         self._asked: str | None = None  # the leader that was asked last
         self._was_recent = False
@@ -102,12 +103,20 @@
     def _renew(self, now: int) -> None:
         replica = self._replica
         if replica.lease_valid(now):
-            self._waiting.clear()
-            self._waiting.append(_Word(now, replica.commit_index))
+            self._wait_for(_Word(now, replica.commit_index))
         while self._waiting and self._waiting[0].commit_index <= replica.applied_index and self._is_fed():
             word = self._waiting.popleft()
             self._confirmed_at = max(word.asked_at, self._confirmed_at or 0)
 
+    def _wait_for(self, word: _Word) -> None:
+        """The newest takes the place of the one before it if that is close to its own predecessor, or there
+        are too many. The oldest stays: or none might ever count while changes come all the time."""
+        waiting = self._waiting
+        is_close = len(waiting) > 1 and waiting[-1].asked_at - waiting[-2].asked_at < WORD_SPACING
+        if is_close or len(waiting) >= MOST_WAITING:
+            waiting.pop()
+        waiting.append(word)
+
     def _ask(self, now: int, leader: str | None) -> None:
         self._asked = leader
         if leader is None or leader == self._replica.identity:
@@ -117,6 +126,6 @@
 
         def answered(reply: ConfirmReply | None, error) -> None:
             if reply is not None and reply.confirmed:
-                self._waiting.append(_Word(asked_at, reply.commit_index))
+                self._wait_for(_Word(asked_at, reply.commit_index))
 
         self._channel(leader).call(CONFIRM, ConfirmCall(), ConfirmReply, answered, ASK_WITHIN)
--- a/tests/test_controlplane_contact.py
+++ b/tests/test_controlplane_contact.py
@@ -207,3 +207,29 @@
         assert 0 <= contact.age_ms() < 1000
     finally:
         loop.close()
+
+
+def lagging(process, lag, steps=400, every=10 * MS):
+    """Changes are committed all the time and applied so much later; the ages that are told on the way."""
+    committed, ages = [], []
+    for index in range(steps):
+        process.replica.commit_index = index
+        committed.append((process.clock, index))
+        process.replica.applied_index = max(
+            [i for at, i in committed if at <= process.clock - lag], default=-1
+        )
+        process.tick(every)
+        while process.calls:
+            process.answer(index)
+        ages.append(process.contact.age_ms())
+    return ages
+
+
+@pytest.mark.parametrize("lag", [300, 500, 900])
+@pytest.mark.parametrize("leads", [True, False])
+def test_who_applies_changes_late_all_the_time_has_word_as_old_as_its_lag(process, leads, lag):
+    process.replica.leader = "me" if leads else "other"
+    if leads:
+        process.leased_until = 3600 * SECOND
+    ages = lagging(process, lag * MS)
+    assert lag <= max(ages[100:]) <= lag + 400 and min(ages[100:]) >= 0
