More schedules of a control process that is cut off; what is fed of the other parts

Simulated: a process that loses and regains its majority again and again, also for less than a word takes; data planes that only hear it or are only heard; stops of it, of the data plane or of both, and cuts of the poll or of the reply, at ten instants of a data plane's start while the process is cut off and its word becomes too old; an old version of weights from a process that has word for the configuration.

The history of acknowledged revisions moved into a class of its own for that.

A word without a lease is not shown by these schedules, only by the tests named for it.

--- a/tests/feeds_simulation.py
+++ b/tests/feeds_simulation.py
@@ -119,7 +119,7 @@
     def __init__(self, simulation: "FeedSimulation", identity: str, seeds: list[str]):
         self.simulation, self.identity, self.stopping = simulation, identity, False
         self.loop, self.frozen_until, self.ended = self, 0, False
-        self.began = simulation.now
+        self.began, self.stopped_for = simulation.now, 0
         self.revisions: list[int] = []
         self.ready_at: int | None = None
         self.view = FleetView()
@@ -158,6 +158,11 @@
     def followed(self) -> set[str]:
         return {name for name, _ in self.controls.followers}
 
+    def freeze(self, duration: int) -> None:
+        """Stops the process for so many ns."""
+        self.frozen_until = self.now() + duration
+        self.stopped_for += duration
+
     def end(self) -> None:
         """Its process is killed."""
         self.ended = True
--- a/tests/test_old_configurations.py
+++ b/tests/test_old_configurations.py
@@ -13,6 +13,7 @@
 )
 
 from hopsail.controlplane.contact import ASK_EVERY
+from hopsail.feed.confirmed import LONGEST_STEP
 from hopsail.feed.topics import Topic
 from hopsail.hosts.instance import Phase
 from hopsail.replication.schedule import CALM, ROUGH
@@ -354,6 +355,166 @@
     return lists
 
 
+class History:
+    """What was the newest acknowledged revision, and when."""
+
+    def __init__(self, simulation, operators):
+        self.simulation, self.operators = simulation, operators
+        self.noted = []  # (time, revision)
+        self._note()
+
+    def _note(self) -> None:
+        simulation = self.simulation
+        simulation.at(simulation.now + 10 * MILLISECOND, self._note)
+        if not self.noted or self.noted[-1][1] < self.operators.newest:
+            self.noted.append((simulation.now, self.operators.newest))
+
+    def newest_at(self, time: int) -> int:
+        return max((revision for when, revision in self.noted if when <= time), default=0)
+
+    def check(self, plane) -> None:
+        """A first configuration is not older than the contact time, but for one without any contact.
+
+        Of a stop of the data plane, one step of its patience may count."""
+        if plane.ready_at is None:
+            return
+        ran_for = plane.ready_at - plane.began - plane.stopped_for
+        if ran_for + min(plane.stopped_for, LONGEST_STEP) >= CONTACT_TIME:
+            return
+        bound = self.newest_at(plane.ready_at - CONTACT_TIME)
+        assert plane.revisions[0] >= bound, (plane.identity, plane.revisions, bound)
+
+
+def only_in_reach_of(simulation, name):
+    """A data plane that starts and reaches one process alone."""
+    plane = simulation.data_plane([name])
+    simulation.cut_edge(plane, *others(simulation, name))
+    return plane
+
+
+def heal_core(simulation):
+    """Ends the cuts between control processes, not those of data planes."""
+    simulation.cuts = {pair for pair in simulation.cuts if not set(pair) <= simulation.nodes.keys()}
+
+
+def heal_edges(simulation):
+    """Ends the cuts of data planes, not those between control processes."""
+    simulation.cuts = {pair for pair in simulation.cuts if set(pair) <= simulation.nodes.keys()}
+
+
+@pytest.mark.parametrize("leads", [True, False])
+@pytest.mark.parametrize(
+    ("away", "back"), [(400, 200), (900, 400), (2500, 700), (1500, 5), (1500, 40), (3500, 100)]
+)
+def test_a_process_that_loses_and_regains_its_majority_again_and_again(leads, away, back):
+    simulation, operators = started()
+    history = History(simulation, operators)
+    acknowledged(simulation, operators)
+    name = some_member(simulation, leads)
+    for turn in range(12):
+        simulation.cut_off(name, ("both", "in", "out")[turn % 3])
+        operators.change(name=others(simulation, name)[turn % 2])
+        only_in_reach_of(simulation, name)
+        simulation.run(away * MILLISECOND)
+        heal_core(simulation)
+        simulation.run(back * MILLISECOND)
+        for plane in simulation.planes:
+            history.check(plane)
+    simulation.heal()
+    newest = acknowledged(simulation, operators)
+    simulation.run_until(lambda: all(plane.revisions[-1:] == [newest] for plane in simulation.planes))
+
+
+@pytest.mark.parametrize("leads", [True, False])
+@pytest.mark.parametrize("to_plane", [True, False])
+def test_a_process_that_hears_or_is_heard_by_a_data_plane_alone(leads, to_plane):
+    simulation, operators = started()
+    name = some_member(simulation, leads)
+    newest = cut_off_with_old(simulation, operators, name)
+    plane = simulation.data_plane([name, *others(simulation, name)])
+    for other in others(simulation, name):
+        simulation.cut(*((other, plane.identity) if to_plane else (plane.identity, other)))
+    simulation.run(CONTACT_TIME // 2)
+    assert not plane.ready
+    heal_edges(simulation)
+    simulation.run_until(lambda: plane.ready)
+    assert plane.revisions == [newest]
+
+
+def freeze_process(simulation, plane, name):
+    simulation.freeze(name, 5 * SECOND)
+
+
+def freeze_plane(simulation, plane, name):
+    plane.freeze(5 * SECOND)
+
+
+def freeze_both(simulation, plane, name):
+    freeze_process(simulation, plane, name)
+    freeze_plane(simulation, plane, name)
+
+
+def cut_poll(simulation, plane, name):
+    simulation.cut_edge(plane, name)
+
+
+def cut_reply(simulation, plane, name):
+    simulation.cut(name, plane.identity)
+
+
+INSTANTS = [0, 5, 10, 20, 50, 100, 200, 400, 900, 1100]  # ms after the start of a data plane
+
+
+@pytest.mark.parametrize("trouble", [freeze_process, freeze_plane, freeze_both, cut_poll, cut_reply])
+@pytest.mark.parametrize("instant", INSTANTS)
+def test_trouble_at_each_instant_of_a_start_brings_nothing_old(trouble, instant):
+    """The process in reach is cut off at the same time, and changes are acknowledged without it."""
+    simulation, operators = started()
+    history = History(simulation, operators)
+    name = some_member(simulation, leads=instant % 20 == 0)
+    acknowledged(simulation, operators)
+    simulation.run(SECOND)
+    simulation.cut_off(name)
+    simulation.run(CONTACT_TIME - 500 * MILLISECOND)  # its word becomes too old during the start
+    acknowledged(simulation, operators, name=others(simulation, name)[0])
+    plane = only_in_reach_of(simulation, name)
+    simulation.run(instant * MILLISECOND)
+    trouble(simulation, plane, name)
+    for _ in range(4):
+        acknowledged(simulation, operators, name=others(simulation, name)[1])
+        simulation.run(SECOND)
+        history.check(plane)
+    simulation.heal()
+    simulation.run_until(lambda: plane.ready)
+    history.check(plane)
+    simulation.run_until(lambda: plane.revisions[-1] == operators.newest)
+
+
+@pytest.mark.parametrize("order", [(0, 1), (1, 0)])
+def test_an_old_version_of_weights_never_displaces_a_newer_one(order):
+    """A process that has word for the configuration may be behind with the weights of a service."""
+    simulation, operators = started()
+    acknowledged(simulation, operators)
+    simulation.run(SECOND)
+    names = list(simulation.nodes)
+    for name, version in zip(names, (b"1", b"2", b"2"), strict=True):
+        simulation.process(name).journal.set(Topic.TARGET, "m", version)
+    seeds = [names[one] for one in order]
+    plane = simulation.data_plane(seeds)
+    simulation.cut_edge(plane, seeds[1])
+    simulation.run(200 * MILLISECOND)
+    first = plane.view.targets["m"].revision
+    heal_edges(simulation)
+    simulation.run(2 * SECOND)
+    assert plane.view.targets["m"].revision == 2 >= first
+    simulation.process(names[0]).journal.set(Topic.TARGET, "m", b"0")
+    simulation.crash(names[0])
+    simulation.start(names[0])
+    simulation.process(names[0]).journal.set(Topic.TARGET, "m", b"1")
+    simulation.run(5 * SECOND)
+    assert plane.view.targets["m"].revision == 2
+
+
 class Days:
     """Random faults on control processes while data planes come and go."""
 
@@ -362,19 +523,9 @@
         self.simulation = FeedSimulation(seed, voters=self.random.choice((3, 5)))
         self.simulation.run_until(self.simulation.settled_leader)
         self.operators = Operators(self.simulation, seed)
-        self.history = []  # (time, newest acknowledged revision)
-        self._note()
+        self.history = History(self.simulation, self.operators)
         self.simulation.network = self.random.choice((CALM, ROUGH))
 
-    def _note(self) -> None:
-        simulation = self.simulation
-        simulation.at(simulation.now + 10 * MILLISECOND, self._note)
-        if not self.history or self.history[-1][1] < self.operators.newest:
-            self.history.append((simulation.now, self.operators.newest))
-
-    def newest_at(self, time: int) -> int:
-        return max((revision for when, revision in self.history if when <= time), default=0)
-
     def play(self, steps: int) -> None:
         random, simulation = self.random, self.simulation
         for _ in range(steps):
@@ -397,7 +548,7 @@
             if random.random() < 0.3:
                 simulation.cut_edge(plane, random.choice(list(simulation.nodes)))
             if random.random() < 0.2:
-                plane.frozen_until = simulation.now + random.randint(100, 5000) * MILLISECOND
+                plane.freeze(random.randint(100, 5000) * MILLISECOND)
             simulation.run(random.randint(100, 4000) * MILLISECOND)
         self._check_planes()
 
@@ -407,12 +558,8 @@
                 self.simulation.start(name)
 
     def _check_planes(self) -> None:
-        """A first configuration is not older than the contact time, but for one without any contact."""
         for plane in self.simulation.planes:
-            if plane.ready_at is None or plane.ready_at - plane.began >= CONTACT_TIME:
-                continue
-            bound = self.newest_at(plane.ready_at - CONTACT_TIME)
-            assert plane.revisions[0] >= bound, (plane.identity, plane.revisions, bound)
+            self.history.check(plane)
 
     def end(self) -> None:
         self.operators.check_end()
