The HTTP server's module split by concern

Now: limits.py (limits, rejections), request_parser.py (requests out of bytes, within the limits), exchange.py (the answer to one request), connection.py (queue, timers, refusals, the end of a connection), server.py (the listener and its end). Behaviour is unchanged; the tests are but for imports, and for one look at what a parser keeps, which was the connection's before.

--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -6,6 +6,7 @@
 import pytest
 
 from hopsail.http import server as server_module
+from hopsail.http.connection import FIRST_WORD_MS, LINGER_TIME, LONGEST_LINGER
 from hopsail.http.client import (
     CONNECT_TIME,
     IDLE_TIME,
@@ -15,14 +16,7 @@
     HttpClient,
 )
 from hopsail.http.message import Request, encode_request, end_to_end, header_of
-from hopsail.http.server import (
-    FIRST_WORD_MS,
-    LINGER_TIME,
-    LONGEST_LINGER,
-    HttpServer,
-    Rejection,
-    ServerLimits,
-)
+from hopsail.http.server import HttpServer, Rejection, ServerLimits
 from hopsail.net.loop import Loop
 from hopsail.net.stream import listening
 
@@ -505,7 +499,7 @@
         client.send(b"a" * 1000)
         runner.settle()
     (connection,) = service.server.connections
-    assert not connection.body and not connection.waiting
+    assert not connection.parser.body and not connection.waiting
     got = client.ends()
     assert got.endswith(b"\r\n\r\n") and got.count(b"HTTP/1.1") == 1 and not client.reset
     runner.forward(LINGER_TIME + MILLISECOND)
