Short requests in one read are not taken for a long head; trailers are bounded

A head without an end is told by the bytes of whole reads that begin and end within a head. That the read had begun within another head was not looked at: a client that pipelines got 431 when one read held more than MaxHeaderBytes of short requests and ended, as the one before, in the middle of a head. And what follows a body was not bounded: a trailer line or an extension of a chunk without an end was kept by the parser for as long as it came.

Now the bytes of reads are counted in which no message begins and no byte of a body comes. All of the new tests but the one with whole trailer lines, which were counted before, fail with the old code.

--- a/hopsail/http/request_parser.py
+++ b/hopsail/http/request_parser.py
@@ -30,6 +30,7 @@
     def __init__(self, limits: ServerLimits, requests: deque[Request], head_read: Callable[[], None]):
         self.limits, self.requests, self._notify_head_read = limits, requests, head_read
         self.rest_expected = True  # of a request that was refused
+        self._has_advanced = False  # a message has begun, or some of a body has come
         self._is_oversized = False  # the body is longer than allowed, and dropped as it comes
         self._parser = httptools.HttpRequestParser(self)
         self.clear()
@@ -38,11 +39,11 @@
         """Keeps nothing of the message under way."""
         self.target, self.headers, self.body, self.head_bytes = b"", [], bytearray(), 0
         self.reading = self.head_read = self.expecting = False
-        self.unended_head = 0  # bytes of whole reads within one head: httptools keeps what has no end
+        self.unended = 0  # bytes of whole reads without any of a body: httptools keeps what has no end
 
     def feed(self, data: bytes) -> None:
         """Raises RequestError at the first message that is refused; nothing more may be fed then."""
-        in_head = self._in_head
+        self._has_advanced = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -52,9 +53,9 @@
             self._fail(_refused_status(error))
         if self._is_oversized:
             self._fail(TOO_LARGE)
-        if in_head and self._in_head:
-            self.unended_head += len(data)
-            if self.unended_head > self.limits.header_bytes:
+        if self.reading and not self._has_advanced:
+            self.unended += len(data)
+            if self.unended > self.limits.header_bytes:
                 self._fail(HEAD_TOO_LARGE)
 
     def drop(self, data: bytes) -> None:
@@ -68,15 +69,11 @@
             self.rest_expected = False  # where it ends is not known
         raise RequestError(status) from None
 
-    @property
-    def _in_head(self) -> bool:
-        return self.reading and not self.head_read
-
     # httptools' callbacks.
 
     def on_message_begin(self) -> None:
         self.clear()
-        self.reading = True
+        self.reading = self._has_advanced = True
 
     def on_url(self, url: bytes) -> None:
         self.target += url
@@ -99,6 +96,7 @@
         self._notify_head_read()
 
     def on_body(self, body: bytes) -> None:
+        self._has_advanced, self.unended = True, 0
         if self._is_oversized:
             return
         self.body += body
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -235,6 +235,17 @@
     assert [taken.target for taken in service.requests] == [f"/{number}" for number in range(40)]
 
 
+def test_a_read_of_many_short_requests_is_not_taken_for_one_long_head(runner):
+    service = Service(runner, echo, header_bytes=1000)
+    client = service.client()
+    data = b"".join(request(f"/{number}") for number in range(60))
+    for piece in (data[:150], data[150:-20], data[-20:]):
+        client.send(piece)
+        runner.settle()
+    client.receives(b"/59 ")
+    assert len(service.exchanges) == 60 and not service.refused
+
+
 # The server: what it refuses
 
 
@@ -361,6 +372,19 @@
     assert not service.exchanges
 
 
+@pytest.mark.parametrize("start", [b"0\r\nX: ", b"0\r\n", b"1;x="], ids=["trailer", "trailers", "extension"])
+def test_what_follows_a_body_without_an_end_is_refused_when_it_is_too_long(runner, start):
+    service = Service(runner, echo, header_bytes=1000)
+    client = service.client(in_chunks(b"5\r\nhello\r\n" + start))
+    for _ in range(30):
+        client.send(b"X: a\r\n" * 20 if start == b"0\r\n" else b"a" * 100)
+        runner.loop.round(ROUND_TIME)
+        if service.refused:
+            break
+    client.receives(b"HTTP/1.1 431 ")
+    assert not service.exchanges
+
+
 def test_a_long_body_in_pieces_is_not_taken_for_a_head(runner):
     service = Service(runner, echo, header_bytes=1000)
     client = service.client(request("/a", "Content-Length: 5000", method="POST"))
