--- a/hopsail/http/client.py
+++ b/hopsail/http/client.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from .connection import MILLISECOND, ClientConnection, Failure
+from .client_connection import MILLISECOND, ClientConnection, Failure
 from .message import Headers, Response, ResponseHead, encode_request
 from .pool import ConnectionPool
 
--- a/hopsail/http/pool.py
+++ b/hopsail/http/pool.py
@@ -4,7 +4,7 @@
 
 from ..net.loop import READ
 from ..net.stream import dial
-from .connection import MILLISECOND, ClientConnection
+from .client_connection import MILLISECOND, ClientConnection
 from .message import Headers
 
 IDLE_TIME = 4000 * MILLISECOND  # a connection that has stood idle for longer is not used again
--- a/tests/test_callers_simulation.py
+++ b/tests/test_callers_simulation.py
@@ -28,7 +28,7 @@
 from hopsail.dataplane.execution import NOT_EXECUTED
 from hopsail.dataplane.forward import Forwarding
 from hopsail.dataplane.placement import Placed
-from hopsail.http.connection import ClientConnection
+from hopsail.http.client_connection import ClientConnection
 from hopsail.http.message import Request
 from hopsail.http.pool import ConnectionPool
 from hopsail.http.server import Exchange
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,15 +1,17 @@
 """HTTP/1.1 on loopback sockets: what a server takes, refuses and answers, and what a client takes in."""
 
 import socket
+from contextlib import suppress
 
 import pytest
 
 from hopsail.http import server as server_module
 from hopsail.http.client import HttpClient
-from hopsail.http.connection import CONNECT_TIME, MILLISECOND, Failure
+from hopsail.http.client_connection import CONNECT_TIME, MILLISECOND, Failure
 from hopsail.http.message import Request, encode_request, end_to_end, header_of
 from hopsail.http.pool import IDLE_TIME, ConnectionPool
-from hopsail.http.server import FIRST_WORD_MS, LINGER_TIME, HttpServer, ServerLimits
+from hopsail.http.server import HttpServer, Rejection, ServerLimits
+from hopsail.http.server_connection import FIRST_WORD_MS, LINGER_TIME, LONGEST_LINGER
 from hopsail.net.loop import Loop
 from hopsail.net.stream import listening
 
@@ -228,6 +230,17 @@
     assert [taken.target for taken in service.requests] == [f"/{number}" for number in range(40)]
 
 
+def test_a_read_of_many_short_requests_is_not_taken_for_one_long_head(runner):
+    service = Service(runner, echo, header_bytes=1000)
+    client = service.client()
+    data = b"".join(request(f"/{number}") for number in range(60))
+    for piece in (data[:150], data[150:-20], data[-20:]):
+        client.send(piece)
+        runner.settle()
+    client.receives(b"/59 ")
+    assert len(service.exchanges) == 60 and not service.refused
+
+
 # The server: what it refuses
 
 
@@ -354,6 +367,19 @@
     assert not service.exchanges
 
 
+@pytest.mark.parametrize("start", [b"0\r\nX: ", b"0\r\n", b"1;x="], ids=["trailer", "trailers", "extension"])
+def test_what_follows_a_body_without_an_end_is_refused_when_it_is_too_long(runner, start):
+    service = Service(runner, echo, header_bytes=1000)
+    client = service.client(in_chunks(b"5\r\nhello\r\n" + start))
+    for _ in range(30):
+        client.send(b"X: a\r\n" * 20 if start == b"0\r\n" else b"a" * 100)
+        runner.loop.round(ROUND_TIME)
+        if service.refused:
+            break
+    client.receives(b"HTTP/1.1 431 ")
+    assert not service.exchanges
+
+
 def test_a_long_body_in_pieces_is_not_taken_for_a_head(runner):
     service = Service(runner, echo, header_bytes=1000)
     client = service.client(request("/a", "Content-Length: 5000", method="POST"))
@@ -422,6 +448,114 @@
     assert not service.server.connections
 
 
+def lengthy(body=b"a" * 10):
+    """What is longer or slower than `LITTLE` allows, as one sends it: (the refusal's status, its bytes)."""
+    return {
+        "head": (431, request("/a", "X: " + "a" * 2000) + request("/2")),
+        "head of many lines": (431, request("/a", *[f"X-{number}: a" for number in range(200)])),
+        "head without an end": (431, b"GET /a HTTP/1.1\r\nX: " + b"a" * 3000),
+        "target": (431, request("/" + "a" * 2000)),
+        "body": (413, post("/a", body) + request("/2")),
+        "body half come": (413, post("/a", body)[:-3]),
+        "body in chunks": (413, in_chunks(b"a\r\n" + body + b"\r\n0\r\n\r\n") + request("/2")),
+        "slow head": (408, b"GET /a HTTP/1.1\r\n"),
+        "slow body": (408, post("/a", b"abcde")[:-1]),
+    }
+
+
+LITTLE = {"header_bytes": 1000, "body_bytes": 9, "header_wait_ms": 1000, "idle_timeout_ms": 1000}
+
+
+def slow_down(runner, status):
+    runner.settle()
+    if status == 408:
+        runner.forward(1001 * MILLISECOND)
+
+
+@pytest.mark.parametrize("name", lengthy())
+def test_what_is_beyond_the_limits_is_answered_as_the_owner_says(runner, name):
+    status, data = lengthy()[name]
+    asked = []
+
+    def elsewhere(status):
+        asked.append(status)
+        return Rejection(503, (("retry-after", "0.300"),))
+
+    service = Service(runner, echo, **LITTLE)
+    service.server.beyond_limits = elsewhere
+    client = service.client(data[: len(data) // 2])
+    runner.settle()
+    client.send(data[len(data) // 2 :])  # a head without an end is known for one by its second piece
+    slow_down(runner, status)
+    got = client.ends()
+    assert got.startswith(b"HTTP/1.1 503 ") and got.endswith(b"\r\n\r\n") and got.count(b"HTTP/1.1") == 1
+    assert b"retry-after: 0.300" in got and b"content-length: 0" in got and b"connection: close" in got
+    assert asked == [status] and service.refused == [503]
+    assert not client.reset and not service.exchanges
+
+
+@pytest.mark.parametrize("name", MALFORMED)
+def test_the_owner_is_not_asked_what_a_malformed_request_gets(runner, name):
+    service = Service(runner, echo)
+    service.server.beyond_limits = lambda status: Rejection(503)
+    assert service.client(MALFORMED[name]).ends().startswith(b"HTTP/1.1 400 ")
+
+
+STILL_SENT = {
+    "stated": request("/a", f"Content-Length: {1 << 20}", method="POST"),
+    "in chunks": in_chunks(b"100000\r\n" + b"a" * 10),
+    "head": request("/a", "X: " + "a" * 2000, "Y: b")[:-2],
+}
+
+
+@pytest.mark.parametrize("name", STILL_SENT)
+def test_a_refused_client_that_sends_on_has_its_answer_without_a_reset(runner, name):
+    service = Service(runner, echo, header_bytes=1000, body_bytes=9)
+    client = service.client(STILL_SENT[name])
+    runner.until(lambda: service.refused, "the refusal")
+    for _ in range(8):
+        runner.forward(LINGER_TIME - 100 * MILLISECOND)
+        client.send(b"a" * 1000)
+        runner.settle()
+    (connection,) = service.server.connections
+    assert not connection.parser.body and not connection.waiting
+    got = client.ends()
+    assert got.endswith(b"\r\n\r\n") and got.count(b"HTTP/1.1") == 1 and not client.reset
+    runner.forward(LINGER_TIME + MILLISECOND)
+    assert not service.server.connections
+
+
+def test_a_refused_client_that_has_sent_all_is_waited_for_no_longer_than_others(runner):
+    service = Service(runner, echo, body_bytes=9)
+    client = service.client(request("/a", "Content-Length: 2000", method="POST"))
+    runner.until(lambda: service.refused, "the refusal")
+    client.send(b"a" * 2000)
+    runner.settle()
+    runner.forward(LINGER_TIME // 2)
+    client.send(request("/2"))
+    runner.settle()
+    runner.forward(LINGER_TIME // 2 + MILLISECOND)
+    assert not service.server.connections and not service.exchanges
+
+
+def test_a_refused_client_that_never_ends_is_not_waited_for_forever(runner):
+    service = Service(runner, echo, body_bytes=9)
+    client = service.client(STILL_SENT["in chunks"])
+    runner.until(lambda: service.refused, "the refusal")
+    step = LINGER_TIME - 100 * MILLISECOND
+    for _ in range(LONGEST_LINGER // step - 5):
+        runner.forward(step)
+        client.send(b"a" * 1000)
+        runner.settle()
+    assert service.server.connections
+    for _ in range(6):
+        runner.forward(step)
+        with suppress(ConnectionError):
+            client.send(b"a" * 1000)
+        runner.settle()
+    assert not service.server.connections
+
+
 def test_a_client_that_takes_nothing_after_a_last_answer_does_not_hold_its_connection(runner):
     service = Service(runner, idle_timeout_ms=5000)
     service.client(request("/a", "Connection: close"))
