A leaver whose vote is being taken away stays until that is committed

Cause (found by reading): a process that ends looked whether its own log's newest members have it as a voter. In a joint state, or with the final entry appended and not committed, they have not, so that it ended after 1.5 s without a leader although the old voters' majority was still needed. With the leader's disk lost at that moment no majority was left for ever.

Ruled out: to wait for a leader in every state for longer; a voter without a leader stays already.

Change: Ending asks the replica's is_voter, by which it stands for election: a voter by the log, or by the change before one that is not known to be committed. The test of the end fails with the old rule.

--- a/hopsail/controlplane/stopping.py
+++ b/hopsail/controlplane/stopping.py
@@ -86,8 +86,7 @@
     def _is_handed_over(self, part: Part) -> bool:
         """Whether another process leads the part, as far as is known here."""
         replica = part.replica
-        voters = replica.members.voters
-        if self.identity not in voters or voters == (self.identity,):
+        if not replica.is_voter or replica.members.voters == (self.identity,):
             return True  # nobody waits for it, or there is nobody else
         return not part.leads and replica.leader not in (None, self.identity)
 
--- a/hopsail/replication/election.py
+++ b/hopsail/replication/election.py
@@ -13,9 +13,10 @@
     """Asks for votes and gives them."""
 
     def _may_stand(self) -> bool:
-        return self._is_voter() and not self.recovering and not self.durability.failing
+        return self.is_voter and not self.recovering and not self.durability.failing
 
-    def _is_voter(self) -> bool:
+    @property
+    def is_voter(self) -> bool:
         """Whether it votes, or did before a change that may not be committed and that others may lack."""
         if self.identity in self.members.electors:
             return True
--- a/tests/test_controlplane_decisions.py
+++ b/tests/test_controlplane_decisions.py
@@ -3,6 +3,7 @@
 Processes are cut off, frozen for 20 s at each instant of a call, and have steady clocks that stood still."""
 
 import json
+from random import Random
 
 import pytest
 from controlplane_simulation import ControlSimulation, Operators
@@ -11,6 +12,7 @@
 from hopsail.controlplane import configuration_state, decisions
 from hopsail.controlplane.calls import ANSWER_WITHIN, CALL_TIMEOUT
 from hopsail.controlplane.commands import Command, CommandKind
+from hopsail.controlplane.configuration_state import digest_of
 from hopsail.controlplane.decisions import Confirmation
 from hopsail.net import loop as loop_module
 from hopsail.net.loop import Loop
@@ -259,6 +261,73 @@
     assert len(verdicts) == 2
 
 
+# Late and doubled copies.
+
+
+class Copies:
+    """A change of which copies arrive at any process, up to seconds late; all that is told of it."""
+
+    def __init__(self, simulation: ControlSimulation, random: Random, command: Command):
+        self.simulation, self.random, self.command = simulation, random, command
+        self.told: list = []
+        for late in (0, 0, 30, 300, 1500, 3000):
+            simulation.at(simulation.now + random.randint(0, late) * MILLISECOND, self.arrive)
+
+    def arrive(self) -> None:
+        """One copy, also at a process that is frozen: it reads it when it thaws."""
+        process = self.simulation.process(self.random.choice(list(self.simulation.nodes)))
+        if process is not None:
+            process.when_awake(lambda: process.submit(0, self.command, self.told.append))
+
+    @property
+    def statuses(self) -> set[int]:
+        """The clear answers."""
+        return {result.status for result in self.told if result is not None} - {503}
+
+
+def disturbed(simulation: ControlSimulation, random: Random) -> None:
+    """Answers are lost, a process stands still, another leads."""
+    name, leader = random.choice(list(simulation.nodes)), simulation.leader()
+    kind = random.choice(["freeze", "isolate", "crash", "transfer", "none"])
+    if kind == "freeze":
+        simulation.freeze(name, random.randint(100, 3000) * MILLISECOND)
+    elif kind == "isolate":
+        simulation.isolate(name)
+    elif kind == "crash":
+        simulation.crash(name)
+    elif kind == "transfer" and leader:
+        simulation.transfer(leader)
+
+
+def check_copies(simulation: ControlSimulation, sent: list[Copies]) -> int:
+    """Once all copies have arrived: what is in force was never refused. How many were taken."""
+    simulation.restore()
+    simulation.run(8000 * MILLISECOND)
+    state = simulation.process(simulation.run_until(simulation.settled_leader)).part.state
+    taken = [copies for copies in sent if digest_of(copies.command) in state.taken]
+    for copies in sent:
+        assert copies.statuses <= ({200} if copies in taken else {400, 412}), copies.command
+    return len(taken)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_what_builds_on_what_was_told_is_never_both_refused_and_in_force(seed):
+    """Callers build on what was acknowledged or read, and race; copies come late and several times."""
+    random = Random(f"told/{seed}")
+    simulation = ControlSimulation(seed, snapshot_after=random.choice((3, 200)))
+    simulation.run_until(simulation.settled_leader)
+    sent, base = [], 0
+    for number in range(1, 9):
+        sent.append(Copies(simulation, random, put(base, 3 * number, Tenants=[])))
+        sent.append(Copies(simulation, random, put(base, 3 * number)))
+        disturbed(simulation, random)
+        simulation.run(random.randint(0, 1500) * MILLISECOND)
+        simulation.restore()
+        revisions = [result.value for copies in sent for result in copies.told if result]
+        base = max([base, *revisions])
+    assert check_copies(simulation, sent) > 1
+
+
 # Changes that are judged and applied in steps.
 
 
--- a/tests/test_controlplane_stopping.py
+++ b/tests/test_controlplane_stopping.py
@@ -42,6 +42,7 @@
         self.replica = SimpleNamespace(
             leader=leader,
             members=Members(voters),
+            is_voter=ME in voters,
             transfer=self.transfer,
             leave=self.leave,
             may_leave=lambda now: not self.needed,
@@ -174,6 +175,16 @@
     assert Stage(StandInPart(leader=None)).stays()
 
 
+def test_it_stays_without_a_leader_while_the_others_may_need_its_vote():
+    """A change that takes its vote away is under way: until it is committed the old voters elect too."""
+    part = StandInPart(leader=None, voters=(OTHER, THIRD))
+    part.replica.is_voter = True
+    stage = Stage(part).until(GRACE_MS // 2)
+    assert not stage.finished
+    part.replica.is_voter = False
+    assert stage.until(GRACE_MS // 2 + SOON).finished
+
+
 @pytest.mark.parametrize("voters", [(OTHER, THIRD), (ME,), ()])
 def test_nobody_waits_for_a_process_that_does_not_vote_or_is_alone(voters):
     stage = Stage(StandInPart(leader=ME if voters == (ME,) else None, voters=voters)).until(SOON)
--- a/tests/test_replication_joint.py
+++ b/tests/test_replication_joint.py
@@ -111,7 +111,8 @@
 class LeavesItsOldVotersAlone(Replica):
     """Asks only those who are voters after the change."""
 
-    def _is_voter(self):
+    @property
+    def is_voter(self):
         return self.identity in self.voters
 
 
@@ -523,7 +524,7 @@
     simulation.run_until(lambda: replica.is_caught_up(gone))
     simulation.run(300 * MILLISECOND)
     assert simulation.nodes[gone].replica.members == replica.members
-    assert not simulation.nodes[gone].replica._is_voter()
+    assert not simulation.nodes[gone].replica.is_voter
     term = replica.term
     simulation.run(3000 * MILLISECOND)
     assert replica.is_leader and replica.term == term
@@ -666,6 +667,21 @@
         assert replica._has_majority_of_votes() is elected
 
 
+def test_one_whose_vote_is_taken_away_votes_until_that_is_committed():
+    """The last entry of a change may be lost with its leader; then the old voters are needed once more."""
+    first, last = Members(("a", "b", "c")), Members(("a", "b", "d"))
+    joint = Members(last.voters, (), first.voters)
+    entries = [Entry(1, 1, int(EntryKind.MEMBERS), first.encode())]
+    durable = DurableState(term=1, entries=entries, members=first, recovered=True)
+    replica = Replica(ReplicaRules("c"), Random(1), 0, durable, False)
+    for index, members in [(2, joint), (3, last)]:
+        replica.log.append([Entry(1, index, int(EntryKind.MEMBERS), members.encode())])
+        replica.commit_index = index - 1
+        assert replica.members == members and replica.is_voter
+    replica.commit_index = 3
+    assert not replica.is_voter
+
+
 def test_a_snapshot_of_a_joint_state_is_installed_as_such():
     joint = Members(("a", "b", "d"), (), ("a", "b", "c"))
     replica = Replica(ReplicaRules("d"), Random(1), 0, DurableState(), True)
