Simulation: operators read everywhere during cuts

Reads came one at a time, at the moment of a step; most cuts had none in them. A new step reads at every control process each 150 ms for a while, and it is drawn in the usual schedules and among the leaders' ones. What is read of a revision must also be the same wherever it is read.

--- a/tests/simulation/draw.py
+++ b/tests/simulation/draw.py
@@ -17,6 +17,7 @@
     "resend": 4,
     "name": 2,
     "read": 3,
+    "keep_reading": 1,
     "lose_answers": 2,
     "kill": 3,
     "freeze": 3,
@@ -35,7 +36,16 @@
 PROFILES = {
     "usual": KINDS,
     "power": {"changes": 10, "kill": 3, "core_down": 10, "disks": 6, "disk": 1, "tamper": 1},
-    "leaders": {"changes": 10, "read": 6, "resend": 4, "kill": 2, "freeze": 5, "cut": 5, "link": 5},
+    "leaders": {
+        "changes": 10,
+        "read": 3,
+        "keep_reading": 3,
+        "resend": 4,
+        "kill": 2,
+        "freeze": 5,
+        "cut": 5,
+        "link": 5,
+    },
     "weights": {"name": 10, "changes": 1, "kill": 5, "freeze": 4, "cut": 4, "link": 2, "replace": 1},
     "members": {"changes": 8, "replace": 6, "kill": 3, "cut": 2, "core_down": 1, "name": 1},
     "edges": {"changes": 10, "lure": 5, "edge": 5, "cut": 2, "kill": 1, "tamper": 2, "name": 2},
@@ -114,6 +124,15 @@
     )
 
 
+def draw_reads(seed: int) -> Schedule:
+    """Operators read everywhere while a machine is cut off from the others, one way or both."""
+    random = Random(f"reads/{seed}")
+    outward, inward = random.choice(((True, True), (True, False), (False, True)))
+    cut = steps.CutOff(100, random.choice((-1, 0, 1, 2)), "core", outward, inward, 3000)
+    changes = tuple(steps.Changes(at) for at in (500, 1500, 2500))
+    return Schedule(seed, WorldRules(), (cut, steps.KeepReading(200, 150, 4000), *changes))
+
+
 def draw_lure(seed: int) -> Schedule:
     """A data plane begins anew and reaches only a control process that has been cut off for long."""
     random = Random(f"lure/{seed}")
@@ -202,6 +221,7 @@
     "resend": lambda random, at: steps.Resend(at, random.choice((0, 0, 0, 1, 3))),
     "name": lambda random, at: steps.NameWeights(at, random.randrange(2)),
     "read": lambda random, at: steps.ReadBack(at),
+    "keep_reading": lambda random, at: steps.KeepReading(at, 150, _lasts(random)),
     "lose_answers": lambda random, at: steps.LoseAnswers(at, random.randint(1, 4)),
     "kill": _kill,
     "freeze": lambda random, at: steps.Freeze(
--- a/tests/simulation/invariants.py
+++ b/tests/simulation/invariants.py
@@ -104,6 +104,7 @@
         self.violation: Violation | None = None  # the first one
         self.faults: list[str] = []
         self.on_confirmed: list = []  # what is done at the next acknowledgement
+        self.read_bodies: dict[int, bytes] = {}
         self.figures = {"orders": 0, "reads": 0, "votes": 0, "ready": 0}
 
     def fail(self, invariant: Invariant, text: str) -> None:
@@ -207,9 +208,12 @@
             self.fail(Invariant.KEPT, f"{model} {revision} is confirmed and was not applied")
         self.named[model] = max(revision, self.named.get(model, 0))
 
-    def read(self, revision: int, must_have: int, where: str) -> None:
-        """An operator has read a configuration."""
+    def read(self, revision: int, must_have: int, where: str, body: bytes) -> None:
+        """An operator has read a configuration; what is read of a revision is the same everywhere."""
         self.figures["reads"] += 1
+        known = self.read_bodies.setdefault(revision, body)
+        if known != body:
+            self.fail(Invariant.READS, f"{body} is read at {where}, {known} elsewhere")
         if revision < must_have:
             self.fail(Invariant.READS, f"{revision} is read at {where}, {must_have} was acknowledged before")
 
--- a/tests/simulation/mutations.py
+++ b/tests/simulation/mutations.py
@@ -5,9 +5,12 @@
 from typing import Any, NamedTuple
 
 from hopsail.configuration.followed import REVISION, FollowedConfiguration
+from hopsail.configuration.items import canonical
 from hopsail.controlplane.commands import CommandKind, Result
 from hopsail.controlplane.configuration_state import ConfigurationState
+from hopsail.controlplane.decisions import Decisions
 from hopsail.controlplane.part import Part
+from hopsail.controlplane.parts import CONFIGURATION_PART
 from hopsail.controlplane.rollouts import Rollouts
 from hopsail.controlplane.service_state import ServiceState
 from hopsail.controlplane.voters import Voters
@@ -19,6 +22,7 @@
     draw_hand_over,
     draw_link,
     draw_lure,
+    draw_reads,
     draw_replacement,
     draw_second_loss,
     draw_strike,
@@ -106,6 +110,15 @@
     return read_ready
 
 
+def _any_member_answers_reads(original):
+    def read_here(self, done):
+        configuration = self.parts[CONFIGURATION_PART].state.configuration
+        done(canonical(configuration) if configuration is not None else b"")
+        return True
+
+    return read_here
+
+
 def _does_not_wait_for_the_lease(original):
     return lambda self, now, service, duty: False
 
@@ -227,6 +240,14 @@
     Mutation(
         "reads without a round", Replica, "read_ready", _reads_without_a_round, Invariant.READS, draw_thaw
     ),
+    Mutation(
+        "any member answers reads",
+        Decisions,
+        "read_here",
+        _any_member_answers_reads,
+        Invariant.READS,
+        draw_reads,
+    ),
     Mutation(
         "does not wait for the lease",
         Rollouts,
--- a/tests/simulation/operators.py
+++ b/tests/simulation/operators.py
@@ -116,7 +116,7 @@
         def answered(status: int | None, body: bytes) -> None:
             if status == 200:
                 revision = json.loads(body)["Revision"]
-                self.world.checker.read(revision, must_have, machine.name)
+                self.world.checker.read(revision, must_have, machine.name, body)
                 told(revision, body)
             elif status is not None and status not in (503, 404) and status < 500:
                 self.world.checker.fail(Invariant.READS, f"{machine.name} answers {status} to a read")
@@ -125,6 +125,17 @@
 
         self._call(machine, "GET", CONFIGURATION_PATH, None, b"", answered)
 
+    def read_everywhere(self) -> None:
+        """Reads at every process."""
+        for machine in self.world.listed_core():
+            self.read(machine)
+
+    def keep_reading(self, every: int, lasts: int) -> None:
+        """Reads at every process, again and again; times in ms."""
+        self.read_everywhere()
+        if lasts > every:
+            self.world.after(every, lambda: self.keep_reading(every, lasts - every))
+
     # Sending.
 
     def _send(self, change: Change) -> None:
--- a/tests/simulation/play.py
+++ b/tests/simulation/play.py
@@ -69,8 +69,12 @@
 
 @play_step.register
 def _(step: steps.ReadBack, world: World) -> None:
-    for machine in world.listed_core():
-        world.operators.read(machine)
+    world.operators.read_everywhere()
+
+
+@play_step.register
+def _(step: steps.KeepReading, world: World) -> None:
+    world.operators.keep_reading(step.every, step.lasts)
 
 
 @play_step.register
--- a/tests/simulation/steps.py
+++ b/tests/simulation/steps.py
@@ -45,6 +45,14 @@
     """An operator reads at every process."""
 
 
+@dataclass(frozen=True)
+class KeepReading(Step):
+    """Operators read at every process, each `every` ms for a while."""
+
+    every: int
+    lasts: int
+
+
 @dataclass(frozen=True)
 class LoseAnswers(Step):
     """The next answers to operators are lost on their way."""
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -11,6 +11,7 @@
     draw_hand_over,
     draw_link,
     draw_lure,
+    draw_reads,
     draw_replacement,
     draw_second_loss,
     draw_strike,
@@ -38,6 +39,7 @@
     draw_hand_over,
     draw_cut_leader,
     draw_lure,
+    draw_reads,
     draw_replacement,
     draw_second_loss,
 )
