Simulation: the core in halves, losses beyond the budget, connections that are reset

What was drawn never went beyond the budget, a cut always left one machine alone, and a connection's end was seen as silence.

Halves: the seats of one side and all others do not reach each other for some seconds, whatever else is lost; data planes reach one side each. The smaller side counts as lost, so AVAILABLE goes on for what is within the budget. Beyond the budget (WorldRules.beyond, one schedule in ten, and the profile beyond): machines are lost whatever is lost already; AVAILABLE rests as long as more are lost than the budget allows. No more disks are lost than it allows: a disk is lost only if, of the voters of each part, no more than that are without what they acknowledged, or leave for ever; planned work waits for the budget. What was ruled out: to count by the seats alone. A leaver may end as a voter while the new machine has taken the place of one that was frozen, and two of the three voters' disks are gone then.

Resets: a message may end its connection. Both sides see it: calls under way are told Disconnected, those who wait at the publisher are dropped, what is under way is lost, one-way messages are left out for 50 ms. Messages are chosen among all or among those of a kind (a method, its replies, operators' calls and answers).

Guards taken out: an election needs a majority (draw_halves, ONE_LEADER), a member without its disk does not vote (draw_beyond, SAME_LOG), a call whose connection ends is unclear (draw_reset, TRUE_REFUSAL), each told within the short schedules.

--- a/tests/simulation/doors.py
+++ b/tests/simulation/doors.py
@@ -6,9 +6,13 @@
 from itertools import count
 
 from hopsail.http.message import Request, Response
-from hopsail.rpc.errors import Timeout
+from hopsail.rpc.errors import Disconnected, Timeout
 from hopsail.rpc.structs import decode, encode
 
+from .clock import MILLISECOND
+
+RESET_PAUSE = 50 * MILLISECOND  # until a connection that was reset is made anew
+
 
 class SimulatedRpcServer:
     """In place of `RpcServer`."""
@@ -24,6 +28,13 @@
     def close(self) -> None:
         self.machine.rpc = None
 
+    def end_connection(self, channel: "SimulatedChannel", connection: int) -> None:
+        """A caller's connection has ended."""
+        gone = [one for one in self.calls if one.channel is channel and one.connection <= connection]
+        for respond in gone:
+            del self.calls[respond]
+            respond.end()
+
     def calls_in_flight(self, besides: str = "") -> int:
         return sum(method != besides for method in self.calls.values())
 
@@ -36,25 +47,40 @@
 
 
 class SimulatedRespond:
-    """The way back to a caller; the caller's end is not noticed."""
-
-    closed = False
+    """The way back to a caller; that the caller has ended without a reset is not noticed."""
 
-    def __init__(self, machine, channel: "SimulatedChannel", seqid: int):
-        self.machine, self.channel, self.seqid = machine, channel, seqid
+    def __init__(self, machine, channel: "SimulatedChannel", connection: int, method: str, seqid: int):
+        self.machine, self.channel, self.connection = machine, channel, connection
+        self.method, self.seqid = method, seqid
+        self.closed = False
+        self._callbacks: list[Callable[[], None]] = []
 
     def on_closed(self, callback: Callable[[], None]) -> None:
-        """A caller that has gone is noticed by its next call."""
+        """A caller that has gone without a reset is noticed by its next call."""
+        self._callbacks.append(callback)
+
+    def end(self) -> None:
+        """The connection was reset."""
+        self.closed = True
+        callbacks, self._callbacks = self._callbacks, []
+        for callback in callbacks:
+            callback()
 
     def __call__(self, reply) -> None:
+        self._callbacks.clear()
+        if self.closed:
+            return
         data, channel = encode(reply), self.channel
         if self.machine.rpc is not None:
             self.machine.rpc.calls.pop(self, None)
 
         def deliver() -> None:
-            channel.machine.have(lambda: channel.replied(self.seqid, data), channel.life)
+            if channel.connection == self.connection:
+                channel.machine.have(lambda: channel.replied(self.seqid, data), channel.life)
 
-        self.machine.world.network.send(self.machine.host, channel.machine.host, deliver)
+        self.machine.world.network.send(
+            self.machine.host, channel.machine.host, deliver, f"{self.method} reply", channel.reset
+        )
 
 
 class SimulatedChannel:
@@ -66,6 +92,8 @@
         self.loop, self.address = loop, tuple(address)
         self.machine, self.life = loop.machine, loop.life
         self._seqids, self._calls = count(1), {}
+        self.connection = 1  # of those made after resets
+        self._not_before = 0  # world's ns
         self._closed = False
 
     def call(self, method: str, argument, reply_class, done, timeout: int) -> None:
@@ -85,6 +113,20 @@
         if seqid in self._calls:
             self._finish(seqid, decode(self._calls[seqid][0], data), None)
 
+    def reset(self) -> None:
+        """The connection ends; both sides see it, and what is under way on it is lost."""
+        world, ended = self.machine.world, self.connection
+        self.connection += 1
+        self._not_before = world.clock.now + RESET_PAUSE
+        self.machine.have(lambda: self._lost(list(self._calls)), self.life)
+        other = world.machine_at(self.address[0])
+        if other is not None and other.rpc is not None:
+            other.have(lambda: other.rpc and other.rpc.end_connection(self, ended))
+
+    def _lost(self, seqids: list[int]) -> None:
+        for seqid in seqids:
+            self.loop.soon(self._finish, seqid, None, Disconnected("connection lost"))
+
     def _finish(self, seqid: int, reply, error) -> None:
         call = self._calls.pop(seqid, None)
         if call is not None:
@@ -93,19 +135,28 @@
 
     def _send(self, method: str, body: bytes, seqid: int) -> None:
         world, machine = self.machine.world, self.machine
+        if world.clock.now < self._not_before:
+            if seqid:  # a call waits for the new connection, a one-way message does not
+                world.clock.at(self._not_before, lambda: self._send(method, body, seqid), machine, self.life)
+            return
+        connection = self.connection
 
         def deliver() -> None:
             other = world.machine_at(self.address[0])
-            if other is None:
+            if other is None or self.connection != connection:
                 return
 
             def take() -> None:
                 if other.rpc is not None:
-                    other.rpc.take(method, body, SimulatedRespond(other, self, seqid) if seqid else None)
+                    other.rpc.take(
+                        method,
+                        body,
+                        SimulatedRespond(other, self, connection, method, seqid) if seqid else None,
+                    )
 
             other.have(take)
 
-        world.network.send(machine.host, self.address[0], deliver)
+        world.network.send(machine.host, self.address[0], deliver, method, self.reset)
 
 
 class SimulatedExchange:
@@ -115,6 +166,17 @@
         self.machine, self.caller, self.told = machine, caller, told
         self.ended = False
         self.on_end: Callable[[], None] = lambda: None
+        self.lost: Callable[[], None] = lambda: None  # told to the caller
+
+    def reset(self) -> None:
+        """The connection ends; both sides see it."""
+        self.lost()
+        self.machine.have(self._gone)
+
+    def _gone(self) -> None:
+        if not self.ended:
+            self.ended = True
+            self.on_end()
 
     def respond(self, status: int, body: bytes = b"", headers=()) -> None:
         if self.ended:
@@ -122,10 +184,12 @@
         self.ended = True
         self.on_end()
         self.machine.world.checker.answered(self, status)
-        self.machine.world.network.send(self.machine.host, self.caller, lambda: self.told(status, body))
+        self.machine.world.network.send(
+            self.machine.host, self.caller, lambda: self.told(status, body), "operator answer", self.lost
+        )
 
     def on_gone(self, callback) -> None:
-        """Callers stay."""
+        """The control side asks for no word of it; its answer is left out."""
 
 
 class SimulatedHttpServer:
@@ -144,9 +208,13 @@
         """A call has come."""
         if not exchange.ended and exchange not in self.connections:
             self.connections.append(exchange)
-        exchange.on_end = lambda: self.connections.remove(exchange)
+        exchange.on_end = lambda: self._end(exchange)
         self.handle(request, exchange)
 
+    def _end(self, exchange: SimulatedExchange) -> None:
+        if exchange in self.connections:
+            self.connections.remove(exchange)
+
     def drain(self) -> None:
         """Answers go on."""
 
@@ -184,12 +252,19 @@
             if status:
                 response = Response(status, [], answer)
                 world.network.send(
-                    address[0], machine.host, lambda: machine.have(lambda: finish(response), life)
+                    address[0],
+                    machine.host,
+                    lambda: machine.have(lambda: finish(response), life),
+                    "hosts answer",
+                    reset,
                 )
 
+        def reset() -> None:
+            machine.have(lambda: finish(None), life)
+
         world.outside.called(machine, tuple(address), target, body)
         self.loop.at(self.loop.now() + timeout, lambda: finish(None))
-        world.network.send(machine.host, address[0], reach)
+        world.network.send(machine.host, address[0], reach, "hosts", reset)
 
 
 class SimulatedSocket:
--- a/tests/simulation/draw.py
+++ b/tests/simulation/draw.py
@@ -7,6 +7,7 @@
 
 from . import steps
 from .disk import FULL, STALLED, WORKING
+from .network import DELAYED, DOUBLED, LOST, RESET
 from .outside import SERVICES
 from .play import Schedule
 from .world import WorldRules
@@ -23,6 +24,7 @@
     "freeze": 3,
     "cut": 4,
     "link": 2,
+    "halves": 1,
     "lure": 1,
     "disk": 2,
     "disks": 1,
@@ -48,8 +50,34 @@
     },
     "weights": {"name": 10, "changes": 1, "kill": 5, "freeze": 4, "cut": 4, "link": 2, "replace": 1},
     "members": {"changes": 8, "replace": 6, "kill": 3, "cut": 2, "core_down": 1, "name": 1},
+    "beyond": {
+        "changes": 10,
+        "kill": 5,
+        "freeze": 3,
+        "cut": 3,
+        "link": 2,
+        "halves": 4,
+        "disk": 2,
+        "replace": 2,
+        "core_down": 1,
+        "edge": 2,
+        "read": 2,
+        "name": 1,
+    },
     "edges": {"changes": 10, "lure": 5, "edge": 5, "cut": 2, "kill": 1, "tamper": 2, "name": 2},
 }
+KINDS_OF_MESSAGES = (
+    "command",
+    "command reply",
+    "read",
+    "read reply",
+    "poll",
+    "poll reply",
+    "operator",
+    "operator answer",
+    "hosts",
+    "hosts answer",
+)  # of which some connections are reset
 PAUSES = (150, 500, 1500)  # ms between two steps, at most; one for each schedule
 LONG_PAUSES = {"power": (800, 2500), "members": (1500, 3000)}  # in place of those
 LONG_PAUSE, LONG_PAUSE_SHARE = 5000, 0.1  # in which machines that are back stop counting as lost
@@ -61,7 +89,8 @@
     names = list(PROFILES)
     profile = profile or names[seed % len(names)]
     losses = 2 if random.random() < 0.15 else 1
-    rules = WorldRules(losses, fence_checked=random.random() < 0.5)
+    beyond = random.random() < (1 if profile == "beyond" else 0.1)
+    rules = WorldRules(losses, beyond, fence_checked=random.random() < 0.5)
     weights = {kind: weight * random.choice((0.3, 1, 1, 3)) for kind, weight in PROFILES[profile].items()}
     pause, at, drawn = random.choice(LONG_PAUSES.get(profile, PAUSES)), 0, []
     for _ in range(length):
@@ -133,6 +162,37 @@
     return Schedule(seed, WorldRules(), (cut, steps.KeepReading(200, 150, 4000), *changes))
 
 
+def draw_halves(seed: int) -> Schedule:
+    """The core falls into two halves while a machine is replaced, and operators go on at both."""
+    random = Random(f"halves/{seed}")
+    side = tuple(random.sample(range(3), random.choice((1, 2))))
+    halves = steps.CutHalves(random.randint(100, 1500), side, (random.randrange(2),), 4000)
+    replace = steps.Replace(100, random.randrange(3), True, 4500)
+    changes = (steps.Changes(400), steps.Changes(2000), steps.Changes(3500))
+    return Schedule(seed, WorldRules(), (replace, halves, *changes))
+
+
+def draw_beyond(seed: int) -> Schedule:
+    """All machines are lost one after the other, one of them with its disk, before the first is back."""
+    random = Random(f"beyond/{seed}")
+    behind, wiped, last = random.sample(range(3), 3)
+    lost = (
+        steps.Freeze(100, behind, 0, 3000),
+        steps.Kill(2000, wiped, True, True, 100),
+        steps.Freeze(2500, last, 0, 6000),
+    )
+    return Schedule(seed, WorldRules(beyond=True), (*lost, steps.Changes(1500), steps.Changes(4000)))
+
+
+def draw_reset(seed: int) -> Schedule:
+    """Connections are reset with an operator's call under way, at its way there or back."""
+    random = Random(f"reset/{seed}")
+    kinds = ("command", "command reply", "operator", "operator answer")
+    resets = [steps.Tamper(90 + 300 * n, 1, RESET, random.choice(kinds)) for n in range(4)]
+    changes = [steps.Changes(100 + 300 * n, copies=random.choice((1, 2))) for n in range(4)]
+    return Schedule(seed, WorldRules(), (*resets, *changes))
+
+
 def draw_lure(seed: int) -> Schedule:
     """A data plane begins anew and reaches only a control process that has been cut off for long."""
     random = Random(f"lure/{seed}")
@@ -204,12 +264,24 @@
     return steps.CutLink(at, _who(random), _who(random), outward, inward, _lasts(random))
 
 
+def _halves(random: Random, at: int) -> steps.Step:
+    side = tuple(random.sample(range(5), random.choice((1, 2))))
+    return steps.CutHalves(at, side, tuple(random.sample(range(2), random.randrange(3))), _lasts(random))
+
+
 def _replace(random: Random, at: int) -> steps.Step:
     planned, gap = random.random() < 0.5, random.choice((500, 1500, 4500, 6000))
     returns = gap + random.choice((0, 500, 12_000, 20_000)) if random.random() < 0.3 else 0
     return steps.Replace(at, _who(random), planned, gap, 0 if planned else returns)
 
 
+def _tamper(random: Random, at: int) -> steps.Step:
+    how = random.choice((LOST, DOUBLED, DELAYED, RESET))
+    if how == RESET and random.random() < 0.7:
+        return steps.Tamper(at, random.randint(1, 6), how, random.choice(KINDS_OF_MESSAGES))
+    return steps.Tamper(at, random.randint(1, 200), how)
+
+
 def _core_down(random: Random, at: int) -> steps.Step:
     power = random.random() < 0.7
     wiped = tuple(random.sample(range(5), random.choice((0, 0, 1, 2)))) if power else ()
@@ -229,6 +301,7 @@
     ),
     "cut": _cut,
     "link": _link,
+    "halves": _halves,
     "lure": _lure,
     "disk": _disk,
     "disks": lambda random, at: steps.SlowDisks(
@@ -240,8 +313,6 @@
     "replace": _replace,
     "core_down": _core_down,
     "edge": lambda random, at: steps.RestartEdge(at, random.randrange(2), random.choice((50, 500, 2000))),
-    "tamper": lambda random, at: steps.Tamper(
-        at, random.randint(1, 200), random.choice(("lost", "doubled", "late"))
-    ),
+    "tamper": _tamper,
     "rough": lambda random, at: steps.RoughNetwork(at, random.choice((1000, 4000))),
 }
--- a/tests/simulation/mutations.py
+++ b/tests/simulation/mutations.py
@@ -6,6 +6,7 @@
 
 from hopsail.configuration.followed import REVISION, FollowedConfiguration
 from hopsail.configuration.items import canonical
+from hopsail.controlplane.calls import Submission
 from hopsail.controlplane.commands import CommandKind, Result
 from hopsail.controlplane.configuration_state import ConfigurationState
 from hopsail.controlplane.decisions import Decisions
@@ -16,13 +17,18 @@
 from hopsail.controlplane.voters import Voters
 from hopsail.feed.follower import Follower
 from hopsail.replication.replica import Replica
+from hopsail.replication.state import Members
+from hopsail.rpc.errors import Disconnected
 
 from .draw import (
     draw_election,
     draw_hand_over,
     draw_link,
+    draw_halves,
+    draw_beyond,
     draw_lure,
     draw_reads,
+    draw_reset,
     draw_replacement,
     draw_second_loss,
     draw_strike,
@@ -119,6 +125,22 @@
     return read_here
 
 
+def _elects_with_a_half(original):
+    return lambda self, identities: all(
+        len(identities.intersection(voters)) >= len(voters) // 2 for voters in self.electorates
+    )
+
+
+def _refuses_when_a_call_ends(original):
+    def replied(self, reply, error):
+        if isinstance(error, Disconnected):
+            self.told(Result(412))
+        else:
+            original(self, reply, error)
+
+    return replied
+
+
 def _does_not_wait_for_the_lease(original):
     return lambda self, now, service, duty: False
 
@@ -237,6 +259,22 @@
         Invariant.SAME_LOG,
         draw_strike,
     ),
+    Mutation(
+        "elects with a half",
+        Members,
+        "is_quorum",
+        _elects_with_a_half,
+        Invariant.ONE_LEADER,
+        draw_halves,
+    ),
+    Mutation(
+        "votes while recovering, beyond the budget",
+        Replica,
+        "_may_vote",
+        _votes_while_recovering,
+        Invariant.SAME_LOG,
+        draw_beyond,
+    ),
     Mutation(
         "reads without a round", Replica, "read_ready", _reads_without_a_round, Invariant.READS, draw_thaw
     ),
@@ -248,6 +286,14 @@
         Invariant.READS,
         draw_reads,
     ),
+    Mutation(
+        "refuses when a call ends",
+        Submission,
+        "_replied",
+        _refuses_when_a_call_ends,
+        Invariant.TRUE_REFUSAL,
+        draw_reset,
+    ),
     Mutation(
         "does not wait for the lease",
         Rollouts,
--- a/tests/simulation/network.py
+++ b/tests/simulation/network.py
@@ -8,6 +8,7 @@
 
 HELD_SHARE = 0.3  # of what is sent over a cut: it arrives when the cut is over, as a stream's bytes do
 LATE = 900 * MILLISECOND
+LOST, DOUBLED, DELAYED, RESET = "lost", "doubled", "late", "reset"
 
 
 @dataclass(frozen=True)
@@ -17,13 +18,30 @@
     loss: float = 0.0
     doubling: float = 0.0
     long_delay: float = 0.0
+    resets: float = 0.0
     delay_least: int = MILLISECOND // 2
     delay_most: int = 4 * MILLISECOND
     long_delay_most: int = 2500 * MILLISECOND
 
 
 CALM = Weather()
-ROUGH = Weather(loss=0.02, doubling=0.03, long_delay=0.01, delay_most=20 * MILLISECOND)
+ROUGH = Weather(loss=0.02, doubling=0.03, long_delay=0.01, resets=0.005, delay_most=20 * MILLISECOND)
+
+
+@dataclass
+class Tampering:
+    """What happens to one message: the one after `left` others `of` a kind (empty: any)."""
+
+    left: int
+    how: str
+    of: str = ""
+
+    def is_due(self, kind: str) -> bool:
+        """Whether it is this message; counts it if not."""
+        if self.of and self.of != kind:
+            return False
+        self.left -= 1
+        return self.left <= 0
 
 
 @dataclass(frozen=True)
@@ -53,7 +71,7 @@
         self.cuts: list[Cut] = []
         self.held: list[tuple[str, str, Callable[[], None]]] = []
         self.sent = 0
-        self.tampered: dict[int, str] = {}  # number of a message -> lost, doubled or late
+        self.tamperings: list[Tampering] = []
 
     def is_cut(self, sender: str, receiver: str) -> bool:
         """Whether nothing gets from one to the other."""
@@ -74,21 +92,39 @@
             else:
                 self.clock.at(self.clock.now + self._delay(), deliver)
 
-    def send(self, sender: str, receiver: str, deliver: Callable[[], None]) -> None:
-        """Has `deliver` called later, once, twice or not at all."""
+    def send(
+        self,
+        sender: str,
+        receiver: str,
+        deliver: Callable[[], None],
+        kind: str = "",
+        reset: Callable[[], None] | None = None,
+    ) -> None:
+        """Has `deliver` called later, once, twice or not at all; `reset` ends the message's connection.
+
+        Without a connection (a datagram) it is lost where the connection would end."""
         self.sent += 1
-        tampering = self.tampered.pop(self.sent, None) if self.tampered else None
+        tampering = self._tampering(kind) if self.tamperings else None
         if self.cuts and self.is_cut(sender, receiver):
             if self.random.random() < HELD_SHARE:
                 self.held.append((sender, receiver, deliver))
             return
-        if tampering == "lost" or (self.weather.loss and self.random.random() < self.weather.loss):
+        if tampering == LOST or (self.weather.loss and self.random.random() < self.weather.loss):
+            return
+        if tampering == RESET or (self.weather.resets and self.random.random() < self.weather.resets):
+            if reset is not None:
+                reset()
             return
-        late = LATE if tampering == "late" else 0
+        late = LATE if tampering == DELAYED else 0
         self.clock.at(self.clock.now + self._delay() + late, deliver)
-        if tampering == "doubled" or (self.weather.doubling and self.random.random() < self.weather.doubling):
+        if tampering == DOUBLED or (self.weather.doubling and self.random.random() < self.weather.doubling):
             self.clock.at(self.clock.now + 3 * self._delay(), deliver)
 
+    def _tampering(self, kind: str) -> str | None:
+        due = [one for one in self.tamperings if one.is_due(kind)]
+        self.tamperings = [one for one in self.tamperings if one not in due]
+        return due[0].how if due else None
+
     def _delay(self) -> int:
         weather = self.weather
         if weather.long_delay and self.random.random() < weather.long_delay:
--- a/tests/simulation/operators.py
+++ b/tests/simulation/operators.py
@@ -192,6 +192,7 @@
 
         exchange = SimulatedExchange(machine, HOST, arrived)
         exchange.change = change
+        exchange.lost = lambda: finish(None, b"")
 
         def reach() -> None:
             def take() -> None:
@@ -203,4 +204,4 @@
 
         clock = self.world.clock
         clock.at(clock.now + SILENCE, lambda: finish(None, b""))
-        self.world.network.send(HOST, machine.host, reach)
+        self.world.network.send(HOST, machine.host, reach, "operator", exchange.reset)
--- a/tests/simulation/play.py
+++ b/tests/simulation/play.py
@@ -6,7 +6,7 @@
 
 from . import steps
 from .clock import MILLISECOND
-from .network import CALM, ROUGH, Cut
+from .network import CALM, ROUGH, Cut, Tampering
 from .outside import MODELS
 from .substitutes import substituted
 from .world import World, WorldRules
@@ -86,7 +86,7 @@
 def _(step: steps.Kill, world: World) -> None:
     def strike() -> None:
         seat = world.seat_of(step.who)
-        if world.may_lose(seat):
+        if world.may_lose(seat, step.wipe):
             world.kill(seat, step.power, step.wipe, step.lasts)
 
     _now_or_after_ack(step, world, strike)
@@ -114,6 +114,11 @@
         world.cut_off(seat, cut, step.lasts)
 
 
+@play_step.register
+def _(step: steps.CutHalves, world: World) -> None:
+    world.cut_halves(step.side, step.edges, step.lasts)
+
+
 @play_step.register
 def _(step: steps.Lure, world: World) -> None:
     seat = world.seat_of(step.who)
@@ -141,14 +146,14 @@
 @play_step.register
 def _(step: steps.Replace, world: World) -> None:
     seat = world.seat_of(step.who)
-    if world.may_lose(seat):
+    if world.may_lose(seat, disk=True) and (world.is_within_budget(seat) or not step.planned):
         world.replace(seat, step.planned, step.gap, step.returns)
 
 
 @play_step.register
 def _(step: steps.CoreDown, world: World) -> None:
     def strike() -> None:
-        whole = not any(world.is_lost(seat) for seat in world.seats)
+        whole = not any(world.is_lost(seat) for seat in world.seats) and world.disks_lost() == 0
         numbers = step.wiped[: world.rules.losses] if whole else ()
         wiped = [world.seats[number % len(world.seats)] for number in numbers]
         world.core_down(step.power, wiped, step.lasts)
@@ -163,7 +168,7 @@
 
 @play_step.register
 def _(step: steps.Tamper, world: World) -> None:
-    world.network.tampered[world.network.sent + step.number] = step.how
+    world.network.tamperings.append(Tampering(step.number, step.how, step.of))
 
 
 @play_step.register
--- a/tests/simulation/steps.py
+++ b/tests/simulation/steps.py
@@ -2,7 +2,8 @@
 
 `at` is in ms from the beginning of the schedule. A fault ends by itself after its time (`lasts`, ms). `who`
 names a machine of the control side when the step is played: a seat's number, or -1 - N for the leader of
-part N at that moment. A step that would lose more machines than may be lost at once does nothing."""
+part N at that moment. A step that would lose more machines than may be lost at once does nothing; in a world
+beyond the budget (`WorldRules`) that holds for lost disks alone."""
 
 from dataclasses import dataclass
 
@@ -107,6 +108,18 @@
     lasts: int
 
 
+@dataclass(frozen=True)
+class CutHalves(Step):
+    """The seats of one side and all others of the control side do not reach each other.
+
+    The data planes of `edges` reach only that side, the others only the other one. Nothing is lost by it, so
+    it comes whatever may be lost; the smaller side counts as lost."""
+
+    side: tuple[int, ...]
+    edges: tuple[int, ...]
+    lasts: int
+
+
 @dataclass(frozen=True)
 class Lure(Step):
     """A control process is cut off from the others, and a data plane begins anew that reaches only this one.
@@ -181,14 +194,18 @@
 
 @dataclass(frozen=True)
 class Tamper(Step):
-    """One message after this moment, the so-manieth, is lost, doubled or late."""
+    """One message after this moment, the so-manieth, is lost, doubled or late, or its connection is reset.
+
+    `of`: a kind of messages, among which it is counted; empty: among all. Kinds are a method of a call, and
+    it with " reply"; operator and hosts, and both with " answer"."""
 
     number: int
     how: str
+    of: str = ""
 
 
 @dataclass(frozen=True)
 class RoughNetwork(Step):
-    """For a while messages are lost, doubled and late by chance."""
+    """For a while messages are lost, doubled and late, and connections are reset, by chance."""
 
     lasts: int
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -25,9 +25,12 @@
 
 @dataclass(frozen=True)
 class WorldRules:
-    """How a world is made."""
+    """How a world is made.
+
+    `beyond`: more machines than `losses` may be lost at once, but no more disks."""
 
     losses: int = 1
+    beyond: bool = False
     edges: int = 2
     fence_checked: bool = True
 
@@ -56,6 +59,7 @@
         self.machines: dict[str, Machine] = {}
         self.network_mended_at = self.trouble_at = -(1 << 60)
         self.began_at = 0
+        self.judges_disks = rules.beyond  # more machines may have been lost at once than the budget allows
         self._numbers = 0
         self.seats = [Seat(self._new_machine("core")) for _ in range(2 * rules.losses + 1)]
         self.leaving: list[Machine] = []
@@ -181,7 +185,7 @@
         """Whether a proper change waits although nothing has happened for long."""
         self.clock.at(self.clock.now + LOOK_EVERY, self._look)
         quiet = self.clock.now - self.trouble_at >= AVAILABLE_WITHIN and self.network.weather == CALM
-        if not quiet:
+        if not quiet or sum(seat.lost > 0 for seat in self.seats) > self.rules.losses:
             return
         for change in self.operators.pending:
             waits = self.clock.now - change.began
@@ -197,10 +201,38 @@
         """Whether a machine counts as lost: in trouble, or back for a short time."""
         return seat.lost > 0 or self.clock.now < seat.back_at + SYNC
 
-    def may_lose(self, seat: Seat) -> bool:
-        """Whether a machine may be lost now beside those that are."""
-        others = sum(self.is_lost(other) for other in self.seats if other is not seat)
-        return others < self.rules.losses and not seat.lost
+    def may_lose(self, seat: Seat, disk: bool = False) -> bool:
+        """Whether a machine may be lost now beside those that are; `disk`: its disk is lost with it."""
+        if seat.lost or (disk and self.disks_lost(seat) >= self.rules.losses):
+            return False
+        return self.rules.beyond or self.is_within_budget(seat)
+
+    def is_within_budget(self, seat: Seat) -> bool:
+        """Whether no more than the budget are lost together with this one."""
+        return sum(self.is_lost(other) for other in self.seats if other is not seat) < self.rules.losses
+
+    def disks_lost(self, besides: Seat | None = None) -> int:
+        """How many voters of a part, at the most, may not hold what they acknowledged, or leave for ever.
+
+        While there were never more losses than the budget allows, the time since the last one tells."""
+        if not self.judges_disks:
+            return 0
+        kept_out = besides.machine.host if besides is not None else ""
+        return max(self._disks_lost_of(part, kept_out) for part in range(PARTS))
+
+    def _disks_lost_of(self, part: int, kept_out: str) -> int:
+        programs = [machine.program for machine in self.machines.values() if machine.kind == "core"]
+        replicas = [one.parts[part].replica for one in programs if len(getattr(one, "parts", ())) == PARTS]
+        if not replicas:
+            return len(self.seats)
+        newest = max(replicas, key=lambda replica: (replica.commit_index, replica.term))
+        hosts = {identity.rpartition(":")[0] for identity in newest.members.electors}
+        return sum(not self._holds_its_disk(self.machines[host], part) for host in hosts - {kept_out})
+
+    def _holds_its_disk(self, machine: Machine, part: int) -> bool:
+        """Whether a machine stays, and holds all that it voted for and acknowledged."""
+        parts = getattr(machine.program, "parts", ())
+        return not machine.gone and len(parts) == PARTS and not parts[part].replica.recovering
 
     def lose(self, seat: Seat) -> None:
         """A machine is lost from now on."""
@@ -266,6 +298,32 @@
         self.after(max(0, lasts - ASKED_BEFORE), lambda: self._ask(machine))
         self.after(lasts, lambda: self.regain(seat))
 
+    def cut_halves(self, side: tuple[int, ...], edges: tuple[int, ...], lasts: int) -> None:
+        """The control side falls apart for a while; operators ask on both sides."""
+        numbers = {number % len(self.seats) for number in side}
+        here = [seat for number, seat in enumerate(self.seats) if number in numbers]
+        there = [seat for seat in self.seats if seat not in here]
+        smaller = min(here, there, key=len)
+        near = [seat.machine.host for seat in here]
+        far = [seat.machine.host for seat in there] + [machine.host for machine in self.leaving]
+        for host in near:
+            self._cut_from(host, far, lasts)
+        for number, edge in enumerate(self.edges):
+            self._cut_from(edge.host, far if number in edges else near, lasts)
+        self.judges_disks |= any(self.is_lost(seat) for seat in self.seats)
+        for seat in smaller:
+            self.lose(seat)
+            self.after(max(0, lasts - ASKED_BEFORE), lambda machine=seat.machine: self._ask(machine))
+            self.after(lasts, lambda seat=seat: self.regain(seat))
+        for machine in self.machines.values():
+            self._trouble(machine)
+            self.after(lasts, lambda machine=machine: self._trouble(machine))
+
+    def _cut_from(self, host: str, others: list[str], lasts: int) -> None:
+        for other in others:
+            self._cut(Cut(host, other, True, False), lasts)
+            self._cut(Cut(other, host, True, False), lasts)
+
     def _cut(self, cut: Cut, lasts: int) -> None:
         self.network.cuts.append(cut)
 
@@ -387,7 +445,7 @@
         self.network.mend(*self.network.cuts)
         self.network.weather = CALM
         self.checker.on_confirmed.clear()
-        self.network.tampered.clear()
+        self.network.tamperings.clear()
         self.operators.lost_answers = 0
         self.network_mended_at = self.trouble_at = self.clock.now
         for machine in self.machines.values():
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -6,12 +6,15 @@
 from simulation import steps
 from simulation.draw import (
     draw,
+    draw_beyond,
+    draw_halves,
     draw_cut_leader,
     draw_election,
     draw_hand_over,
     draw_link,
     draw_lure,
     draw_reads,
+    draw_reset,
     draw_replacement,
     draw_second_loss,
     draw_strike,
@@ -40,6 +43,9 @@
     draw_cut_leader,
     draw_lure,
     draw_reads,
+    draw_reset,
+    draw_halves,
+    draw_beyond,
     draw_replacement,
     draw_second_loss,
 )
