Simulation: lists that lag, stand still, are refused or empty; hosts that come and go

The platform's list was always right and at once, and the same four hosts were there. Now the list may be up to 1.5 s old at each call, stand still, be refused (429, 500), not be answered, or be empty once; hosts drain, go, and others come with the weights of old, at the same address or another. When all is healed, each data plane knows each host as serving.

--- a/tests/simulation/doors.py
+++ b/tests/simulation/doors.py
@@ -248,7 +248,7 @@
                 done(response)
 
         def reach() -> None:
-            status, answer = world.outside.call(tuple(address), target, body)
+            status, answer = world.outside.call(tuple(address), target, headers, body)
             if status:
                 response = Response(status, [], answer)
                 world.network.send(
@@ -262,7 +262,7 @@
         def reset() -> None:
             machine.have(lambda: finish(None), life)
 
-        world.outside.called(machine, tuple(address), target, body)
+        world.outside.called(machine, tuple(address), target, headers, body)
         self.loop.at(self.loop.now() + timeout, lambda: finish(None))
         world.network.send(machine.host, address[0], reach, "hosts", reset)
 
--- a/tests/simulation/draw.py
+++ b/tests/simulation/draw.py
@@ -8,7 +8,7 @@
 from . import steps
 from .disk import FULL, STALLED, WORKING
 from .network import DELAYED, DOUBLED, LOST, RESET
-from .outside import SERVICES
+from .outside import BUSY, EMPTY, FAILING, LAGGING, SERVICES, SILENT, STOPPED
 from .play import Schedule
 from .world import WorldRules
 
@@ -32,6 +32,8 @@
     "replace": 2,
     "core_down": 1,
     "edge": 2,
+    "list": 1,
+    "host": 1,
     "tamper": 3,
     "rough": 1,
 }
@@ -48,7 +50,17 @@
         "cut": 5,
         "link": 5,
     },
-    "weights": {"name": 10, "changes": 1, "kill": 5, "freeze": 4, "cut": 4, "link": 2, "replace": 1},
+    "weights": {
+        "name": 10,
+        "changes": 1,
+        "kill": 5,
+        "freeze": 4,
+        "cut": 4,
+        "link": 2,
+        "replace": 1,
+        "list": 4,
+        "host": 4,
+    },
     "members": {"changes": 8, "replace": 6, "kill": 3, "cut": 2, "core_down": 1, "name": 1},
     "beyond": {
         "changes": 10,
@@ -66,6 +78,7 @@
     },
     "edges": {"changes": 10, "lure": 5, "edge": 5, "cut": 2, "kill": 1, "tamper": 2, "name": 2},
 }
+LIST_TROUBLES = (LAGGING, LAGGING, STOPPED, BUSY, FAILING, SILENT, EMPTY)
 KINDS_OF_MESSAGES = (
     "command",
     "command reply",
@@ -193,6 +206,20 @@
     return Schedule(seed, WorldRules(), (*resets, *changes))
 
 
+def draw_hosts(seed: int) -> Schedule:
+    """Hosts come and go in the middle of a roll-out while the list lags, and is empty once."""
+    random = Random(f"hosts/{seed}")
+    model = random.randrange(len(SERVICES))
+    lag = steps.TroubleList(0, LAGGING, 12_000)
+    leave = [
+        steps.LeaveHost(200 + 1500 * n, random.randrange(4), 0, 500, random.random() < 0.5) for n in range(3)
+    ]
+    kill = steps.Kill(random.randint(300, 1500), -1 - part_of_service(SERVICES[model]), False, False, 5000)
+    empty = steps.TroubleList(random.randint(500, 6000), EMPTY, 0)
+    name = steps.NameWeights(100, model)
+    return Schedule(seed, WorldRules(fence_checked=False), (lag, name, *leave, kill, empty))
+
+
 def draw_lure(seed: int) -> Schedule:
     """A data plane begins anew and reaches only a control process that has been cut off for long."""
     random = Random(f"lure/{seed}")
@@ -313,6 +340,14 @@
     "replace": _replace,
     "core_down": _core_down,
     "edge": lambda random, at: steps.RestartEdge(at, random.randrange(2), random.choice((50, 500, 2000))),
+    "list": lambda random, at: steps.TroubleList(at, random.choice(LIST_TROUBLES), _lasts(random)),
+    "host": lambda random, at: steps.LeaveHost(
+        at,
+        random.randrange(8),
+        random.choice((0, 500)),
+        random.choice((50, 1000, 4000)),
+        random.random() < 0.5,
+    ),
     "tamper": _tamper,
     "rough": lambda random, at: steps.RoughNetwork(at, random.choice((1000, 4000))),
 }
--- a/tests/simulation/mutations.py
+++ b/tests/simulation/mutations.py
@@ -16,6 +16,7 @@
 from hopsail.controlplane.service_state import ServiceState
 from hopsail.controlplane.voters import Voters
 from hopsail.feed.follower import Follower
+from hopsail.hosts.view import HostView
 from hopsail.replication.replica import Replica
 from hopsail.replication.state import Members
 from hopsail.rpc.errors import Disconnected
@@ -25,6 +26,7 @@
     draw_hand_over,
     draw_link,
     draw_halves,
+    draw_hosts,
     draw_beyond,
     draw_lure,
     draw_reads,
@@ -141,6 +143,14 @@
     return replied
 
 
+def _trusts_an_empty_list(original):
+    return lambda self, listed: False
+
+
+def _gives_up_hosts_that_are_new(original):
+    return lambda self, now, entry, pages: True
+
+
 def _does_not_wait_for_the_lease(original):
     return lambda self, now, service, duty: False
 
@@ -302,6 +312,30 @@
         Invariant.ONE_HOLDER,
         draw_hand_over,
     ),
+    Mutation(
+        "does not wait for the lease while hosts come and go",
+        Rollouts,
+        "_must_wait",
+        _does_not_wait_for_the_lease,
+        Invariant.ONE_HOLDER,
+        draw_hosts,
+    ),
+    Mutation(
+        "trusts an empty list",
+        HostView,
+        "_distrusts",
+        _trusts_an_empty_list,
+        Invariant.RECOVERS,
+        draw_hosts,
+    ),
+    Mutation(
+        "gives up hosts that are new",
+        HostView,
+        "_is_missing",
+        _gives_up_hosts_that_are_new,
+        Invariant.RECOVERS,
+        draw_hosts,
+    ),
     Mutation(
         "fence not from the log",
         ServiceState,
--- a/tests/simulation/play.py
+++ b/tests/simulation/play.py
@@ -166,6 +166,16 @@
     world.restart_edge(step.edge, step.lasts)
 
 
+@play_step.register
+def _(step: steps.TroubleList, world: World) -> None:
+    world.outside.trouble_list(step.how, step.lasts)
+
+
+@play_step.register
+def _(step: steps.LeaveHost, world: World) -> None:
+    world.outside.leave(step.host, step.drains, step.lasts, step.same_address)
+
+
 @play_step.register
 def _(step: steps.Tamper, world: World) -> None:
     world.network.tamperings.append(Tampering(step.number, step.how, step.of))
--- a/tests/simulation/steps.py
+++ b/tests/simulation/steps.py
@@ -192,6 +192,26 @@
     lasts: int
 
 
+@dataclass(frozen=True)
+class TroubleList(Step):
+    """The platform's list lags, stands still, answers 429 or 500 or not at all, or is empty once."""
+
+    how: str
+    lasts: int
+
+
+@dataclass(frozen=True)
+class LeaveHost(Step):
+    """A host drains, goes, and after `lasts` ms another one comes, without the weights named since.
+
+    `same_address`: it comes at the address of the one that went."""
+
+    host: int
+    drains: int
+    lasts: int
+    same_address: bool
+
+
 @dataclass(frozen=True)
 class Tamper(Step):
     """One message after this moment, the so-manieth, is lost, doubled or late, or its connection is reset.
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from hopsail.controlplane.parts import PARTS
+from hopsail.hosts.instance import Phase
 
 from .clock import MILLISECOND, SECOND, Clock
 from .disk import USUAL_DELAY, WORKING
@@ -54,7 +55,7 @@
         self.kinds = {OPERATOR: "operator"}
         self.network = Network(self.clock, Random(self.random.random()), self._kind_of)
         self.checker = Checker(self)
-        self.outside = Outside(self)
+        self.outside = Outside(self, Random(self.random.random()))
         self.operators = Operators(self, Random(self.random.random()))
         self.machines: dict[str, Machine] = {}
         self.network_mended_at = self.trouble_at = -(1 << 60)
@@ -447,6 +448,7 @@
         self.checker.on_confirmed.clear()
         self.network.tamperings.clear()
         self.operators.lost_answers = 0
+        self.outside.heal()
         self.network_mended_at = self.trouble_at = self.clock.now
         for machine in self.machines.values():
             machine.disk.set(WORKING, USUAL_DELAY)
@@ -469,7 +471,8 @@
         self._read_everywhere()
 
     def _faults_are_over(self) -> bool:
-        return not any(seat.lost for seat in self.seats) and not any(one.runs for one in self.leaving)
+        lost = any(seat.lost for seat in self.seats) or any(one.runs for one in self.leaving)
+        return not lost and self.outside.is_whole
 
     def _what_lacks(self, last) -> str:
         """Why it is not over; empty when it is."""
@@ -500,6 +503,10 @@
             view = machine.program.view
             if not machine.program.ready or view.table.revision != self.checker.newest:
                 return f"{machine.name} has not {self.checker.newest}"
+            for host in self.outside.hosts.values():
+                known = view.instances.get(host.identifier)
+                if known is None or known.phase is not Phase.SERVING:
+                    return f"{machine.name} does not know that {host.identifier} serves"
             for model, revision in self.checker.named.items():
                 if view.targets[model].revision < revision if model in view.targets else True:
                     return f"{machine.name} does not know {model} {revision}"
