Simulation: machines that come back wiped at their address, or under their name elsewhere; leavers

A replaced machine came back with its disk and after its successor only, and each new machine had a new name. Now it also comes back with an empty disk and before its successor, and a new machine may have the name of the old one, by which duties and followers are known. Two short schedules: a leaver and the loss of a third one's disk within 50 ms, and a wiped machine back at its address beside one that lacks the newest.

--- a/tests/simulation/draw.py
+++ b/tests/simulation/draw.py
@@ -220,6 +220,28 @@
     return Schedule(seed, WorldRules(fence_checked=False), (lag, name, *leave, kill, empty))
 
 
+def draw_leaver(seed: int) -> Schedule:
+    """A machine is told to end because another has come, and a third one is lost with its disk then."""
+    random = Random(f"leaver/{seed}")
+    leaver, other = random.sample(range(3), 2)
+    replace = steps.Replace(100, leaver, True, 4500, same_name=random.random() < 0.5)
+    kill = steps.Kill(4600 - random.choice((50, 0, -50)), other, True, True, 9000)
+    return Schedule(seed, WorldRules(), (replace, kill, steps.Changes(4400), steps.Changes(5500)))
+
+
+def draw_return(seed: int) -> Schedule:
+    """A lost machine comes back with an empty disk, while its place is not filled, and stands beside one
+    that lacks the newest."""
+    random = Random(f"return/{seed}")
+    behind, wiped, last = random.sample(range(3), 3)
+    lost = (
+        steps.Freeze(100, behind, 0, 3000),
+        steps.Replace(2000, wiped, False, 6000, 200, wiped=True),
+        steps.Freeze(2500, last, 0, 6000),
+    )
+    return Schedule(seed, WorldRules(beyond=True), (*lost, steps.Changes(1500), steps.Changes(4000)))
+
+
 def draw_lure(seed: int) -> Schedule:
     """A data plane begins anew and reaches only a control process that has been cut off for long."""
     random = Random(f"lure/{seed}")
@@ -298,8 +320,10 @@
 
 def _replace(random: Random, at: int) -> steps.Step:
     planned, gap = random.random() < 0.5, random.choice((500, 1500, 4500, 6000))
-    returns = gap + random.choice((0, 500, 12_000, 20_000)) if random.random() < 0.3 else 0
-    return steps.Replace(at, _who(random), planned, gap, 0 if planned else returns)
+    returns = max(200, gap + random.choice((-3000, 0, 500, 12_000, 20_000))) if random.random() < 0.3 else 0
+    returns = 0 if planned else returns
+    same_name = not returns and random.random() < 0.3
+    return steps.Replace(at, _who(random), planned, gap, returns, random.random() < 0.5, same_name)
 
 
 def _tamper(random: Random, at: int) -> steps.Step:
--- a/tests/simulation/mutations.py
+++ b/tests/simulation/mutations.py
@@ -14,6 +14,7 @@
 from hopsail.controlplane.parts import CONFIGURATION_PART
 from hopsail.controlplane.rollouts import Rollouts
 from hopsail.controlplane.service_state import ServiceState
+from hopsail.controlplane.stopping import Ending
 from hopsail.controlplane.voters import Voters
 from hopsail.feed.follower import Follower
 from hopsail.hosts.view import HostView
@@ -26,6 +27,8 @@
     draw_hand_over,
     draw_link,
     draw_halves,
+    draw_leaver,
+    draw_return,
     draw_hosts,
     draw_beyond,
     draw_lure,
@@ -151,6 +154,10 @@
     return lambda self, now, entry, pages: True
 
 
+def _leaves_at_once(original):
+    return lambda self: True
+
+
 def _does_not_wait_for_the_lease(original):
     return lambda self, now, service, duty: False
 
@@ -285,6 +292,15 @@
         Invariant.SAME_LOG,
         draw_beyond,
     ),
+    Mutation(
+        "votes while recovering, back at its address",
+        Replica,
+        "_may_vote",
+        _votes_while_recovering,
+        Invariant.SAME_LOG,
+        draw_return,
+    ),
+    Mutation("leaves at once", Ending, "may_end", _leaves_at_once, Invariant.AVAILABLE, draw_leaver),
     Mutation(
         "reads without a round", Replica, "read_ready", _reads_without_a_round, Invariant.READS, draw_thaw
     ),
--- a/tests/simulation/play.py
+++ b/tests/simulation/play.py
@@ -147,7 +147,7 @@
 def _(step: steps.Replace, world: World) -> None:
     seat = world.seat_of(step.who)
     if world.may_lose(seat, disk=True) and (world.is_within_budget(seat) or not step.planned):
-        world.replace(seat, step.planned, step.gap, step.returns)
+        world.replace(seat, step.planned, step.gap, step.returns, step.wiped, step.same_name)
 
 
 @play_step.register
--- a/tests/simulation/steps.py
+++ b/tests/simulation/steps.py
@@ -164,12 +164,15 @@
 
     `planned`: the new one starts first, and the old one gets SIGTERM after `gap` ms. Else the old one loses
     power at once, and the new one starts after `gap`; if `returns` is not 0, the old one then comes back with
-    its disk after so many ms, for a while."""
+    its disk after so many ms, for a while; `wiped`: with an empty disk. `same_name`: the new one has the name
+    of the old one."""
 
     who: int
     planned: bool
     gap: int
     returns: int = 0
+    wiped: bool = False
+    same_name: bool = False
 
 
 @dataclass(frozen=True)
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -69,11 +69,11 @@
     def _kind_of(self, host: str) -> str:
         return self.kinds.get(host, "hosts")
 
-    def _new_machine(self, kind: str) -> Machine:
+    def _new_machine(self, kind: str, name: str = "") -> Machine:
         self._numbers += 1
         host = f"10.0.0.{self._numbers}"
         self.kinds[host] = kind
-        machine = Machine(self, host, f"{kind}-{self._numbers}", kind, Random(self.random.random()))
+        machine = Machine(self, host, name or f"{kind}-{self._numbers}", kind, Random(self.random.random()))
         self.machines[host] = machine
         return machine
 
@@ -371,9 +371,18 @@
 
         self.after(lasts, mend)
 
-    def replace(self, seat: Seat, planned: bool, gap: int, returns: int = 0) -> None:
+    def replace(
+        self,
+        seat: Seat,
+        planned: bool,
+        gap: int,
+        returns: int = 0,
+        wiped: bool = False,
+        same_name: bool = False,
+    ) -> None:
         """A new machine takes the place of another one."""
-        old, new = seat.machine, self._new_machine("core")
+        old = seat.machine
+        new = self._new_machine("core", old.name if same_name else "")
         self.lose(seat)
 
         def arrive() -> None:
@@ -394,6 +403,8 @@
         else:
             old.kill(power=True)
             old.gone = True
+            if wiped:
+                old.disk.wipe()
             self.after(gap, arrive)
             if returns:
                 self.leaving.append(old)
