--- a/tests/simulation/mutations.py
+++ b/tests/simulation/mutations.py
@@ -38,6 +38,7 @@
     draw_second_loss,
     draw_strike,
     draw_thaw,
+    draw_two_losses,
 )
 from .invariants import Invariant
 from .play import Schedule
@@ -395,5 +396,13 @@
         Invariant.AVAILABLE,
         draw_second_loss,
     ),
+    Mutation(
+        "members are not changed in time, of five",
+        Voters,
+        "check",
+        _changes_no_members,
+        Invariant.AVAILABLE,
+        draw_two_losses,
+    ),
     Mutation("a callback fails", Rollouts, "told", _fails, Invariant.NO_FAULT, draw_hand_over),
 )
