Schedules of the control side play alike in each run of the script

Cause: a seed played differently in another process, as the programs go through sets of names, whose order comes from the hash seed. A failing seed might not fail again, nor its shorter schedules.

Change: benchmarks/control_schedules.py begins anew with PYTHONHASHSEED 0 unless one is set.

--- a/benchmarks/control_schedules.py
+++ b/benchmarks/control_schedules.py
@@ -4,9 +4,11 @@
         [--profile NAME]
 
 `--shrink N`: of how many failing seeds the shortest schedule is looked for. Prints a line for each failing
-seed, and figures of all."""
+seed, and figures of all. The order in which the programs go through sets of names is part of a play: it comes
+from PYTHONHASHSEED, 0 unless it is set, so that a seed plays alike in each run of this script."""
 
 import argparse
+import os
 import sys
 from collections import Counter
 from functools import partial
@@ -20,6 +22,15 @@
 from simulation.shrink import breaks, shrink
 
 
+HASH_SEED = "PYTHONHASHSEED"
+
+
+def fix_hash_seed() -> None:
+    """Begins this process anew with a hash seed, unless it has one: it can't be set in a running one."""
+    if not os.environ.get(HASH_SEED, "random").isdigit():
+        os.execve(sys.executable, [sys.executable, *sys.argv], os.environ | {HASH_SEED: "0"})
+
+
 class Played(NamedTuple):
     """What came of a seed."""
 
@@ -80,4 +91,5 @@
 
 
 if __name__ == "__main__":
+    fix_hash_seed()
     sys.exit(main())
