--- a/tests/test_controlplane_steps.py
+++ b/tests/test_controlplane_steps.py
@@ -229,11 +229,11 @@
     assert driven.part.has_applied_all and driven.part.state.revision == 2
 
 
-def test_no_snapshot_is_taken_of_a_state_that_lacks_committed_entries():
-    driven, taken = Driven(), []
+def check_snapshot_waits(driven, index):
+    """A snapshot that is due is taken once the state is whole, as of this index."""
+    taken = []
     driven.replica.compact = lambda index, data: taken.append(index)
     driven.replica.snapshot_due = True
-    driven.commit(entry(1, put(0, configuration(1))), entry(2, put(1, large(2))))
     driven.part.compact()
     driven.pump(50)
     assert taken == []
@@ -241,7 +241,13 @@
     driven.part.compact()
     driven.replica.snapshot_due = False
     driven.pump(50)
-    assert taken == [2]
+    assert taken == [index]
+
+
+def test_no_snapshot_is_taken_of_a_state_that_lacks_committed_entries():
+    driven = Driven()
+    driven.commit(entry(1, put(0, configuration(1))), entry(2, put(1, large(2))))
+    check_snapshot_waits(driven, 2)
 
 
 def test_a_snapshot_takes_the_place_of_entries_that_wait():
@@ -355,17 +361,7 @@
 
 
 def test_no_snapshot_is_taken_while_one_is_installed():
-    driven, taken = installing(), []
-    driven.replica.compact = lambda index, data: taken.append(index)
-    driven.replica.snapshot_due = True
-    driven.part.compact()
-    driven.pump(50)
-    assert taken == []
-    driven.finish()
-    driven.part.compact()
-    driven.replica.snapshot_due = False
-    driven.pump(50)
-    assert taken == [7]
+    check_snapshot_waits(installing(), 7)
 
 
 @pytest.mark.parametrize("at_once", [True, False])
--- a/tests/test_storage_power.py
+++ b/tests/test_storage_power.py
@@ -66,6 +66,20 @@
     return found
 
 
+def opened_from(copy, state):
+    """What a storage shows that is opened on these files, by their names, in an empty folder."""
+    copy.mkdir(exist_ok=True)
+    for path in copy.iterdir():
+        path.unlink()
+    for name, data in state.items():
+        (copy / name).write_bytes(data)
+    store = Storage.open(str(copy), PARTS)
+    found = shown(store)
+    store.close()
+    assert not store.corrupt
+    return found
+
+
 @pytest.mark.parametrize("most_chunk", [chunks.MOST_CHUNK, 700])
 def test_power_lost_at_every_write_leaves_the_old_state_or_the_new(tmp_path, monkeypatch, most_chunk):
     monkeypatch.setattr(chunks, "MOST_CHUNK", most_chunk)
@@ -73,15 +87,7 @@
     allowed = []
 
     def lost(state):
-        copy.mkdir(exist_ok=True)
-        for path in copy.iterdir():
-            path.unlink()
-        for name, data in state.items():
-            (copy / name).write_bytes(data)
-        store = Storage.open(str(copy), PARTS)
-        found = shown(store)
-        store.close()
-        assert not store.corrupt
+        found = opened_from(copy, state)
         assert found in allowed, (found, allowed)
 
     with monkeypatch.context() as patched:
@@ -144,15 +150,7 @@
         folder, copy, allowed = tmp_path / f"data{first}", tmp_path / "copy", []
 
         def lost(state, copy=copy):
-            copy.mkdir(exist_ok=True)
-            for path in copy.iterdir():
-                path.unlink()
-            for name, data in state.items():
-                (copy / name).write_bytes(data)
-            store = Storage.open(str(copy), PARTS)
-            found = shown(store)
-            store.close()
-            assert not store.corrupt
+            found = opened_from(copy, state)
             assert found in allowed, (found, allowed)  # noqa: B023
 
         with monkeypatch.context() as patched:
