--- a/hopsail/controlplane/rollouts.py
+++ b/hopsail/controlplane/rollouts.py
@@ -5,6 +5,7 @@
 from ..feed.topics import Topic
 from ..hosts.instance import Phase
 from ..http.client import CLOSE
+from ..net.log import say
 from ..routing.lanes import Lane, divide
 from ..weights.eligibility import SeenLoad, held_revision
 from ..weights.load import HostLoadError, decode_load, encode_load, merge_load
@@ -51,6 +52,7 @@
             for model, revision in part.state.revisions.items():
                 if revision > self.targets.get(model, (0, 0))[0]:
                     self.targets[model] = (revision, now)
+                    say("weights", f"model {model}: revision {revision} named")
             for service, duty in part.state.duties.items():
                 if duty.released:
                     self.released.setdefault((service, duty.fence), now)
@@ -211,6 +213,8 @@
         def answered(response) -> None:
             status = response.status if response is not None else None
             self.plane.counters.add(f"orders.{status}")
+            revision = action.body["Revision"]
+            say("weights", f"host {action.host} ordered to revision {revision}: {status}")
             rollout.order_answered(self.plane.loop.now(), action.host, status, action.serial)
 
         self.plane.counters.add("orders")
--- a/hopsail/dataplane/placement.py
+++ b/hopsail/dataplane/placement.py
@@ -1,5 +1,6 @@
 """Which host a request goes to, and what the host is told: salt, expected version, where parts are."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from ..configuration.process import ProcessSettings
@@ -39,6 +40,7 @@
         self.reuse = WallReuse()
         bounds = settings.bounds
         self.bounds = EligibilityBounds(apply_one_ns=int(bounds.apply_one_ms * MILLISECOND))
+        self.on_age_judged: Callable[[HostState], None] = lambda state: None
 
     def renew(self) -> list[tuple[str, int]]:
         """Takes over changes of the view's instances; the addresses of hosts that are gone."""
@@ -72,7 +74,14 @@
         load, target = self.view.loads.get(state.identifier), self.view.targets.get(model)
         state.revision = held_revision(listed, load)
         wanted, seen_at = (target.revision, target.seen_at) if target else (None, 0)
-        return eligible(now, listed, load, wanted, seen_at, self.bounds) is Eligibility.OK
+        verdict = eligible(now, listed, load, wanted, seen_at, self.bounds)
+        self._note_age(state, verdict is Eligibility.TOO_OLD)
+        return verdict is Eligibility.OK
+
+    def _note_age(self, state: HostState, is_too_old: bool) -> None:
+        if state.is_too_old != is_too_old:
+            state.is_too_old = is_too_old
+            self.on_age_judged(state)
 
     def place(
         self, now: int, name: str, prompt: Prompt, tenant: dict | None, priority: int, excluded: set[str]
--- a/hopsail/dataplane/plane.py
+++ b/hopsail/dataplane/plane.py
@@ -14,6 +14,7 @@
 from ..net.log import say
 from ..process import FLEET, MILLISECOND, Program
 from ..routing.admission import Verdict
+from ..routing.choice import HostState
 from ..routing.durations import RecentDurations
 from ..routing.outcomes import Failure
 from ..routing.retries import RetryBudget
@@ -51,6 +52,8 @@
         self.view.on_configuration = self._configuration_changed
         self.placement = Placement(settings, self.view, self.random)
         self.view.on_instances = self._instances_changed
+        self.view.on_target = self._target_named
+        self.placement.on_age_judged = self._age_judged
         sockets = max(64, settings.fd_limit - FD_RESERVE)
         self.pool = ConnectionPool(self.loop, most=sockets // 2)
         self.limits = ServerLimits(connections=sockets // 2)
@@ -146,6 +149,15 @@
         for address in self.placement.renew():
             self.pool.forget(address)
 
+    def _target_named(self, model: str, revision: int) -> None:
+        self.counters.add("targets.named")
+        say("weights", f"model {model}: revision {revision} named")
+
+    def _age_judged(self, state: HostState) -> None:
+        verdict = "too old, not used" if state.is_too_old else "new enough, used"
+        self.counters.add("hosts.too_old" if state.is_too_old else "hosts.new_enough")
+        say("weights", f"host {state.identifier} at revision {state.revision}: {verdict}")
+
     @property
     def ready(self) -> bool:
         return self.view.ready and not self.stopping
--- a/hopsail/dataplane/view.py
+++ b/hopsail/dataplane/view.py
@@ -49,6 +49,7 @@
         self.unreadable = 0  # entries that were passed over
         self.on_configuration: Callable[[], None] = lambda: None
         self.on_instances: Callable[[], None] = lambda: None
+        self.on_target: Callable[[str, int], None] = lambda model, revision: None
 
     @property
     def ready(self) -> bool:
@@ -133,6 +134,7 @@
         known = self.targets.get(model)
         if known is None or known.revision < revision:
             self.targets[model] = Target(revision, now)
+            self.on_target(model, revision)
 
     def _kept(self, source: str, key: str, value: bytes | None) -> None:
         holder, salt, part = key.split(" ")
--- a/hopsail/routing/choice.py
+++ b/hopsail/routing/choice.py
@@ -32,6 +32,7 @@
     in_flight_work: float = 0.0  # of them, in ms; 0 = not known
     draining: bool = False
     revision: int = 0
+    is_too_old: bool = False  # as judged last: its weights have been superseded for too long
 
 
 @dataclass(frozen=True, slots=True)
