Weights: each named version keeps its own time, also for processes that start later

Cause (H1): a data plane kept one target per model and, when a newer one came, replaced the instant at which the earlier one had been learned. With versions named every 4 s no host was ever too old: the 6.5 s began anew each time. Ruled out: a late feed (all twelve processes told each naming within 1 ms), a wrong belief about a host (the requests that ran named the version that it had). A host is too old once the time of the first revision that it lacks is over. Same cause elsewhere: - the roll-out hurried towards the newest target's time only; it now goes by each host's own, and begins with the earliest; - a process that has just started took a version for new when it first heard of it: control processes now tell the revision whose time is over (topic REQUIRED), which is merged monotonically; - a request that waits at a host past the 1.5 s kept back for that would still begin there: it is withdrawn 0.5 s before the version's time is over (elsewhere if it may run twice, else 502 at once). Changed tests: they name revisions to one object instead of giving a target and its instant; the stand-in order holds the revision that a real one has.

--- a/hopsail/controlplane/rollouts.py
+++ b/hopsail/controlplane/rollouts.py
@@ -9,6 +9,7 @@
 from ..routing.lanes import Lane, divide
 from ..weights.eligibility import SeenLoad, held_revision
 from ..weights.load import HostLoadError, decode_load, encode_load, merge_load
+from ..weights.named import NamedRevisions
 from ..weights.rollout import Announce, HostInfo, Rollout, RolloutRules, SendOrder
 from .commands import Command, CommandKind
 from .parts import part_of_service
@@ -41,7 +42,7 @@
         self.running: dict[tuple[str, str], _Running] = {}
         self.acquiring: set[str] = set()  # services
         self.settled: dict[tuple[str, str], tuple[int, int]] = {}  # target and feed's sequence without work
-        self.targets: dict[str, tuple[int, int]] = {}  # model -> (revision, ns when it was first seen)
+        self.targets: dict[str, NamedRevisions] = {}  # by model
         self.released: dict[tuple[str, int], int] = {}  # (service, fence) -> ns when its release was seen
         self._look()
 
@@ -50,8 +51,8 @@
         now = self.plane.loop.now()
         for part in self.plane.parts[1:]:
             for model, revision in part.state.revisions.items():
-                if revision > self.targets.get(model, (0, 0))[0]:
-                    self.targets[model] = (revision, now)
+                named = self.targets.setdefault(model, NamedRevisions(self.rules.deadline_ns))
+                if named.name(now, revision):
                     say("weights", f"model {model}: revision {revision} named")
             for service, duty in part.state.duties.items():
                 if duty.released:
@@ -68,6 +69,7 @@
 
     def _look(self) -> None:
         self.plane.after(LOOK_EVERY_MS, self._look)
+        self._publish_required()
         if self.plane.table is None:
             return
         led = set()
@@ -82,6 +84,15 @@
         for key in [key for key in self.settled if key not in led]:
             del self.settled[key]
 
+    def _publish_required(self) -> None:
+        """Tells which revisions' time is over: a data plane that has just started can't know it."""
+        now, journal = self.plane.loop.now(), self.plane.journal
+        for model, named in self.targets.items():
+            required = named.required(now, self.rules.deadline_ns)
+            told = journal.get(Topic.REQUIRED, model)
+            if required and (told is None or int(told) < required):
+                journal.set(Topic.REQUIRED, model, str(required).encode())
+
     def _hosts(self, service: str, model: str) -> list[HostInfo]:
         instances = self.plane.platform.view.by_service(service)
         serving = [one.identifier for one in instances if one.phase is Phase.SERVING]
@@ -112,7 +123,10 @@
         return SeenLoad(decode_load(value), 0) if value is not None else None
 
     def _step(self, part, service: str, model: str) -> None:
-        target, since = self.targets.get(model, (0, 0))
+        named = self.targets.get(model)
+        if named is None:
+            return  # none has been named
+        target = named.newest
         running = self.running.get((service, model))
         seen = (target, self.plane.journal.topic_sequence(Topic.INSTANCE))
         if running is None and self.settled.get((service, model)) == seen:
@@ -130,7 +144,7 @@
             del self.running[(service, model)]  # another one has held the duty since the last look
             return
         now = self.plane.loop.now()
-        running.rollout.update(now, hosts, target, since)
+        running.rollout.update(now, hosts, named)
         if not behind and not running.rollout.loading:
             self._release(part, service, model)
             return
--- a/hopsail/dataplane/attempt.py
+++ b/hopsail/dataplane/attempt.py
@@ -25,6 +25,8 @@
         self.connection: ClientConnection | None = None
         self.response: ResponseHead | None = None
         self.work = 0.0  # tokens that it is expected to cost the host
+        self.revision: int | None = None  # of the weights that the host is expected to run it on
+        self.is_withdrawn = False
         self.ended = False
 
     @property
@@ -78,6 +80,14 @@
             self.connection.abandon()
         self._end(Outcome.BROKEN)
 
+    def withdraw(self) -> None:
+        """Ends an attempt that waits at its host, through no fault of the host."""
+        self.is_withdrawn = True
+        outcome = outcome_of(self.written, self.response, whole=False)
+        if self.connection is not None:
+            self.connection.abandon()
+        self._end(outcome)
+
     def _end(self, outcome: Outcome) -> None:
         if not self.ended:
             self.ended = True
--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -109,6 +109,14 @@
             self._abandon_attempt()
             self._give_up(Refusal.ENDING)
 
+    def withdraw_if_superseded(self) -> None:
+        """Takes the request back from a host at which it would begin on weights whose time is over."""
+        attempt, model = self.attempt, self.prompt.model
+        if attempt is None or attempt.response is not None or model is None or not attempt.revision:
+            return
+        if not self.plane.may_wait(model, attempt.revision):
+            attempt.withdraw()
+
     # Attempts.
 
     def _try(self) -> None:
@@ -125,6 +133,7 @@
         connection = self._connection_to(placed.host.address)
         attempt = Attempt(self, self.identifier, placed.host, plane.loop.now())
         attempt.work, attempt.connection = placed.work, connection
+        attempt.revision = placed.revision
         self.attempt = attempt
         if connection is None:
             plane.loop.soon(attempt.failed, Failure.NOT_SENT)
--- a/hopsail/dataplane/placement.py
+++ b/hopsail/dataplane/placement.py
@@ -71,10 +71,9 @@
         listed = instance.model_revision(model)
         if listed is None:
             return False
-        load, target = self.view.loads.get(state.identifier), self.view.targets.get(model)
+        load, named = self.view.loads.get(state.identifier), self.view.targets.get(model)
         state.revision = held_revision(listed, load)
-        wanted, seen_at = (target.revision, target.seen_at) if target else (None, 0)
-        verdict = eligible(now, listed, load, wanted, seen_at, self.bounds)
+        verdict = eligible(now, listed, load, named, self.bounds)
         self._note_age(state, verdict is Eligibility.TOO_OLD)
         return verdict is Eligibility.OK
 
@@ -83,6 +82,11 @@
             state.is_too_old = is_too_old
             self.on_age_judged(state)
 
+    def may_wait(self, now: int, model: str, revision: int) -> bool:
+        """Whether a request that has not begun may still wait at a host that holds this revision."""
+        named = self.view.targets.get(model)
+        return named is None or not named.is_overdue(now, revision, self.bounds.wait_ns)
+
     def place(
         self, now: int, name: str, prompt: Prompt, tenant: dict | None, priority: int, excluded: set[str]
     ) -> Placed | None:
--- a/hopsail/dataplane/plane.py
+++ b/hopsail/dataplane/plane.py
@@ -48,7 +48,7 @@
     def __init__(self, settings: ProcessSettings):
         super().__init__(settings)
         self.random = Random(f"{settings.node_name}/{self.loop.now()}")
-        self.view = FleetView()
+        self.view = FleetView(int(settings.bounds.apply_one_ms * MILLISECOND))
         self.view.on_configuration = self._configuration_changed
         self.placement = Placement(settings, self.view, self.random)
         self.view.on_instances = self._instances_changed
@@ -105,6 +105,8 @@
         self.after(TICK_MS, self._tick)
         self.controls.choose()
         self.confirmed.tick()
+        for forwarding in list(self.in_flight):
+            forwarding.withdraw_if_superseded()
         if self.ready != self.was_ready:
             self.was_ready = self.ready
             say("state", "ready" if self.ready else "not ready")
@@ -256,6 +258,10 @@
             now, forwarding.exchange.began, forwarding.deadline, lately, streaming
         )
 
+    def may_wait(self, model: str, revision: int) -> bool:
+        """Whether a request that has not begun may still wait at a host that holds this revision."""
+        return self.placement.may_wait(self.loop.now(), model, revision)
+
     def place(self, forwarding: Forwarding) -> Placed | None:
         """A host for the next attempt."""
         now = self.loop.now()
@@ -295,7 +301,9 @@
         if attempt.written:
             size = int(forwarding.prompt.size)
             self.durations.add(now, forwarding.route["Name"], size, now - attempt.sent_at)
-        if attempt.is_replaced:
+        if attempt.is_withdrawn:
+            self.counters.add("attempts.withdrawn")
+        elif attempt.is_replaced:
             health.failed(now, host.identifier, Failure.REPLACED)
         elif outcome in (Outcome.COMPLETE, Outcome.DECLINED):
             health.succeeded(now, host.identifier)
--- a/hopsail/dataplane/view.py
+++ b/hopsail/dataplane/view.py
@@ -10,21 +10,13 @@
 from ..prompts.kept import KeptIndex
 from ..weights.eligibility import SeenLoad
 from ..weights.load import HostLoad, decode_load, merge_load
+from ..weights.named import KEPT_NS, NamedRevisions
 
 GONE_KEPT = 4096  # instances that are gone and remembered, so that late news can't bring them back
 MOST_KEPT = 262_144  # entries of kept parts; a quarter as many are expected from own requests
 LEAST_KEPT = 1  # tokens: feeds tell of large parts alone, but small ones are expected, too
 
 
-class Target:
-    """The revision of a model's weights that is to be in force, and since when it is known here (ns)."""
-
-    __slots__ = ("revision", "seen_at")
-
-    def __init__(self, revision: int, seen_at: int):
-        self.revision, self.seen_at = revision, seen_at
-
-
 def _place_of(instance: Instance) -> tuple:
     """What of an instance decides whether and where it is sent requests, besides its weights."""
     return instance.service, instance.address, instance.zone, instance.capacity, instance.phase
@@ -35,11 +27,12 @@
 
     A configuration older than the one in force is never taken, whoever tells it."""
 
-    def __init__(self):
+    def __init__(self, apply_one_ns: int = KEPT_NS):
+        self.apply_one_ns = apply_one_ns  # in which a named version must be in force
         self.table: RouteTable | None = None
         self.configuration = FollowedConfiguration()
         self.instances: dict[str, Instance] = {}
-        self.targets: dict[str, Target] = {}
+        self.targets: dict[str, NamedRevisions] = {}  # by model
         self.told_instances: dict[str, bytes] = {}  # as last told, by whatever feed
         self.gone: dict[str, None] = {}  # instances that are gone, the oldest first
         self.loads: dict[str, SeenLoad] = {}
@@ -85,6 +78,8 @@
             self._load(now, key, decode_load(value))
         elif topic == Topic.TARGET:
             self._target(now, key, int(value))
+        elif topic == Topic.REQUIRED:
+            self._named(key).require(int(value))
         elif topic == Topic.BALANCERS:
             self.balancers = int(value)
         return False
@@ -131,11 +126,15 @@
             self.loads[host] = SeenLoad(merged, now)
 
     def _target(self, now: int, model: str, revision: int) -> None:
-        known = self.targets.get(model)
-        if known is None or known.revision < revision:
-            self.targets[model] = Target(revision, now)
+        if self._named(model).name(now, revision):
             self.on_target(model, revision)
 
+    def _named(self, model: str) -> NamedRevisions:
+        named = self.targets.get(model)
+        if named is None:
+            named = self.targets[model] = NamedRevisions(self.apply_one_ns)
+        return named
+
     def _kept(self, source: str, key: str, value: bytes | None) -> None:
         holder, salt, part = key.split(" ")
         if value is None:
--- a/hopsail/weights/eligibility.py
+++ b/hopsail/weights/eligibility.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from hopsail.weights.load import HostLoad, LoadPhase
+from hopsail.weights.named import NamedRevisions
 
 NS_PER_MS = 1_000_000
 
@@ -17,12 +18,27 @@
 
 
 class EligibilityBounds(NamedTuple):
-    """Nanoseconds: time allowed to a new version, the part of it kept back, life of an announcement."""
+    """Nanoseconds: time allowed to a new version, the part of it kept back, life of an announcement.
+
+    `margin_ns` is kept back for the wait at a host: a request may be sent so much before it begins to run.
+    One that waits still is withdrawn `withdraw_margin_ns` before the version's time is over.
+    """
 
     apply_one_ns: int = 8_000 * NS_PER_MS
     margin_ns: int = 1_500 * NS_PER_MS
+    withdraw_margin_ns: int = 500 * NS_PER_MS
     announcement_life_ns: int = 5_000 * NS_PER_MS
 
+    @property
+    def send_ns(self) -> int:
+        """For how long after a version's naming a host without it is sent requests."""
+        return self.apply_one_ns - self.margin_ns
+
+    @property
+    def wait_ns(self) -> int:
+        """For how long after a version's naming a request may wait at a host without it."""
+        return self.apply_one_ns - self.withdraw_margin_ns
+
 
 class SeenLoad(NamedTuple):
     """An announcement and when this process received it (each renewal counts)."""
@@ -35,21 +51,18 @@
     now: int,
     host_revision: int,
     host_load: SeenLoad | None,
-    target: int | None,
-    target_seen_at: int,
+    named: NamedRevisions | None,
     bounds: EligibilityBounds,
 ) -> Eligibility:
     """Judge one host.
 
-    `host_revision` is what the list or the host itself has shown, `target` the newest named version of the
-    model (None: none), `target_seen_at` when this process learned of it.
+    `host_revision` is what the list or the host itself has shown, `named` the versions of the model (None:
+    none is known). A host behind several of them is too old once the time of the first is over.
     """
     held = held_revision(host_revision, host_load)
     if host_load is not None and _is_loading(now, held, host_load, bounds):
         return Eligibility.LOADING
-    if target is None or held >= target:
-        return Eligibility.OK
-    if now > target_seen_at + bounds.apply_one_ns - bounds.margin_ns:
+    if named is not None and named.is_overdue(now, held, bounds.send_ns):
         return Eligibility.TOO_OLD
     return Eligibility.OK
 
--- a/hopsail/weights/places.py
+++ b/hopsail/weights/places.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection
 
+from hopsail.weights.actions import HostInfo
 from hopsail.weights.model_hosts import ModelHosts
 from hopsail.weights.progress import Progress
 from hopsail.weights.rules import RolloutRules
@@ -17,15 +18,23 @@
         self._rules = rules
         self._hosts = hosts
 
-    def limit(self, now: int, waiting: int = 0) -> int:
-        """Return how many hosts may hold a place while so many wait."""
+    def limit(self, now: int, waiting: Collection[HostInfo] = ()) -> int:
+        """Return how many hosts may hold a place while these wait."""
         limit = max(1, self._rules.at_once(len(self._hosts)))
-        left_ns = self._hosts.target_since + self._rules.deadline_ns - now
-        waves_left = max(1, left_ns // self._rules.wave_ns)
-        needed = -(-waiting // waves_left)
-        return min(max(limit, needed), limit * HURRY_FACTOR)
-
-    def group_has_room(self, now: int, group: str, waiting: int, loading: Collection[Progress]) -> bool:
+        return min(max(limit, self._needed(now, waiting)), limit * HURRY_FACTOR)
+
+    def _needed(self, now: int, waiting: Collection[HostInfo]) -> int:
+        """Return how many must load at once for each to hold a newer revision in time, the earliest first."""
+        needed = 0
+        deadlines = sorted(self._hosts.superseded_at(host) + self._rules.deadline_ns for host in waiting)
+        for count, deadline in enumerate(deadlines, 1):
+            waves_left = max(1, (deadline - now) // self._rules.wave_ns)
+            needed = max(needed, -(-count // waves_left))
+        return needed
+
+    def group_has_room(
+        self, now: int, group: str, waiting: Collection[HostInfo], loading: Collection[Progress]
+    ) -> bool:
         """Whether one more host of the group may load; in a hurry the bound is given up."""
         hurries = self.limit(now, waiting) > self._rules.at_once(len(self._hosts))
         if not group or hurries:
--- a/hopsail/weights/rollout.py
+++ b/hopsail/weights/rollout.py
@@ -11,6 +11,7 @@
 from hopsail.weights.actions import Action, Announce, AskReport, HostInfo, SendOrder
 from hopsail.weights.load import HostLoad, LoadPhase
 from hopsail.weights.model_hosts import ModelHosts
+from hopsail.weights.named import NamedRevisions
 from hopsail.weights.outbox import Outbox
 from hopsail.weights.places import Places, held
 from hopsail.weights.progress import Progress, Stage
@@ -116,9 +117,9 @@
         """Whether an order may be sent now."""
         return self._held and lease_valid and not self._fence_lost and now >= self._send_from
 
-    def update(self, now: int, hosts: Iterable[HostInfo], target: int, target_since: int) -> None:
-        """Take the known hosts of the model and the target, named at `target_since`; a target only rises."""
-        self._hosts.update(hosts, target, target_since)
+    def update(self, now: int, hosts: Iterable[HostInfo], named: NamedRevisions) -> None:
+        """Take the known hosts of the model and its named revisions, the newest of which is the target."""
+        self._hosts.update(hosts, named)
         self._retries.keep(self._hosts)
         for identifier, progress in list(self._progress.items()):
             self._update_progress(identifier, progress)
@@ -277,12 +278,12 @@
             return
         waiting = self._hosts.behind(self._progress)
         loading = self._progress.values()
-        free = self._places.limit(now, len(waiting)) - held(loading)
+        free = self._places.limit(now, waiting) - held(loading)
         if free <= 0 or not waiting:
             return
         ready = [host for host in waiting if self._retries.not_before(host.identifier) <= now]
         for host in sorted(ready, key=self._preference):
-            if free > 0 and self._places.group_has_room(now, host.group, len(waiting), loading):
+            if free > 0 and self._places.group_has_room(now, host.group, waiting, loading):
                 self._start(now, host)
                 free -= 1
 
@@ -291,10 +292,12 @@
         self._progress[host.identifier] = progress
         self._announce(now, progress, LoadPhase.PREPARING)
 
-    def _preference(self, host: HostInfo) -> tuple[int, bool, int, str]:
-        """Begin with hosts that have not failed, that perhaps load already, that are least busy."""
+    def _preference(self, host: HostInfo) -> tuple[int, int, bool, int, str]:
+        """Begin with hosts that have not failed, whose time ends first, that perhaps load already, that are
+        least busy."""
         failures = self._retries.failures(host.identifier)
-        return (failures, not host.loading, host.in_flight, host.identifier)
+        superseded_at = self._hosts.superseded_at(host)
+        return (failures, superseded_at, not host.loading, host.in_flight, host.identifier)
 
     def _next_look(self, now: int) -> int:
         """Return when to look again while no order may be sent."""
@@ -305,7 +308,7 @@
     def _next_due(self, now: int) -> int:
         due = min((self._progress_due(progress) for progress in self._progress.values()), default=FAR_FUTURE)
         waiting = self._hosts.behind(self._progress)
-        if waiting and held(self._progress.values()) < self._places.limit(now, len(waiting)):
+        if waiting and held(self._progress.values()) < self._places.limit(now, waiting):
             earliest = min(self._retries.not_before(host.identifier) for host in waiting)
             due = min(due, max(earliest, self._starts_from))
         return max(due, now + MIN_STEP_NS)
--- a/tests/test_controlplane_bad_input.py
+++ b/tests/test_controlplane_bad_input.py
@@ -292,7 +292,7 @@
             assert operator.clear(3, "POST", VERSION, text({"Model": model, "Revision": revision}))[0] == 200
         for plane in planes:
             cluster.until(lambda plane=plane: plane.journal.get(Topic.TARGET, model) == b"3")
-            assert plane.rollouts.targets[model][0] == 3
+            assert plane.rollouts.targets[model].newest == 3
     finally:
         close_sockets(operator.loop)
         cluster.close()
--- a/tests/test_dataplane_forward.py
+++ b/tests/test_dataplane_forward.py
@@ -236,6 +236,7 @@
         self.pool = Pool(self.loop)
         self.budget, self.allowed = Budget(), allowed
         self.in_time = True  # the process does not end before requests could
+        self.superseded = set()  # revisions at whose hosts no request may wait
         self.hosts = [HostState(f"i-{number}", ("10.0.0.1", 8000 + number)) for number in range(hosts)]
         self.under_way, self.outcomes, self.refusals = [], [], []
         self.first_bytes = self.asked = 0
@@ -254,6 +255,9 @@
     def may_begin(self, forwarding):
         return self.in_time
 
+    def may_wait(self, model, revision):
+        return revision not in self.superseded
+
     def place(self, forwarding):
         for host in self.hosts:
             if host.identifier not in forwarding.excluded:
--- a/tests/test_dataplane_view.py
+++ b/tests/test_dataplane_view.py
@@ -246,9 +246,10 @@
     first.tell(target(3), now=10)
     second.tell(target(2), now=20)
     second.tell(target(3), now=30)
-    assert (view.targets["m"].revision, view.targets["m"].seen_at) == (3, 10)
+    named = view.targets["m"]
+    assert (named.newest, named.superseded_at(2), named.superseded_at(3)) == (3, 10, None)
     second.tell(target(4), now=40)
-    assert (view.targets["m"].revision, view.targets["m"].seen_at) == (4, 40)
+    assert (named.newest, named.superseded_at(2), named.superseded_at(3)) == (4, 10, 40)
 
 
 def load(phase, revision, fence, serial):
--- a/tests/test_old_configurations.py
+++ b/tests/test_old_configurations.py
@@ -505,16 +505,16 @@
     plane = simulation.data_plane(seeds)
     simulation.cut_edge(plane, seeds[1])
     simulation.run(200 * MILLISECOND)
-    first = plane.view.targets["m"].revision
+    first = plane.view.targets["m"].newest
     heal_edges(simulation)
     simulation.run(2 * SECOND)
-    assert plane.view.targets["m"].revision == 2 >= first
+    assert plane.view.targets["m"].newest == 2 >= first
     simulation.process(names[0]).journal.set(Topic.TARGET, "m", b"0")
     simulation.crash(names[0])
     simulation.start(names[0])
     simulation.process(names[0]).journal.set(Topic.TARGET, "m", b"1")
     simulation.run(5 * SECOND)
-    assert plane.view.targets["m"].revision == 2
+    assert plane.view.targets["m"].newest == 2
 
 
 class Days:
--- a/tests/test_rollout_answers.py
+++ b/tests/test_rollout_answers.py
@@ -5,6 +5,7 @@
 from hopsail.hosts.instance import Address, Phase
 from hopsail.weights.actions import Announce, AskReport, HostInfo, SendOrder
 from hopsail.weights.load import LoadPhase
+from hopsail.weights.named import NamedRevisions
 from hopsail.weights.rollout import Rollout, RolloutRules
 
 MODEL = "m"
@@ -21,7 +22,9 @@
     def __init__(self):
         self.rollout = Rollout("node-1", RolloutRules(), MODEL)
         self.rollout.acquire(0, 7, False)
-        self.rollout.update(0, [HOST], 2, 0)
+        named = NamedRevisions()
+        named.name(0, 2)
+        self.rollout.update(0, [HOST], named)
         self.rollout.step(0, True)
         self.now = 150 * MS
         (self.order,) = self.rollout.step(self.now, True)
--- a/tests/test_rules_of_pages.py
+++ b/tests/test_rules_of_pages.py
@@ -326,7 +326,7 @@
 
 class Order:
     host, address, serial = "i-1", ("10.0.0.1", 8001), 3
-    body = {"OrderKind": "Revision", "Owner": "core-1", "FenceToken": 4}
+    body = {"OrderKind": "Revision", "Revision": 2, "Owner": "core-1", "FenceToken": 4}
 
 
 class Answer:
--- a/tests/test_weights.py
+++ b/tests/test_weights.py
@@ -9,6 +9,7 @@
 from hopsail.hosts.instance import Address, Phase
 from hopsail.weights.eligibility import Eligibility, EligibilityBounds, SeenLoad, eligible, held_revision
 from hopsail.weights.load import HostLoad, HostLoadError, LoadPhase, decode_load, encode_load, merge_load
+from hopsail.weights.named import NamedRevisions
 from hopsail.weights.rollout import (
     Announce,
     AskReport,
@@ -146,8 +147,7 @@
         self.loads = {}
         self.most_blocked = 0
         self.most_loading = 0
-        self.target = 1
-        self.target_since = 0
+        self.named = NamedRevisions()
         self.cut = set()
 
     def at(self, when, call):
@@ -162,8 +162,7 @@
         self.at(when, lambda: self.hosts[number].restart(self.now))
 
     def name(self, revision):
-        self.target = revision
-        self.target_since = self.now
+        self.named.name(self.now, revision)
         for holder in self.holders:
             self.update(holder)
 
@@ -184,7 +183,7 @@
         return (known or host.history)[-1][1]
 
     def update(self, holder):
-        holder.rollout.update(self.now, self.listed(), self.target, self.target_since)
+        holder.rollout.update(self.now, self.listed(), self.named)
 
     def list_hosts(self, holder):
         self.update(holder)
@@ -278,7 +277,7 @@
         """Run until all hosts hold the target and are announced as usable; return when."""
         while self.now < 60 * S:
             self.run(self.now + 50 * MS)
-            held = all(host.revision >= self.target for host in self.hosts.values())
+            held = all(host.revision >= self.named.newest for host in self.hosts.values())
             free = all(self.is_free(host) for host in self.hosts.values())
             if held and free:
                 return self.now
@@ -388,7 +387,7 @@
 def test_at_most_twice_as_many_at_once_past_the_deadline():
     simulation = simulation_of(9)
     simulation.run(DEADLINE)
-    simulation.target = 2
+    simulation.named.name(0, 2)
     simulation.run(DEADLINE + 2 * S)
     simulation.finished_at()
     assert simulation.most_blocked == 6
@@ -604,11 +603,11 @@
     rollout = Rollout("node-1", RolloutRules(), MODEL)
     rollout.acquire(0, 1, False)
     address = Address("10.0.0.1", 80)
-    rollout.update(0, [HostInfo("i-1", address, 1, phase)], 2, 0)
+    rollout.update(0, [HostInfo("i-1", address, 1, phase)], named_at(0, 2))
     assert rollout.step(0, True) == []
-    rollout.update(0, [HostInfo("i-1", address, 1, Phase.SERVING)], 2, 0)
+    rollout.update(0, [HostInfo("i-1", address, 1, Phase.SERVING)], named_at(0, 2))
     assert len(rollout.step(0, True)) == 1
-    rollout.update(10 * MS, [HostInfo("i-1", address, 1, phase)], 2, 0)
+    rollout.update(10 * MS, [HostInfo("i-1", address, 1, phase)], named_at(0, 2))
     assert rollout.step(200 * MS, True) == []
     assert rollout.loading == {}
 
@@ -623,7 +622,7 @@
         HostInfo("i-3", address, 1, Phase.SERVING, in_flight=9, loading=True),
         *(HostInfo(f"i-{n}", address, 1, Phase.SERVING, in_flight=9) for n in range(4, 7)),
     ]
-    rollout.update(0, hosts, 2, 0)
+    rollout.update(0, hosts, named_at(0, 2))
     assert [action.host for action in rollout.step(0, True)] == ["i-3", "i-2"]
 
 
@@ -641,7 +640,7 @@
 def test_answers_that_are_not_awaited_are_ignored():
     rollout = Rollout("node-1", RolloutRules(), MODEL)
     rollout.acquire(0, 1, False)
-    rollout.update(0, [HostInfo("i-1", Address("10.0.0.1", 80), 1, Phase.SERVING)], 2, 0)
+    rollout.update(0, [HostInfo("i-1", Address("10.0.0.1", 80), 1, Phase.SERVING)], named_at(0, 2))
     rollout.order_answered(0, "i-1", 200)
     rollout.step(0, True)
     rollout.order_answered(1 * MS, "i-1", 200)
@@ -667,7 +666,7 @@
 def test_a_report_that_says_nothing_is_asked_for_again(report):
     rollout = Rollout("node-1", RolloutRules(), MODEL)
     rollout.acquire(0, 1, False)
-    rollout.update(0, [HostInfo("i-1", Address("10.0.0.1", 80), 1, Phase.SERVING)], 2, 0)
+    rollout.update(0, [HostInfo("i-1", Address("10.0.0.1", 80), 1, Phase.SERVING)], named_at(0, 2))
     rollout.step(0, True)
     rollout.step(150 * MS, True)
     rollout.order_answered(160 * MS, "i-1", 202)
@@ -722,7 +721,7 @@
     rollout = Rollout("node-1", RolloutRules(at_once=lambda count: count), MODEL)
     rollout.acquire(0, 1, False)
     address = Address("10.0.0.1", 80)
-    rollout.update(0, [HostInfo(f"i-{n}", address, 1, Phase.SERVING) for n in range(hosts)], 2, 0)
+    rollout.update(0, [HostInfo(f"i-{n}", address, 1, Phase.SERVING) for n in range(hosts)], named_at(0, 2))
     rollout.step(0, True)
     orders = rollout.step(150 * MS, True)
     assert [type(order) for order in orders] == [SendOrder] * hosts
@@ -780,9 +779,9 @@
     rollout = Rollout("node-1", RolloutRules(), MODEL)
     rollout.acquire(0, 1, False)
     host = HostInfo("i-0", Address("10.0.0.1", 80), 1, Phase.SERVING)
-    rollout.update(0, [host], 2, 0)
+    rollout.update(0, [host], named_at(0, 2))
     rollout.step(0, True)
-    rollout.update(50 * MS, [host], 3, 50 * MS)
+    rollout.update(50 * MS, [host], named_at(50 * MS, 3))
     announce, order = rollout.step(150 * MS, True)
     assert announce.load[:2] == (LoadPhase.PREPARING, 3)
     assert order.body["Revision"] == 3
@@ -863,6 +862,13 @@
 BOUNDS = EligibilityBounds()
 
 
+def named_at(when, *revisions):
+    named = NamedRevisions()
+    for revision in revisions:
+        named.name(when, revision)
+    return named
+
+
 def seen(phase, revision, at):
     return SeenLoad(HostLoad(phase, revision, 1, 1), at)
 
@@ -870,24 +876,26 @@
 @pytest.mark.parametrize("phase", BLOCKED)
 def test_a_host_is_not_used_while_it_loads(phase):
     load = seen(phase, 2, 1 * S)
-    assert eligible(1 * S, 1, load, 2, 0, BOUNDS) is Eligibility.LOADING
-    assert eligible(6 * S, 1, load, 2, 0, BOUNDS) is Eligibility.LOADING
-    assert eligible(6 * S + 1, 1, load, 2, 0, BOUNDS) is Eligibility.OK
-    assert eligible(2 * S, 2, load, 2, 0, BOUNDS) is Eligibility.OK
+    assert eligible(1 * S, 1, load, named_at(0, 2), BOUNDS) is Eligibility.LOADING
+    assert eligible(6 * S, 1, load, named_at(0, 2), BOUNDS) is Eligibility.LOADING
+    assert eligible(6 * S + 1, 1, load, named_at(0, 2), BOUNDS) is Eligibility.OK
+    assert eligible(2 * S, 2, load, named_at(0, 2), BOUNDS) is Eligibility.OK
 
 
 @pytest.mark.parametrize("phase", [LoadPhase.IDLE, LoadPhase.DONE])
 def test_a_host_is_used_when_it_does_not_load(phase):
-    assert eligible(1 * S, 1, seen(phase, 2, 1 * S), 2, 0, BOUNDS) is Eligibility.OK
+    assert eligible(1 * S, 1, seen(phase, 2, 1 * S), named_at(0, 2), BOUNDS) is Eligibility.OK
 
 
 def test_an_older_version_is_not_used_past_the_bound():
     limit = 10 * S + DEADLINE
-    assert eligible(limit, 1, None, 2, 10 * S, BOUNDS) is Eligibility.OK
-    assert eligible(limit + 1, 1, None, 2, 10 * S, BOUNDS) is Eligibility.TOO_OLD
-    assert eligible(limit + 1, 2, None, 2, 10 * S, BOUNDS) is Eligibility.OK
-    assert eligible(limit + 1, 1, None, None, 0, BOUNDS) is Eligibility.OK
-    assert eligible(limit + 1, 1, seen(LoadPhase.IDLE, 2, 0), 2, 10 * S, BOUNDS) is Eligibility.TOO_OLD
+    assert eligible(limit, 1, None, named_at(10 * S, 2), BOUNDS) is Eligibility.OK
+    assert eligible(limit + 1, 1, None, named_at(10 * S, 2), BOUNDS) is Eligibility.TOO_OLD
+    assert eligible(limit + 1, 2, None, named_at(10 * S, 2), BOUNDS) is Eligibility.OK
+    assert eligible(limit + 1, 1, None, None, BOUNDS) is Eligibility.OK
+    assert (
+        eligible(limit + 1, 1, seen(LoadPhase.IDLE, 2, 0), named_at(10 * S, 2), BOUNDS) is Eligibility.TOO_OLD
+    )
 
 
 def test_a_finished_load_counts_before_the_list_shows_it():
@@ -895,7 +903,7 @@
     assert held_revision(1, done) == 2
     assert held_revision(3, done) == 3
     assert held_revision(1, seen(LoadPhase.LOADING, 2, 0)) == 1
-    assert eligible(100 * S, 1, done, 2, 0, BOUNDS) is Eligibility.OK
+    assert eligible(100 * S, 1, done, named_at(0, 2), BOUNDS) is Eligibility.OK
 
 
 # --- roll-out: groups of hosts that do the same work
@@ -914,7 +922,7 @@
 def started_at_once(sizes, rules=None):
     rollout = Rollout("owner", rules or RolloutRules(), MODEL)
     rollout.acquire(0, 1, False)
-    rollout.update(0, grouped(sizes), 2, 0)
+    rollout.update(0, grouped(sizes), named_at(0, 2))
     actions = rollout.step(0, True)
     return [action.host.partition("-")[0] for action in actions if isinstance(action, Announce)]
 
@@ -935,10 +943,10 @@
     rollout = Rollout("owner", RolloutRules(), MODEL)
     rollout.acquire(0, 1, False)
     hosts = grouped({"a": 2, "b": 4})
-    rollout.update(0, hosts, 2, 0)
+    rollout.update(0, hosts, named_at(0, 2))
     first = {action.host for action in rollout.step(0, True) if isinstance(action, Announce)}
     done = [host._replace(revision=2) if host.identifier in first else host for host in hosts]
-    rollout.update(MS, done, 2, 0)
+    rollout.update(MS, done, named_at(0, 2))
     started = [a for a in rollout.step(MS, True) if isinstance(a, Announce) and a.load.blocks]
     assert len(started) == 2 and not {action.host for action in started} & first
 
@@ -947,6 +955,6 @@
     rollout = Rollout("owner", RolloutRules(), MODEL)
     late = RolloutRules().deadline_ns
     rollout.acquire(0, 1, False)
-    rollout.update(late, grouped({"a": 2, "b": 1}), 2, 0)
+    rollout.update(late, grouped({"a": 2, "b": 1}), named_at(0, 2))
     started = [action for action in rollout.step(late, True) if isinstance(action, Announce)]
     assert len(started) == 2
