--- a/hopsail/http/client_connection.py
+++ b/hopsail/http/client_connection.py
@@ -1,6 +1,5 @@
 """A client's HTTP/1.1 connection: one call at a time, its answer handed on as it comes."""
 
-import socket
 from collections.abc import Callable
 from enum import Enum
 from typing import Protocol
@@ -9,12 +8,12 @@
 
 from ..net.stream import Stream
 from .message import ResponseHead
+from .sockets import reset_at_close
 
 MILLISECOND = 1_000_000
 CONNECT_TIME = 1000 * MILLISECOND
 MOST_HEAD = 64 << 10
 RECENT_CALLS = 16  # whose identifiers a connection remembers
-RESET_AT_CLOSE = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # struct linger: on, 0 s
 
 
 class Failure(Enum):
@@ -200,7 +199,7 @@
     def reset(self) -> None:
         """The same, and what the host has not had yet is not to reach it later."""
         if self.open:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            reset_at_close(self.sock)
         self.abandon()
 
     def released(self):
--- a/hopsail/http/server_connection.py
+++ b/hopsail/http/server_connection.py
@@ -12,6 +12,7 @@
 from .limits import Rejection, ServerLimits
 from .message import Headers, Request, encode_head, status_line
 from .request_parser import MALFORMED, RequestError, RequestParser
+from .sockets import reset_at_close
 
 MILLISECOND = 1_000_000
 PIPELINED = 8  # requests read ahead on a connection
@@ -20,7 +21,6 @@
 FIRST_WORD_MS = 250  # for a client whose connection has just been accepted when the server shuts
 TIMED_OUT = 408
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-RESET_AT_CLOSE = b"\x01\x00\x00\x00\x00\x00\x00\x00"  # struct linger: on, 0 s
 
 
 class ConnectionOwner(Protocol):
@@ -240,7 +240,7 @@
     def reset(self):
         """Ends the connection with a reset."""
         if self.open:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+            reset_at_close(self.sock)
             self.close()
 
     def released(self):
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -16,3 +16,12 @@
     yield make
     for one in made:
         one.close()
+
+
+@pytest.fixture
+def opened():
+    """What is to be closed after the test, in the order of its making."""
+    things = []
+    yield things
+    for thing in things:
+        thing.close()
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -259,15 +259,6 @@
     made.close()
 
 
-@pytest.fixture
-def opened():
-    """What is to be closed after the test, in the order of its making."""
-    things = []
-    yield things
-    for thing in things:
-        thing.close()
-
-
 @pytest.fixture
 def server(loop, opened):
     made = RpcServer(loop, ("127.0.0.1", 0), "blue")
--- a/tests/test_rpc_callers.py
+++ b/tests/test_rpc_callers.py
@@ -29,14 +29,6 @@
     made.close()
 
 
-@pytest.fixture
-def opened():
-    things = []
-    yield things
-    for thing in things:
-        thing.close()
-
-
 @pytest.fixture
 def raw(loop, opened):
     made = RawListener(loop)
