Weights: announcements name the host's model where a host runs several; tests that went by the old fields

Cause: what is announced of a load was kept under the host alone. Of two models on one host, the word that one's load was done passed for the other's, whose lower version was then never ordered, and requests for it bore a version that the host had not. Change: Instance.load_key is the host's name where it runs one model, as before and for processes that know no other key, and holds the model's name besides where there are several.

--- a/hopsail/controlplane/rollouts.py
+++ b/hopsail/controlplane/rollouts.py
@@ -102,7 +102,7 @@
             listed = instance.model_revision(model)
             if listed is None or instance.phase is not Phase.SERVING:
                 continue
-            load = self._seen_load(instance.identifier)
+            load = self._seen_load(instance.load_key(model))
             held = held_revision(listed, load)
             loading = load is not None and load.load.blocks and held < load.load.revision
             lane = Lane.SHORT if instance.identifier in short else Lane.LONG
@@ -118,8 +118,8 @@
             )
         return hosts
 
-    def _seen_load(self, host: str) -> SeenLoad | None:
-        value = self.plane.journal.get(Topic.LOAD, host)
+    def _seen_load(self, key: str) -> SeenLoad | None:
+        value = self.plane.journal.get(Topic.LOAD, key)
         return SeenLoad(decode_load(value), 0) if value is not None else None
 
     def _step(self, part, service: str, model: str) -> None:
@@ -211,17 +211,19 @@
 
     def _act(self, rollout: Rollout, action) -> None:
         if isinstance(action, Announce):
-            self._announce(action.host, action.load)
+            instance = self.plane.platform.view.get(action.host)
+            if instance is not None:
+                self._announce(instance.load_key(rollout.model), action.load)
         elif isinstance(action, SendOrder):
             self._order(rollout, action)
         else:
             self._ask(rollout, action)
 
-    def _announce(self, host: str, load) -> None:
-        known = self.plane.journal.get(Topic.LOAD, host)
+    def _announce(self, key: str, load) -> None:
+        known = self.plane.journal.get(Topic.LOAD, key)
         if known is not None:
             load = merge_load(decode_load(known), load)
-        self.plane.journal.set(Topic.LOAD, host, encode_load(load))
+        self.plane.journal.set(Topic.LOAD, key, encode_load(load))
 
     def _order(self, rollout: Rollout, action: SendOrder) -> None:
         def answered(response) -> None:
--- a/hopsail/dataplane/placement.py
+++ b/hopsail/dataplane/placement.py
@@ -71,7 +71,7 @@
         listed = instance.model_revision(model)
         if listed is None:
             return False
-        load, named = self.view.loads.get(state.identifier), self.view.targets.get(model)
+        load, named = self.view.loads.get(instance.load_key(model)), self.view.targets.get(model)
         state.revision = held_revision(listed, load)
         verdict = eligible(now, listed, load, named, self.bounds)
         self._note_age(state, verdict is Eligibility.TOO_OLD)
--- a/hopsail/dataplane/view.py
+++ b/hopsail/dataplane/view.py
@@ -35,7 +35,7 @@
         self.targets: dict[str, NamedRevisions] = {}  # by model
         self.told_instances: dict[str, bytes] = {}  # as last told, by whatever feed
         self.gone: dict[str, None] = {}  # instances that are gone, the oldest first
-        self.loads: dict[str, SeenLoad] = {}
+        self.loads: dict[str, SeenLoad] = {}  # by `Instance.load_key`
         self.kept = KeptIndex(MOST_KEPT, LEAST_KEPT)
         self.stores: dict[str, dict[str, StoreStatus]] = {}  # service -> feed -> what it tells
         self.balancers: int | None = None
@@ -115,15 +115,17 @@
         self.gone[identifier] = None
         while len(self.gone) > GONE_KEPT:
             oldest = next(iter(self.gone))
-            del self.gone[oldest], self.instances[oldest]
-            self.loads.pop(oldest, None)
+            instance = self.instances.pop(oldest)
+            del self.gone[oldest]
+            for model in instance.models:
+                self.loads.pop(instance.load_key(model.name), None)
             self.told_instances.pop(oldest, None)
 
-    def _load(self, now: int, host: str, told: HostLoad) -> None:
-        known = self.loads.get(host)
+    def _load(self, now: int, key: str, told: HostLoad) -> None:
+        known = self.loads.get(key)
         merged = told if known is None else merge_load(known.load, told)
         if known is None or merged != known.load:
-            self.loads[host] = SeenLoad(merged, now)
+            self.loads[key] = SeenLoad(merged, now)
 
     def _target(self, now: int, model: str, revision: int) -> None:
         if self._named(model).name(now, revision):
--- a/hopsail/feed/topics.py
+++ b/hopsail/feed/topics.py
@@ -9,7 +9,7 @@
     CONFIGURATION = 1  # `configuration.items`: route/NAME, service/NAME, tenant/NAME, limits, revision
     INSTANCE = 2  # instance id -> `hosts.instance` encoding, merged monotonically
     TARGET = 3  # model -> decimal revision of its weights that is to be in force
-    LOAD = 4  # instance id -> `weights` encoding of the progress of an order
+    LOAD = 4  # `Instance.load_key` of a host's model -> `weights` encoding of the progress of an order
     KEPT = 5  # holder, salt and part, separated by spaces -> decimal tokens
     STORE = 6  # service of a store -> `store_status` encoding
     BALANCERS = 7  # "count" -> decimal upper bound of live data planes
--- a/hopsail/hosts/instance.py
+++ b/hopsail/hosts/instance.py
@@ -58,6 +58,14 @@
                 return held.revision
         return None
 
+    def load_key(self, model: str) -> str:
+        """Return the key of what is announced of the model's load here.
+
+        It is the name of a host that runs one model, as for processes that know no other key, and holds the
+        model's name besides where there are several: each has its own roll-out.
+        """
+        return self.identifier if len(self.models) <= 1 else f"{self.identifier} {model}"
+
     def with_phase(self, phase: Phase) -> "Instance":
         """Return the instance moved to `phase`."""
         return replace(self, phase=phase)
--- a/hopsail/weights/rollout.py
+++ b/hopsail/weights/rollout.py
@@ -51,7 +51,7 @@
 
     def __init__(self, owner: str, rules: RolloutRules, model: str) -> None:
         self._rules = rules
-        self._model = model
+        self.model = model
         self._held = False
         self._fence = 0
         self._fence_lost = False
@@ -149,7 +149,7 @@
         progress = self._progress.get(host)
         if progress is None or not progress.expects(Stage.ASKING, serial):
             return
-        parsed = read_report(report, self._model)
+        parsed = read_report(report, self.model)
         if parsed is None:
             progress.fail(now, self._rules)
         else:
--- a/tests/simulation/invariants.py
+++ b/tests/simulation/invariants.py
@@ -315,9 +315,9 @@
             self.fail(Invariant.NEVER_BACK, f"{machine.name}: {revision} after {machine.seen_revision}")
         machine.seen_revision = revision
         for model, target in view.targets.items():
-            if target.revision < machine.seen_targets.get(model, 0):
-                self.fail(Invariant.NEVER_BACK, f"{machine.name}: {model} goes back to {target.revision}")
-            machine.seen_targets[model] = target.revision
+            if target.newest < machine.seen_targets.get(model, 0):
+                self.fail(Invariant.NEVER_BACK, f"{machine.name}: {model} goes back to {target.newest}")
+            machine.seen_targets[model] = target.newest
         if not machine.was_ready and machine.program.ready:
             machine.was_ready = True
             self.figures["ready"] += 1
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -505,7 +505,7 @@
                 if known is None or known.phase is not Phase.SERVING:
                     return f"{machine.name} does not know that {host.identifier} serves"
             for model, revision in self.checker.named.items():
-                if view.targets[model].revision < revision if model in view.targets else True:
+                if view.targets[model].newest < revision if model in view.targets else True:
                     return f"{machine.name} does not know {model} {revision}"
         return ""
 
--- a/tests/test_controlplane_rollouts.py
+++ b/tests/test_controlplane_rollouts.py
@@ -57,7 +57,8 @@
         self.parts = [FakePart() for _ in range(PARTS)]
         self.parts[part_of_service(SERVICE)] = self.part
         self.host = self.listed(1)
-        self.platform = SimpleNamespace(view=SimpleNamespace(by_service=lambda service: [self.host]))
+        view = SimpleNamespace(by_service=lambda service: [self.host], get=lambda identifier: self.host)
+        self.platform = SimpleNamespace(view=view)
         self.journal, self.counters = Journal(1, 1000), Counters("test")
         self.http = SimpleNamespace(call=self._call)
         self.rollouts = Rollouts(self)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -42,6 +42,11 @@
         self.loop.offset += nanoseconds
         self.settle(2)
 
+    def stand_still(self):
+        """From now on the clock moves by `forward` alone, however slow the machine is."""
+        began = self.loop.now() - self.loop.offset
+        self.loop.now = lambda: began + self.loop.offset
+
     def own(self, thing):
         self.owned.append(thing)
         return thing
@@ -797,6 +802,7 @@
 def test_a_client_that_has_just_connected_is_given_time_to_say_something(runner):
     service = Service(runner, echo)
     client, mute = service.client(), service.client()
+    runner.stand_still()
     service.server.shut()
     runner.settle()
     runner.forward((FIRST_WORD_MS - 50) * MILLISECOND)
