Tests: one driver of work in steps, one sync that is refused

The same loop stood in three tests of steps, the same refusing os.fsync in three tests of the storage.

--- a/tests/test_controlplane_compaction.py
+++ b/tests/test_controlplane_compaction.py
@@ -3,6 +3,7 @@
 import json
 
 import pytest
+from steps_taken import taken_to_end
 
 from hopsail.controlplane.compaction import (
     BYTES_AT_ONCE,
@@ -38,13 +39,7 @@
 
 def read_in_steps(data: bytes) -> tuple[int, object]:
     """How many pauses the reading makes, and what is read."""
-    reading, pauses = reading_json(data), 0
-    while True:
-        try:
-            next(reading)
-        except StopIteration as end:
-            return pauses, end.value
-        pauses += 1
+    return taken_to_end(reading_json(data))
 
 
 @pytest.mark.parametrize("tree", TREES)
--- a/tests/test_controlplane_steps.py
+++ b/tests/test_controlplane_steps.py
@@ -5,6 +5,7 @@
 
 import pytest
 from controlplane_simulation import Change
+from steps_taken import taken_to_end
 from test_controlplane_cluster import acknowledged, others, started
 from test_controlplane_state import (
     INVALID,
@@ -40,13 +41,7 @@
 
 def steps_of(state: ConfigurationState, command) -> tuple[int, tuple]:
     """How many pauses a judgement makes, and its verdict."""
-    judging, pauses = state.judging(command), 0
-    while True:
-        try:
-            next(judging)
-        except StopIteration as end:
-            return pauses, end.value
-        pauses += 1
+    return taken_to_end(state.judging(command))
 
 
 @pytest.fixture
@@ -302,14 +297,7 @@
 
 
 def test_an_index_is_built_in_steps_and_is_the_same():
-    building, pauses = ConfigurationIndex.building(large(3)), 0
-    while True:
-        try:
-            next(building)
-        except StopIteration as end:
-            built = end.value
-            break
-        pauses += 1
+    pauses, built = taken_to_end(ConfigurationIndex.building(large(3)))
     assert pauses >= TENANTS // STEP_ITEMS
     assert vars(built) == vars(ConfigurationIndex(large(3)))
 
--- a/tests/test_replication_storage.py
+++ b/tests/test_replication_storage.py
@@ -19,6 +19,19 @@
 MEMBERS = Members(("a", "b", "c"), ("d",))
 
 
+class RefusingSync:
+    """Stands in for `os.fsync`: the sync with this number is refused, all others are made."""
+
+    def __init__(self, number, error):
+        self.number, self.error, self.calls, self.real = number, error, 0, os.fsync
+
+    def __call__(self, descriptor):
+        self.calls += 1
+        if self.calls == self.number:
+            raise OSError(self.error, os.strerror(self.error))
+        self.real(descriptor)
+
+
 def entry(index, data=b"x", term=1):
     return Entry(term, index, int(EntryKind.DATA), data)
 
@@ -136,20 +149,11 @@
 
 def test_failed_sync_leaves_no_torn_record(tmp_path, monkeypatch):
     store = filled(tmp_path, 2)
-    real = os.fsync
     for failing in (1, 2):
-        calls = []
-
-        def refuse(descriptor, calls=calls, failing=failing):
-            calls.append(descriptor)
-            if len(calls) == failing:
-                raise OSError(errno.ENOSPC, "full")
-            real(descriptor)
-
-        monkeypatch.setattr(os, "fsync", refuse)
-        with pytest.raises(StorageError):
-            write(store, entries_to_store=[entry(3, b"refused")])
-        monkeypatch.setattr(os, "fsync", real)
+        with monkeypatch.context() as patched:
+            patched.setattr(os, "fsync", RefusingSync(failing, errno.ENOSPC))
+            with pytest.raises(StorageError):
+                write(store, entries_to_store=[entry(3, b"refused")])
     kept = reopened(tmp_path).load("p0").entries
     assert kept in ([entry(1), entry(2, b"value 2")], [entry(1), entry(2, b"value 2"), entry(3, b"refused")])
     write(store, entries_to_store=[entry(3, b"accepted")])
@@ -205,18 +209,10 @@
     monkeypatch.setattr(storage, "MOST_RECORDS", 3)
     filled(tmp_path, 5)
     kept = files(tmp_path)
-    real = os.fsync
     for failing in range(1, 12):
         restore(tmp_path, kept)
         store = reopened(tmp_path)
-        calls = []
-
-        def refuse(descriptor, calls=calls, failing=failing):
-            calls.append(descriptor)
-            if len(calls) == failing:
-                raise OSError(errno.EIO, "refused")
-            real(descriptor)
-
+        refuse = RefusingSync(failing, errno.EIO)
         with monkeypatch.context() as patched:
             patched.setattr(os, "fsync", refuse)
             try:
@@ -227,7 +223,7 @@
         write(store, entries_to_store=[entry(6)])
         again = reopened(tmp_path)
         assert len(again.load("p0").entries) == 6 and not again.corrupt
-    assert failing > len(calls)
+    assert failing > refuse.calls
 
 
 def test_first_write_that_fails_can_be_repeated(tmp_path, monkeypatch):
@@ -437,16 +433,9 @@
 @pytest.mark.parametrize("refused", range(1, 13))
 def test_a_disk_that_is_full_between_chunks_keeps_the_old_state_and_works_on(tmp_path, monkeypatch, refused):
     store = filled(tmp_path)
-    kept, synced, sync = store.load("p0"), [], os.fsync
-
-    def full(descriptor):
-        synced.append(descriptor)
-        if len(synced) == refused:
-            raise OSError(errno.ENOSPC, "full")
-        sync(descriptor)
-
+    kept = store.load("p0")
     with monkeypatch.context() as patched:
-        patched.setattr(os, "fsync", full)
+        patched.setattr(os, "fsync", RefusingSync(refused, errno.ENOSPC))
         with pytest.raises(StorageError):
             write(store, snapshot_to_store=LONG)
     assert store.load("p0") == kept
