Weights: the limit of places is worked out once a look; one way to close an attempt's connection and end it

Each host that might begin to load asked for the limit again, which sorts all that wait: the same result as often as hosts wait. Attempt.break_off and withdraw closed and ended alike.

--- a/hopsail/dataplane/attempt.py
+++ b/hopsail/dataplane/attempt.py
@@ -76,14 +76,14 @@
 
     def break_off(self) -> None:
         """Ends the attempt, whose answer can't be gone on with; it may have run."""
-        if self.connection is not None:
-            self.connection.abandon()
-        self._end(Outcome.BROKEN)
+        self._close_and_end(Outcome.BROKEN)
 
     def withdraw(self) -> None:
         """Ends an attempt that waits at its host, through no fault of the host."""
         self.is_withdrawn = True
-        outcome = outcome_of(self.written, self.response, whole=False)
+        self._close_and_end(outcome_of(self.written, self.response, whole=False))
+
+    def _close_and_end(self, outcome: Outcome) -> None:
         if self.connection is not None:
             self.connection.abandon()
         self._end(outcome)
--- a/hopsail/weights/places.py
+++ b/hopsail/weights/places.py
@@ -32,11 +32,9 @@
             needed = max(needed, -(-count // waves_left))
         return needed
 
-    def group_has_room(
-        self, now: int, group: str, waiting: Collection[HostInfo], loading: Collection[Progress]
-    ) -> bool:
-        """Whether one more host of the group may load; in a hurry the bound is given up."""
-        hurries = self.limit(now, waiting) > self._rules.at_once(len(self._hosts))
+    def group_has_room(self, group: str, limit: int, loading: Collection[Progress]) -> bool:
+        """Whether one more host of the group may load; where the limit is raised, the bound is given up."""
+        hurries = limit > self._rules.at_once(len(self._hosts))
         if not group or hurries:
             return True
         of_group = held([progress for progress in loading if progress.host.group == group])
--- a/hopsail/weights/rollout.py
+++ b/hopsail/weights/rollout.py
@@ -278,12 +278,13 @@
             return
         waiting = self._hosts.behind(self._progress)
         loading = self._progress.values()
-        free = self._places.limit(now, waiting) - held(loading)
+        limit = self._places.limit(now, waiting)
+        free = limit - held(loading)
         if free <= 0 or not waiting:
             return
         ready = [host for host in waiting if self._retries.not_before(host.identifier) <= now]
         for host in sorted(ready, key=self._preference):
-            if free > 0 and self._places.group_has_room(now, host.group, waiting, loading):
+            if free > 0 and self._places.group_has_room(host.group, limit, loading):
                 self._start(now, host)
                 free -= 1
 
