Rig: standstills of its processes are measured, and the verdict leaves them out

Cause: the verdict takes a leg for sent 53 ms at most before it reached its host. Shown (trials, this machine): processes stopped by SIGSTOP for moments.

--- a/hopsail/load/child.py
+++ b/hopsail/load/child.py
@@ -16,6 +16,7 @@
 from ..emulator.scenario import Machine
 from ..net.loop import READ, Loop
 from .relay import Way
+from .standstills import Heartbeat
 from .standins import HostStandin, Unheard
 
 FOLDER = "hopsail-"  # how the name of a rig's folder begins
@@ -51,6 +52,10 @@
             self.due = True
             self.loop.at(self.loop.now() + FLUSH, self._flush)
 
+    def standstill(self, one):
+        """Tells of a span in which this process did not run."""
+        self.tell("stood", one.end, one.begin)
+
     def _flush(self):
         self.due = False
         try:
@@ -150,6 +155,12 @@
             node.loop.stop()
 
     node.loop.watch(0, READ, gone)
+
+    def tell(word, at, value):
+        os.write(1, json.dumps([word, at, value]).encode() + b"\n")
+
+    tell("at", monotonic_ns(), node.config.name)
+    Heartbeat(node.loop, lambda one: tell("stood", one.end, one.begin))
     node.run()
     if alone and folder.name.startswith(FOLDER):
         shutil.rmtree(folder, ignore_errors=True)  # who would have done so was killed
@@ -163,6 +174,7 @@
     settings = json.loads(sys.stdin.buffer.readline())
     loop, orders = Loop(), None
     talk = Talk(loop, lambda order: orders(*order))
+    Heartbeat(loop, talk.standstill)
     orders = {"host": host, "relay": relay}[sys.argv[1]](loop, talk, settings)
     loop.run()
 
--- a/hopsail/load/generator.py
+++ b/hopsail/load/generator.py
@@ -9,6 +9,7 @@
 import sys
 import tempfile
 from bisect import bisect_left
+from dataclasses import dataclass
 from itertools import accumulate
 from pathlib import Path
 from random import Random
@@ -108,6 +109,18 @@
         self.number, self.sent, self.receipt = 0, 0, 0  # of the try that is out: its id, and when it went out
 
 
+@dataclass(frozen=True, slots=True)
+class Final:
+    """A request that is over: when it was due and ended (ns, monotonic), what it is worth, whether it was
+    handled, and whether in time."""
+
+    due: int
+    ended: int
+    benefit: float
+    handled: bool
+    in_time: bool
+
+
 class Load:
     """The requests of a scenario, sent to balancers in turn at random; clients try again as in the emulator.
 
@@ -127,6 +140,7 @@
         self.by_heed = {True: [0, 0], False: [0, 0]}  # clients that heed, and others: in time, all
         self.series = Series(-(-load.lasts // SECOND))
         self.trace, self.kinds, self.legs, self.deaths = [], [], {}, {}
+        self.finals = []  # requests that are over, of those that count
         self.factor, self.storms, self.hot, self.scanned = 1.0, 0, 0.0, 0
         self.halted = lambda: False  # whether somebody wants it to end
         self.watchers, self.stopped = [], False  # watchers: called with each second that is over
@@ -297,6 +311,8 @@
         self.by_heed[client.heeds][0] += in_time
         self.by_heed[client.heeds][1] += 1
         self.worth += track.benefit
+        due, ended = client.due - self.loop.offset, client.due + took - self.loop.offset
+        self.finals.append(Final(due, ended, track.benefit, handled, in_time))
         if handled:
             self.times.record_value(time)
             self.gained += track.benefit * in_time
