--- a/hopsail/standins/client.py
+++ b/hopsail/standins/client.py
@@ -107,6 +107,8 @@
             self.over(True)
 
     def ended(self):
+        if self.done is not None and not self.whole:
+            self.check.cut()
         framed = self.headers.keys() & {"content-length", "transfer-encoding"}
         self.over(bool(self.status and not framed and self.finished))
 
@@ -179,6 +181,10 @@
         self.seal: Seal | None = None
         self.last_event_at = 0
 
+    def cut(self) -> None:
+        """The data plane has closed the connection before the answer was whole."""
+        self.record.cut_at = self.loop.now()
+
     def fault(self, rule: Rule, text: str) -> None:
         self.record.faults.append(Violation(rule, self.record.attempt, text))
 
@@ -295,6 +301,7 @@
             idempotent=route.idempotent,
             streaming=route.streaming,
             sent_at=self.loop.now(),
+            deadline=self.loop.now() + left * MILLISECOND,
         )
         self.client.journal.add(self.client.journal.tries, record)
         self._open(record, encode_request("POST", self.target, headers, self.body))
@@ -307,6 +314,7 @@
         except OSError:
             self.loop.soon(self._over, record, check, False, {})
             return
+        record.taken_by, record.kept = connection.address[0], not connection.dialing
         timer = self.loop.at(self.deadline, lambda: connection.over(False))
         up_by = min(self.deadline, self.loop.now() + CONNECT_MS * MILLISECOND)
         dialing = self.loop.at(up_by, lambda: connection.over(False) if connection.dialing else None)
--- a/hopsail/standins/fleet.py
+++ b/hopsail/standins/fleet.py
@@ -124,12 +124,18 @@
         return made
 
     def add_host(self, at_once: bool = False) -> Host:
-        """A host that is new; the platform lists it after its lag."""
-        number = self.next_host
+        """A host that is new, at an address of its own; the platform lists it after its lag."""
         self.next_host += 1
+        return self.start_host(self.next_host - 1, "", at_once=at_once)
+
+    def start_host(
+        self, number: int, incarnation: str, *, behind: bool = False, at_once: bool = False
+    ) -> Host:
+        """A host at the address of that number; `behind` if it starts with the first version of its model."""
         settings = HostSettings(
             SERVICE, self.place(150 + number, HOST_PORT), self.zones[number % len(self.zones)], {MODEL: 1},
-            capacity=CAPACITY, cache_tokens=CACHE_TOKENS, seed=f"{self.seed}/{number}",
+            capacity=CAPACITY, cache_tokens=CACHE_TOKENS, behind=behind,
+            seed=f"{self.seed}/{number}{incarnation}",
         )  # fmt: skip
         host = Host(
             self.loop, settings, self.fabric, self.journal,
--- a/hopsail/standins/host.py
+++ b/hopsail/standins/host.py
@@ -41,6 +41,7 @@
     load_ms: int = 400
     health_path: str = "/healthz"
     fence_checked: bool = True
+    behind: bool = False  # whether it starts with the versions of `models` though newer ones are named
     seed: str = ""
 
 
@@ -69,6 +70,12 @@
     def memory(self) -> int:
         return self.prompt_tokens + self.total
 
+    def break_off(self) -> None:
+        """The host itself ends it before its answer is whole."""
+        self.stop_timers()
+        if self.run is not None:
+            self.run.broken_off = True
+
     def stop_timers(self) -> None:
         for timer in self.timers:
             timer.cancel()
@@ -92,7 +99,8 @@
         self.changed, self.draining_shown = changed, draining_shown
         self.random = Random(f"host/{settings.seed}/{settings.address}")
         self.identifier = f"i-{self.random.randrange(1 << 32):08x}"
-        self.models = {name: max(held, fabric.newest(name)) for name, held in settings.models.items()}
+        newest = (lambda _: 0) if settings.behind else fabric.newest
+        self.models = {name: max(held, newest(name)) for name, held in settings.models.items()}
         self.kept = KeptParts(settings.cache_tokens, self.random.randrange(1, 1 << 31))
         fabric.kept[settings.address] = self.kept
         self.queue: list[Work] = []
@@ -140,7 +148,7 @@
             return
         self.gone = True
         for work in [*self.queue, *self.running]:
-            work.stop_timers()
+            work.break_off()
         self.queue.clear()
         self.running.clear()
         self.fabric.kept.pop(self.settings.address, None)
@@ -380,6 +388,7 @@
         if work.run is None:
             self._decline(work.exchange, work.attempt, 503)
         elif work.exchange.started:
+            work.break_off()
             work.exchange.abort()
         else:
             work.exchange.respond(504, headers=[("hopsail-attempt-id", work.attempt)])
@@ -425,11 +434,10 @@
 
     def _begin_load(self, model: str, revision: int, method: str) -> None:
         self.loading = model
-        for work in [work for work in self.queue if work.model == model]:
-            self._decline(work.exchange, work.attempt, 503)
-            self._ended(work)
+        self._decline_queued(model)
         if method == "truncate":
             for work in self._concerned():
+                work.break_off()
                 work.exchange.connection.reset()
                 self._ended(work)
         if method == "defer" and self._concerned():
@@ -437,6 +445,14 @@
         else:
             self._load(model, revision)
 
+    def _decline_queued(self, model: str) -> None:
+        """Turns all away that wait for a model; none of them may begin while others are turned away."""
+        declined = [work for work in self.queue if work.model == model]
+        self.queue = [work for work in self.queue if work.model != model]
+        for work in declined:
+            work.stop_timers()
+            self._decline(work.exchange, work.attempt, 503)
+
     def _load(self, model: str, revision: int) -> None:
         self.loop.at(
             self.loop.now() + self.settings.load_ms * MILLISECOND, lambda: self._loaded(model, revision)
--- a/hopsail/standins/judge.py
+++ b/hopsail/standins/judge.py
@@ -91,10 +91,15 @@
     if foreign:
         yield Violation(Rule.MIXED, asked.attempt, f"pieces of other requests' runs: {foreign}")
     last = known.get(asked.runs[-1]) if asked.runs else stamped
-    if asked.complete and last is not None and not last.complete:
+    if asked.complete and last is not None and not _ended(last, runs):
         yield Violation(Rule.ORDER, asked.attempt, f"complete, but {last.identifier} did not end")
 
 
+def _ended(last: Run, runs: list[Run]) -> bool:
+    """Whether the run whose events came last has ended, or one that was resumed after its last token."""
+    return last.complete or any(run.complete and run.resumed_after == last.sent_up_to for run in runs)
+
+
 def _check_memory(runs: list[Run], isolated: set[str]) -> Iterable[Violation]:
     """STALE and WALL."""
     for run in runs:
--- a/hopsail/standins/operator.py
+++ b/hopsail/standins/operator.py
@@ -126,6 +126,7 @@
         self.random = Random(f"operator/{seed}")
         self.sent: list[dict] = []
         self.acknowledged: dict[int, int] = {}  # revision -> ns of its acknowledgement
+        self.versions: dict[int, int] = {}  # version of weights -> ns of its acknowledgement
 
     def next_address(self) -> Address:
         return self.random.choice(self.addresses)
@@ -146,9 +147,15 @@
 
     def name_version(self, model: str, revision: int, done: Callable[[Answer], None]) -> None:
         """Names new weights; hosts take orders for them from now on."""
+
+        def ended(answer: Answer) -> None:
+            if answer.taken:
+                self.versions[revision] = self.loop.now()
+            done(answer)
+
         self.fabric.name_version(model, revision)
         body = json.dumps({"Model": model, "Revision": revision}).encode()
-        self._send(OperatorCall("POST", "/-/version-put", tuple(JSON_HEADERS), body), done)
+        self._send(OperatorCall("POST", "/-/version-put", tuple(JSON_HEADERS), body), ended)
 
     def _change(self, method: str, tree: dict, current: int, done: Callable[[Answer], None]) -> None:
         def ended(answer: Answer) -> None:
--- a/hopsail/standins/processes.py
+++ b/hopsail/standins/processes.py
@@ -59,8 +59,12 @@
     def terminate(self) -> None:
         """Asks it to end."""
         self.killed = True
+        self.signal(signal.SIGTERM)
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends it a signal, if it runs."""
         if self.running:
-            self.child.send_signal(signal.SIGTERM)
+            self.child.send_signal(number)
 
     def log_lines(self) -> list[str]:
         return self.log.read_text(errors="replace").splitlines() if self.log.exists() else []
--- a/hopsail/standins/records.py
+++ b/hopsail/standins/records.py
@@ -21,6 +21,11 @@
     DRAIN = "DRAIN"
     STALE = "STALE"
     WALL = "WALL"
+    LOST = "LOST"
+    VERSION = "VERSION"
+    CONFIG = "CONFIG"
+    ONE = "ONE"
+    RECOVERY = "RECOVERY"
 
 
 class Violation(NamedTuple):
@@ -59,6 +64,7 @@
     began_at: int
     sent_up_to: int = 0
     complete: bool = False
+    broken_off: bool = False  # by the host itself
     drew_on: list[Maker] = field(default_factory=list)
 
 
@@ -86,6 +92,10 @@
     idempotent: bool
     streaming: bool
     sent_at: int
+    deadline: int = 0
+    taken_by: str = ""  # address of the data plane that it was sent to
+    kept: bool = False  # sent on a connection that had been used before
+    cut_at: int = 0  # when the data plane closed the connection before the answer was whole
     ended_at: int = 0
     status: int = 0  # 0: no answer
     complete: bool = False
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -372,6 +372,22 @@
     assert answers[0].body.count(b"versions: 2\n") == 1
 
 
+def test_of_those_queued_none_runs_when_new_weights_are_loaded(stage):
+    host = stage.host(capacity=3, cache_tokens=2500, step_ms=1000)
+    stage.hold(host, "h1")
+    answers = []
+    told = [("hopsail-attempt-id", "large"), ("hopsail-model", MODEL), ("hopsail-token-count", "120,2000")]
+    stage.client.call(host.settings.address, "POST", "/p/x", told, b"", 9 * SECOND, answers.append)
+    stage.until(lambda: host.queue)
+    stage.hold(host, "h3")  # it would fit, and waits behind the large one
+    assert [work.attempt for work in host.queue] == ["large", "h3"]
+    stage.fabric.name_version(MODEL, 2)
+    assert stage.order(host) == 202
+    stage.until(lambda: answers)
+    assert answers[0].status == 503 and not host.queue
+    assert [run.attempt for run in stage.journal.runs] == ["h1"]
+
+
 def test_truncated_streams_are_reset(stage):
     host = stage.host(load_ms=1, step_ms=1000)
     answers = []
@@ -762,6 +778,17 @@
         ([run()], [try_of(runs=["i-1-1", "i-3-1"], idempotent=True)], {Rule.MIXED}),
         ([run(complete=False)], [try_of()], {Rule.ORDER}),
         ([run(complete=False)], [try_of(complete=False)], set()),
+        ([run(complete=False), run(identifier="i-2-1", resumed_after=9)], [try_of(idempotent=True)], set()),
+        (
+            [run(complete=False), run(identifier="i-2-1", resumed_after=9, complete=False)],
+            [try_of(idempotent=True)],
+            {Rule.ORDER},
+        ),
+        (
+            [run(complete=False), run(identifier="i-2-1", resumed_after=8)],
+            [try_of(idempotent=True)],
+            {Rule.ORDER},
+        ),
         ([run(drew_on=[Maker("t", MODEL, 1), OTHER])], [try_of()], set()),
         ([run(drew_on=[Maker("t", MODEL, 2)])], [try_of()], {Rule.STALE}),
         ([run(drew_on=[Maker("t", "m2", 1)])], [try_of()], {Rule.STALE}),
