--- a/hopsail/soak/run.py
+++ b/hopsail/soak/run.py
@@ -26,6 +26,7 @@
 LAST_S = 9  # of the load, in which service must have recovered
 LONGEST_TAIL_S = 60  # that the last steps and changes may take
 LAST_ANSWERS_S = 8
+LARGE_SHARE, LEAVE_SHARE = 0.02, 0.03  # of the requests: bodies of up to 300 kB, clients that leave half-way
 FINDINGS = "findings.txt"  # in the soak's folder, when a rule was broken
 LONG_TOKENS, LONG_WEIGHT = (300, 900, 1400), 0.1  # at 3.4 ms a token; beside 1 of a route's short ones
 
@@ -84,6 +85,7 @@
         fleet.wait_until_ready()
         fleet.client.keeper = PersistentKeeper(fleet.loop, fleet.client.random)
         fleet.client.routes = [*loads_of(ROUTES), *long_loads()]
+        fleet.client.large_share, fleet.client.leave_share = LARGE_SHARE, LEAVE_SHARE
         fleet.client.start(self.per_second)
         self.desk.read_in_turn()
         self.conductor.set_out()
@@ -132,7 +134,7 @@
         begin = fleet.loop.now()
         fleet.run(LAST_S)
         end = fleet.loop.now() - LONGEST_ANSWER  # what was sent later may not have been answered yet
-        last = [one for one in fleet.journal.tries if begin <= one.sent_at <= end]
+        last = [one for one in fleet.journal.tries if begin <= one.sent_at <= end and not one.left]
         self.violations += check_recovery(last, ready, len(fleet.edges))
         self._tell_progress()
 
--- a/hopsail/soak/shape.py
+++ b/hopsail/soak/shape.py
@@ -3,10 +3,12 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-MOST_PROCESSES = 53  # addresses of a fleet of the stand-ins: 50 data planes
+from ..standins.fleet import MOST_EDGES
+
 PROCESS_MB = 64  # of one process of the system under a soak's load, and some to spare
 FEWEST_PROCESSES = 5  # three control planes and two data planes
 CONTROL_PLANES = 3
+MOST_PROCESSES = MOST_EDGES + CONTROL_PLANES
 FEWEST_HOSTS = 3
 DATA_PLANES_PER_HOST = 3
 MEMORY = Path("/proc/meminfo")
--- a/hopsail/standins/records.py
+++ b/hopsail/standins/records.py
@@ -97,6 +97,7 @@
     kept: bool = False  # sent on a connection that had been used before
     cut_at: int = 0  # when the data plane closed the connection before the answer was whole
     ended_at: int = 0
+    left: bool = False  # its client has closed the connection before the answer was whole
     status: int = 0  # 0: no answer
     complete: bool = False
     seal: str = ""
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -566,6 +566,43 @@
     assert not verdict.violations and verdict.served == verdict.tries == verdict.runs == 1
 
 
+def test_a_client_that_leaves_closes_its_connection_and_asks_no_more(stage):
+    host = stage.host(prefill_tokens_per_ms=0.0001)
+    asked = route(idempotent=True, tries=3)
+    client = stage.keep(LoadClient(stage.loop, OneEdge(host.settings.address), stage.journal, [asked]))
+    client.leave_share = 1.0
+    client.ask(asked)
+    stage.until(lambda: asked.name in client.served)
+    (record,) = stage.journal.tries
+    assert record.left and not record.cut_at and not record.complete and record.ended_at < record.deadline
+    stage.until(lambda: not host.running)
+    assert not judge(stage.journal).violations
+
+
+def test_a_connection_that_the_other_side_closes_before_the_answer_is_noted(stage):
+    host = stage.host(prefill_tokens_per_ms=0.0001)
+    asked = route(tries=1)
+    client = stage.keep(LoadClient(stage.loop, OneEdge(host.settings.address), stage.journal, [asked]))
+    client.ask(asked)
+    stage.until(lambda: host.running)
+    host.crash()
+    stage.until(lambda: asked.name in client.served)
+    (record,) = stage.journal.tries
+    assert 0 < record.cut_at <= record.ended_at < record.deadline and not record.left
+    assert record.taken_by == host.settings.address[0]
+    assert stage.journal.runs[0].broken_off
+
+
+def test_large_bodies_reach_the_host_whole(stage):
+    host = stage.host()
+    client = stage.keep(LoadClient(stage.loop, OneEdge(host.settings.address), stage.journal, [route()]))
+    client.large_share = 1.0
+    client.ask(route())
+    stage.until(lambda: client.served)
+    verdict = judge(stage.journal)
+    assert not verdict.violations and verdict.served == 1
+
+
 def test_a_client_honours_promises_and_tries_again_with_an_id_of_its_own(stage):
     control = Control(stage, told(503, [("retry-after", "0.01")]), told(429), told(404))
     load(stage, control.address, route(tries=5))
