--- a/hopsail/controlplane/part.py
+++ b/hopsail/controlplane/part.py
@@ -29,28 +29,26 @@
 
     `store(part, ready)` begins a write, `send(part, peer, message)` sends, `applied(part)` tells that the
     state has changed. `prepare(state, command)`, if there is one, does in steps what would make `apply` long,
-    `decoding(data)` does `decode_state` in steps, and `later(act)` has the next step done soon: meanwhile
-    entries wait, and all else goes on. Until a snapshot is decoded `state` is the one before it."""
+    `decoding(data)` makes the state of a snapshot in steps, and `later(act)` has the next step done soon:
+    meanwhile entries wait, and all else goes on. Until a snapshot is decoded `state` is the one before it."""
 
     def __init__(
         self,
         number: int,
         replica: Replica,
         state: PartState,
-        decode_state: Callable[[bytes], PartState],
+        decoding: Callable[[bytes], Generator[None, None, PartState]],
         apply: Callable[[PartState, int, Command], Result],
         store: Callable[["Part", Ready], None],
         send: Callable[["Part", str, object], None],
         applied: Callable[["Part"], None],
         prepare: Callable[[PartState, Command], Iterator[None]] | None = None,
         later: Callable[[Callable[[], None]], object] | None = None,
-        decoding: Callable[[bytes], Generator[None, None, PartState]] | None = None,
     ):
         self.number, self.replica, self.state = number, replica, state
-        self._decode_state, self._apply = decode_state, apply
+        self._decoding, self._apply = decoding, apply
         self._store, self._send, self._applied = store, send, applied
         self._prepare, self._later = prepare, later
-        self._decoding = decoding or self._decoding_at_once
         self._is_installing = False  # `state` is older than the last snapshot installed
         self._unapplied: deque[Entry] = deque()  # committed
         self._steps: Iterator[None] | None = None  # of the first of them, or of a snapshot before them
@@ -152,10 +150,6 @@
         self.state = yield from self._decoding(data)
         self._is_installing = False
 
-    def _decoding_at_once(self, data: bytes) -> Generator[None, None, PartState]:
-        yield from ()
-        return self._decode_state(data)
-
     def _has_replaced_state(self) -> bool:
         """False after a fault: then nothing is applied to the old state, or told from it."""
         return not self._is_installing
--- a/hopsail/controlplane/replicas.py
+++ b/hopsail/controlplane/replicas.py
@@ -53,23 +53,22 @@
         now, started_at = self.loop.now(), self.plane.started_at
         replica = Replica(rules, self.plane.random, now, durable, recovering, started_at)
         if number == CONFIGURATION_PART:
-            state, decode_state = ConfigurationState(), ConfigurationState.decode
+            state, decoding = ConfigurationState(), ConfigurationState.decoding
             apply = _apply_configuration
         else:
-            state, decode_state = ServiceState(), ServiceState.decode
+            state, decoding = ServiceState(), ServiceState.decoding
             apply = _apply_service
         return Part(
             number,
             replica,
             state,
-            decode_state,
+            decoding,
             apply,
             self._store,
             self._send,
             self._applied,
             ConfigurationState.judging if number == CONFIGURATION_PART else None,
             lambda act: self.plane.after(STEP_PAUSE_MS, act),
-            ConfigurationState.decoding if number == CONFIGURATION_PART else None,
         )
 
     # Time.
--- a/hopsail/controlplane/service_state.py
+++ b/hopsail/controlplane/service_state.py
@@ -1,7 +1,7 @@
 """The state of a part that holds services: named weights and the duty of rolling them out. No I/O."""
 
 import json
-from collections.abc import Iterator
+from collections.abc import Generator, Iterator
 from typing import NamedTuple
 
 from .commands import Command, CommandKind, Result
@@ -63,3 +63,9 @@
         state.revisions = tree["revisions"]
         state.duties = {service: Duty(*duty) for service, duty in tree["duties"].items()}
         return state
+
+    @classmethod
+    def decoding(cls, data: bytes) -> Generator[None, None, "ServiceState"]:
+        """`decode` as one step: the state is small."""
+        yield from ()
+        return cls.decode(data)
--- a/tests/controlplane_simulation.py
+++ b/tests/controlplane_simulation.py
@@ -47,14 +47,13 @@
             0,
             node.replica,
             ConfigurationState(),
-            ConfigurationState.decode,
+            ConfigurationState.decoding,
             self._apply,
             lambda _, ready: simulation._store(node, ready),
             lambda _, peer, message: simulation.send(node.identity, peer, message),
             self._applied,
             ConfigurationState.judging,
             lambda act: self.after(decisions.STEP_PAUSE_MS, act),
-            ConfigurationState.decoding,
         )
         self.parts = [self.part]
 
--- a/tests/steps_taken.py
+++ b/tests/steps_taken.py
@@ -1,6 +1,6 @@
 """Work that is done in steps, driven to its end."""
 
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from typing import Any
 
 
@@ -13,3 +13,13 @@
         except StopIteration as end:
             return pauses, end.value
         pauses += 1
+
+
+def in_one_step(work: Callable[[Any], Any]) -> Callable[[Any], Generator[Any, None, Any]]:
+    """The same work as steps that never pause."""
+
+    def steps(given):
+        yield from ()
+        return work(given)
+
+    return steps
--- a/tests/test_controlplane_compaction.py
+++ b/tests/test_controlplane_compaction.py
@@ -3,7 +3,7 @@
 import json
 
 import pytest
-from steps_taken import taken_to_end
+from steps_taken import in_one_step, taken_to_end
 
 from hopsail.controlplane.compaction import (
     BYTES_AT_ONCE,
@@ -120,7 +120,9 @@
     replica = Replica()
     nothing = lambda *_: None  # noqa: E731
     apply = lambda state, index, command: state.apply(command)  # noqa: E731
-    return Part(0, replica, state, ConfigurationState.decode, apply, nothing, nothing, nothing), replica
+    return Part(
+        0, replica, state, in_one_step(ConfigurationState.decode), apply, nothing, nothing, nothing
+    ), replica
 
 
 def test_part_goes_on_between_steps_and_names_the_index_at_which_it_began():
--- a/tests/test_controlplane_state.py
+++ b/tests/test_controlplane_state.py
@@ -5,6 +5,7 @@
 import random
 
 import pytest
+from steps_taken import in_one_step
 
 from hopsail.configuration.codes import ResultCode
 from hopsail.controlplane.commands import Command, CommandKind, Result, decode_command, decode_result
@@ -450,7 +451,14 @@
     apply = apply or (lambda state, index, command: state.apply(command))
     state = state or ConfigurationState()
     return Part(
-        0, replica, state, ConfigurationState.decode, apply, lambda *_: None, lambda *_: None, applied
+        0,
+        replica,
+        state,
+        in_one_step(ConfigurationState.decode),
+        apply,
+        lambda *_: None,
+        lambda *_: None,
+        applied,
     )
 
 
--- a/tests/test_controlplane_steps.py
+++ b/tests/test_controlplane_steps.py
@@ -5,7 +5,7 @@
 
 import pytest
 from controlplane_simulation import Change
-from steps_taken import taken_to_end
+from steps_taken import in_one_step, taken_to_end
 from test_controlplane_cluster import acknowledged, others, started
 from test_controlplane_state import (
     INVALID,
@@ -142,14 +142,13 @@
             0,
             self.replica,
             ConfigurationState(),
-            ConfigurationState.decode,
+            decoding or in_one_step(ConfigurationState.decode),
             apply or (lambda state, index, command: state.apply(command)),
             lambda *_: None,
             lambda part, peer, message: self.sent.append(message),
             lambda part: self.applied.append(part.state.revision),
             prepare,
             self.turns.append,
-            decoding,
         )
 
     def commit(self, *entries, **more) -> None:
