--- a/hopsail/soak/checks.py
+++ b/hopsail/soak/checks.py
@@ -6,6 +6,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
+from ..load.standstills import earliest, merged
 from ..standins.kept import MILLISECOND
 from ..standins.records import Journal, Rule, Run, Try, Violation
 from .history import History
@@ -69,7 +70,10 @@
         return False
     if one.cut_at >= one.deadline or any(run.broken_off for run in runs):
         return False
-    return bool(runs) or one.cut_at > one.sent_at + bounds.loss_slack
+    if runs:
+        return True
+    # The soak's process may have stood still before it noticed the close.
+    return earliest(one.cut_at, bounds.loss_slack, merged(history.standstills)) > one.written_at
 
 
 def _planned_work(one: Try, history: History, bounds: Bounds) -> str:
--- a/hopsail/soak/conductor.py
+++ b/hopsail/soak/conductor.py
@@ -1,8 +1,10 @@
 """Plays the steps of a plan on a fleet of real processes and notes what it does."""
 
+import shutil
 import signal
 from collections import Counter
 from collections.abc import Callable
+from pathlib import Path
 
 from ..standins.fleet import DRAIN_MS, Fleet
 from ..standins.host import Host
@@ -40,6 +42,7 @@
             Action.RESTART_CONTROL: lambda step: self._restart(self._control_plane(step)),
             Action.KILL_CONTROL: lambda step: self._kill(self._control_plane(step), step.lasts_ms),
             Action.PAUSE_CONTROL: lambda step: self._pause(self._control_plane(step), step.lasts_ms),
+            Action.WIPE_CONTROL: lambda step: self._wipe(self._control_plane(step), step.lasts_ms),
             Action.RETURN_HOST: lambda step: self._replace_host(step, behind=True),
             Action.REPLACE_HOST: lambda step: self._replace_host(step, behind=False),
             Action.DRAIN_HOST: self._drain_host,
@@ -141,6 +144,14 @@
         self._later(lasts_ms, back)
         return True
 
+    def _wipe(self, process: Process, lasts_ms: int) -> bool:
+        """A process is killed, and its disk is lost."""
+        if not self._kill(process, lasts_ms):
+            return False
+        for path in Path(process.machine.data_path).iterdir():
+            shutil.rmtree(path) if path.is_dir() else path.unlink()
+        return True
+
     def _reload(self, process: Process) -> bool:
         if self._is_away(process):
             return False
--- a/hopsail/soak/findings.py
+++ b/hopsail/soak/findings.py
@@ -38,7 +38,8 @@
 def _lines_of_attempt(attempt: str, journal: Journal, at) -> Iterator[str]:
     for one in journal.tries:
         if one.attempt == attempt:
-            yield f"  {at(one.sent_at)} sent to {one.taken_by}, {one.target}, kept connection: {one.kept}"
+            how = f"written at {at(one.written_at)}, kept connection: {one.kept}"
+            yield f"  {at(one.sent_at)} sent to {one.taken_by}, {one.target}, {how}"
             yield f"  {at(one.ended_at)} ended: {one.status}, whole: {one.complete}, cut at {at(one.cut_at)}"
     for arrival in journal.arrivals:
         if arrival.attempt == attempt:
--- a/hopsail/soak/history.py
+++ b/hopsail/soak/history.py
@@ -5,6 +5,8 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 
+from ..load.standstills import Standstill
+
 
 @dataclass(frozen=True)
 class Span:
@@ -39,6 +41,7 @@
     versions: dict[int, int] = field(default_factory=dict)  # version of weights -> acknowledged at
     configurations: dict[int, int] = field(default_factory=dict)  # revision -> acknowledged at
     readings: list[Reading] = field(default_factory=list)
+    standstills: list[Standstill] = field(default_factory=list)  # of the soak's own process
 
     def begin_trouble(self, address: str, at: int, *, control: bool) -> None:
         """A process is killed or stopped."""
--- a/hopsail/soak/plan.py
+++ b/hopsail/soak/plan.py
@@ -30,6 +30,7 @@
     RESTART_CONTROL = "restart-control"
     KILL_CONTROL = "kill-control"
     PAUSE_CONTROL = "pause-control"
+    WIPE_CONTROL = "wipe-control"  # SIGKILL, and its start again after `lasts_ms` with an empty disk
     RETURN_HOST = "return-host"  # a host crashes and comes back after `lasts_ms` with its first version
     REPLACE_HOST = "replace-host"  # a host crashes; after `lasts_ms` another one has its address
     DRAIN_HOST = "drain-host"  # a host leaves in order for `lasts_ms`; another one comes at once
@@ -38,7 +39,9 @@
     RACE = "race"  # two operators put different configurations on the same one
 
 
-CONTROL_ACTIONS = frozenset({Action.RESTART_CONTROL, Action.KILL_CONTROL, Action.PAUSE_CONTROL})
+CONTROL_ACTIONS = frozenset(
+    {Action.RESTART_CONTROL, Action.KILL_CONTROL, Action.PAUSE_CONTROL, Action.WIPE_CONTROL}
+)
 HOST_ACTIONS = frozenset({Action.RETURN_HOST, Action.REPLACE_HOST, Action.DRAIN_HOST})
 OPERATOR_ACTIONS = frozenset({Action.NAME_VERSION, Action.CHANGE, Action.RACE})
 
--- a/hopsail/soak/run.py
+++ b/hopsail/soak/run.py
@@ -7,6 +7,7 @@
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
 
+from ..load.standstills import Heartbeat, merged, share
 from ..standins.client import RouteLoad
 from ..standins.fleet import SHORT_PROMPT, Fleet, TrialError, loads_of
 from ..standins.kept import MILLISECOND
@@ -25,10 +26,11 @@
 PROGRESS_S = 5
 LAST_S = 9  # of the load, in which service must have recovered
 LONGEST_TAIL_S = 60  # that the last steps and changes may take
+STANDSTILLS, MOST_ENDS = 0.05, 6  # part of these seconds in which the soak's own process may stand; tries
 LAST_ANSWERS_S = 8
 LARGE_SHARE, LEAVE_SHARE = 0.02, 0.03  # of the requests: bodies of up to 300 kB, clients that leave half-way
 FINDINGS = "findings.txt"  # in the soak's folder, when a rule was broken
-LONG_TOKENS, LONG_WEIGHT = (300, 900, 1400), 0.1  # at 3.4 ms a token; beside 1 of a route's short ones
+LONG_TOKENS, LONG_WEIGHT = (300, 700, 1000), 0.1  # at 3.4 ms a token; beside 1 of a route's short ones
 
 
 def long_loads() -> list[RouteLoad]:
@@ -70,6 +72,7 @@
         self.fleet = Fleet(folder, edges=shape.data_planes, cores=shape.control_planes, hosts=shape.hosts,
                            seed=str(plan.seed))  # fmt: skip
         self.history = History()
+        Heartbeat(self.fleet.loop, self.history.standstills.append, self.fleet.loop.now)
         self.desk = Desk(self.fleet, self.history)
         self.conductor = Conductor(self.fleet, plan, self.history, self.desk)
         self.violations: list[Violation] = []
@@ -131,13 +134,21 @@
         self._wait(lambda: not self.conductor.under_way and desk.idle, LONGEST_TAIL_S, "steps have not ended")
         fleet.run(float(BOUNDS["RecoveryS"]))
         ready = fleet.ingress.ready
-        begin = fleet.loop.now()
-        fleet.run(LAST_S)
+        begin = self._undisturbed_end()
         end = fleet.loop.now() - LONGEST_ANSWER  # what was sent later may not have been answered yet
         last = [one for one in fleet.journal.tries if begin <= one.sent_at <= end and not one.left]
         self.violations += check_recovery(last, ready, len(fleet.edges))
         self._tell_progress()
 
+    def _undisturbed_end(self) -> int:
+        """Goes on until stand-ins had a processor for a while; when that while began."""
+        for _ in range(MOST_ENDS):
+            begin = self.fleet.loop.now()
+            self.fleet.run(LAST_S)
+            if share(begin, self.fleet.loop.now(), merged(self.history.standstills)) <= STANDSTILLS:
+                break
+        return begin
+
     def _check_configuration(self) -> None:
         """What was acknowledged last must be in force, or what is unclear since."""
         answer = self.fleet.answered(self.fleet.operator.read)
--- a/hopsail/standins/client.py
+++ b/hopsail/standins/client.py
@@ -65,9 +65,10 @@
         self.check, self.done, self.request = check, done, data
         self.headers, self.status, self.whole, self.idle = {}, 0, False, False
         if not self.dialing:
-            self.write(data)
+            self.connected()
 
     def connected(self):
+        self.check.written()
         self.write(self.request)
 
     # httptools' callbacks.
@@ -109,7 +110,7 @@
             self.over(True)
 
     def ended(self):
-        if self.done is not None and not self.whole:
+        if self.done is not None and not self.whole and self.check.record.written_at:
             self.check.cut()
         framed = self.headers.keys() & {"content-length", "transfer-encoding"}
         self.over(bool(self.status and not framed and self.finished))
@@ -183,6 +184,10 @@
         self.seal: Seal | None = None
         self.last_event_at = 0
 
+    def written(self) -> None:
+        """The request is written onto a connection that is up."""
+        self.record.written_at = self.loop.now()
+
     def cut(self) -> None:
         """The data plane has closed the connection before the answer was whole."""
         self.record.cut_at = self.loop.now()
--- a/hopsail/standins/records.py
+++ b/hopsail/standins/records.py
@@ -95,6 +95,7 @@
     deadline: int = 0
     taken_by: str = ""  # address of the data plane that it was sent to
     kept: bool = False  # sent on a connection that had been used before
+    written_at: int = 0  # when its connection was up and took it, 0 if it never was
     cut_at: int = 0  # when the data plane closed the connection before the answer was whole
     ended_at: int = 0
     left: bool = False  # its client has closed the connection before the answer was whole
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -593,6 +593,15 @@
     assert stage.journal.runs[0].broken_off
 
 
+def test_a_connection_that_never_came_up_was_not_cut(stage):
+    asked = route(tries=1)
+    client = stage.keep(LoadClient(stage.loop, OneEdge(free_address()), stage.journal, [asked]))
+    client.ask(asked)
+    stage.until(lambda: asked.name in client.served)
+    (record,) = stage.journal.tries
+    assert record.ended_at and not record.cut_at
+
+
 def test_large_bodies_reach_the_host_whole(stage):
     host = stage.host()
     client = stage.keep(LoadClient(stage.loop, OneEdge(host.settings.address), stage.journal, [route()]))
