--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -142,7 +142,8 @@
     assert not lost({"cut_at": AT + 150 * MS})  # it may have crossed the close
     assert lost({"cut_at": AT + 150 * MS}, {})  # it was passed on
     assert not lost({"written_at": CUT - 150 * MS})  # its connection came up late
-    assert not lost({"cut_at": AT + 6 * SECOND}, {})  # its time was over
+    assert not lost({"cut_at": CUT, "deadline": CUT}, {})  # its time was over
+    assert lost({"cut_at": CUT, "deadline": CUT + 1}, {})
     assert not lost(run={"broken_off": True})
     assert not lost(run={}, troubles={EDGE: [Span(AT - 2 * SECOND, AT - SECOND)]})
     assert lost(run={}, troubles={EDGE: [Span(AT - 9 * SECOND, AT - 4 * SECOND)]})
@@ -174,6 +175,7 @@
     assert found(tries, runs) == [Rule.LOST] * 4
     assert not found(tries[:3], runs)
     assert not found(tries, runs[:3])  # one was not passed on
+    assert not found([*tries[:3], a_try("3", cut_at=CUT, kept=False)], runs)
 
 
 def old_version(began_at, **history):
@@ -192,6 +194,7 @@
     assert not old_version(late, troubles={EDGE: [Span(late - 2 * SECOND)]})
     assert not old_version(late, control_troubles=[Span(AT + SECOND, AT + 2 * SECOND)])
     assert not old_version(late, control_troubles=[Span(AT + SECOND)])
+    assert not old_version(AT + 13_999 * MS, control_troubles=[Span(AT + SECOND, AT + 2 * SECOND)])
     assert old_version(late + 6 * SECOND, control_troubles=[Span(AT + SECOND, AT + 2 * SECOND)])
 
 
@@ -203,6 +206,7 @@
     assert read(AT + 2001 * MS, 4, {5: AT})
     assert not read(AT + 1999 * MS, 4, {5: AT})
     assert not read(AT + 2001 * MS, 5, {5: AT, 6: AT + SECOND})
+    assert not read(AT + 2001 * MS, 6, {5: AT, 6: AT + SECOND})
 
 
 def test_a_fence_of_two_owners_is_found():
