--- a/hopsail/soak/__main__.py
+++ b/hopsail/soak/__main__.py
@@ -2,6 +2,7 @@
 
 Exit status: 0 when no rule is broken, 1 when one is, 2 when the soak could not be run."""
 
+import shutil
 import signal
 import sys
 import tempfile
@@ -86,7 +87,7 @@
         if report.broken:
             self._tell_again(plan, folder)
         elif self.folder is None:
-            _remove(folder)
+            shutil.rmtree(folder)
         print(report.line())
         return ExitStatus.BROKEN if report.broken else ExitStatus.WELL
 
@@ -95,13 +96,6 @@
         print(f"{COMMAND} --steps {folder}/plan.toml --per-second {self.per_second:g}", file=sys.stderr)
 
 
-def _remove(folder: Path) -> None:
-    """Removes the folder of a soak that has found nothing."""
-    for path in sorted(folder.rglob("*"), reverse=True):
-        path.rmdir() if path.is_dir() else path.unlink()
-    folder.rmdir()
-
-
 def main() -> int:
     """The command line."""
     signal.signal(signal.SIGTERM, signal.default_int_handler)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import signal
 import subprocess
 import sys
 from pathlib import Path
@@ -320,3 +321,36 @@
     assert done.returncode == 0, (report, done.stderr)
     assert report["faults"] == {action.value: 1 for action in Action} and not report["passed_over"]
     assert [path.name for path in tmp_path.iterdir()] == ["plan.toml"]
+
+
+def children_of(parent):
+    """Ids of the processes that a process has started."""
+    found = []
+    for path in Path("/proc").glob("[0-9]*"):
+        try:
+            words = (path / "stat").read_text().rpartition(")")[2].split()
+        except OSError:
+            continue
+        if int(words[1]) == parent:
+            found.append(int(path.name))
+    return found
+
+
+@pytest.mark.parametrize("how", ["interrupted", "one of its processes dies"])
+def test_a_soak_that_cant_go_on_ends_all_its_processes(how, tmp_path):
+    command = [sys.executable, "-B", "-m", "hopsail.soak", "--seconds", "20", "--folder", tmp_path / "kept"]
+    process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    try:
+        assert "all data planes ready" in process.stdout.readline()
+        started = children_of(process.pid)
+        assert len(started) == SHAPE.processes
+        if how == "interrupted":
+            process.send_signal(signal.SIGINT)
+        else:
+            os.kill(started[0], signal.SIGKILL)
+        told, errors = process.communicate(timeout=60)
+    finally:
+        process.kill()
+    assert process.returncode == 2 and "could not go on" in errors and "--steps" in errors
+    assert json.loads(told.splitlines()[-1])["processes"] == SHAPE.processes
+    assert not any(Path(f"/proc/{number}").exists() for number in started)
