Read again: acknowledgements noted once, one way for a host to end, one talk for all children of a rig

The soak's desk kept times of acknowledgements that the operator stand-in keeps too; it counted answers that nobody read. A crash and an orderly leave of a host shared their head and tail; two checks looked for the same SIGTERMs; standstills were merged again for each cut try; each request of the load client had a timer that did nothing for most. The rig's balancer child read and wrote lines beside Talk, which the other children use. Two tests looked for children in /proc, each by its own loop.

--- a/hopsail/load/child.py
+++ b/hopsail/load/child.py
@@ -30,6 +30,7 @@
 
     def __init__(self, loop, order):
         self.loop, self.order, self.buffer, self.out, self.due = loop, order, b"", bytearray(), False
+        self.alone = False  # the process that started this one has gone
         os.set_blocking(0, False)
         os.set_blocking(1, False)
         loop.watch(0, READ, self._read)
@@ -40,6 +41,7 @@
         except BlockingIOError:
             return
         if not data:
+            self.alone = True
             self.loop.stop()
             return
         *lines, self.buffer = (self.buffer + data).split(b"\n")
@@ -147,22 +149,11 @@
     from ..__main__ import Node
 
     node, folder = Node(os.environ), Path(os.environ["TMPDIR"])
-    alone = []
-
-    def gone(_mask):
-        if not os.read(0, READS):
-            alone.append(True)
-            node.loop.stop()
-
-    node.loop.watch(0, READ, gone)
-
-    def tell(word, at, value):
-        os.write(1, json.dumps([word, at, value]).encode() + b"\n")
-
-    tell("at", monotonic_ns(), node.config.name)
-    Heartbeat(node.loop, lambda one: tell("stood", one.end, one.begin))
+    talk = Talk(node.loop, lambda order: None)
+    talk.tell("at", monotonic_ns(), node.config.name)
+    Heartbeat(node.loop, talk.standstill)
     node.run()
-    if alone and folder.name.startswith(FOLDER):
+    if talk.alone and folder.name.startswith(FOLDER):
         shutil.rmtree(folder, ignore_errors=True)  # who would have done so was killed
 
 
--- a/hopsail/soak/checks.py
+++ b/hopsail/soak/checks.py
@@ -6,7 +6,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from ..load.standstills import earliest, merged
+from ..load.standstills import Standstill, earliest, merged
 from ..standins.kept import MILLISECOND
 from ..standins.records import Journal, Rule, Run, Try, Violation
 from .history import History
@@ -47,8 +47,9 @@
     journal: Journal, runs: dict[str, list[Run]], history: History, bounds: Bounds
 ) -> Iterable[Violation]:
     unplanned: dict[str, list[Violation]] = defaultdict(list)
+    standstills = merged(history.standstills)
     for one in journal.tries:
-        if not one.cut_at or not _is_at_fault(one, runs[one.attempt], history, bounds):
+        if not one.cut_at or not _is_at_fault(one, runs[one.attempt], history, standstills, bounds):
             continue
         took = (one.cut_at - one.sent_at) // MILLISECOND
         cause = _planned_work(one, history, bounds)
@@ -64,7 +65,9 @@
             yield from found
 
 
-def _is_at_fault(one: Try, runs: list[Run], history: History, bounds: Bounds) -> bool:
+def _is_at_fault(
+    one: Try, runs: list[Run], history: History, standstills: list[Standstill], bounds: Bounds
+) -> bool:
     """Whether nobody but the data plane has cut it."""
     if any(span.meets(one.sent_at - bounds.contact, one.cut_at) for span in history.troubles[one.taken_by]):
         return False
@@ -73,14 +76,20 @@
     if runs:
         return True
     # The soak's process may have stood still before it noticed the close.
-    return earliest(one.cut_at, bounds.loss_slack, merged(history.standstills)) > one.written_at
+    return earliest(one.cut_at, bounds.loss_slack, standstills) > one.written_at
 
 
-def _planned_work(one: Try, history: History, bounds: Bounds) -> str:
-    """The planned work that the cut falls into, "" without any."""
+def _ends_around(one: Try, history: History, bounds: Bounds) -> Iterable[int]:
+    """The SIGTERMs in whose grace a try was cut."""
     for at in history.ends[one.taken_by]:
         if at <= one.cut_at <= at + bounds.grace + AFTER_GRACE_MS * MILLISECOND:
-            return f"{(one.cut_at - at) // MILLISECOND} ms after its SIGTERM"
+            yield at
+
+
+def _planned_work(one: Try, history: History, bounds: Bounds) -> str:
+    """The planned work that the cut falls into, "" without any."""
+    for at in _ends_around(one, history, bounds):
+        return f"{(one.cut_at - at) // MILLISECOND} ms after its SIGTERM"
     for at in history.reloads[one.taken_by]:
         if at <= one.cut_at and at <= one.sent_at <= at + bounds.apply:
             return f"{(one.cut_at - at) // MILLISECOND} ms after its SIGHUP"
@@ -93,8 +102,7 @@
         return False
     return any(
         one.sent_at <= at + KNOWN_MS * MILLISECOND and one.cut_at >= at + bounds.grace * LAST_SIXTH
-        for at in history.ends[one.taken_by]
-        if at <= one.cut_at <= at + bounds.grace + AFTER_GRACE_MS * MILLISECOND
+        for at in _ends_around(one, history, bounds)
     )
 
 
--- a/hopsail/soak/conductor.py
+++ b/hopsail/soak/conductor.py
@@ -186,15 +186,22 @@
 
     def _replace_host(self, step: Step, *, behind: bool) -> bool:
         """A host crashes, and another one has its address after a while."""
-        host = self.hosts[step.target]
+        host = self._take_host(step.target)
         if host is None:
             return False
-        self.hosts[step.target] = None
-        self.under_way += 1
+        self._end_host(host, step, behind)
+        return True
+
+    def _take_host(self, number: int) -> Host | None:
+        """The host of that number, which is to end; None if it has ended already."""
+        host, self.hosts[number] = self.hosts[number], None
+        self.under_way += host is not None
+        return host
+
+    def _end_host(self, host: Host, step: Step, behind: bool) -> None:
         host.crash()
         self.fleet.platform.removed(host.identifier)
         self._later(step.lasts_ms, lambda: self._host_comes(step.target, behind))
-        return True
 
     def _host_comes(self, number: int, behind: bool) -> None:
         self.under_way -= 1
@@ -204,19 +211,11 @@
 
     def _drain_host(self, step: Step) -> bool:
         """A host leaves in order; its address is free after a while and is used again at once."""
-        host = self.hosts[step.target]
+        host = self._take_host(step.target)
         if host is None:
             return False
-        self.hosts[step.target] = None
-        self.under_way += 1
         host.drain()
-
-        def leave() -> None:
-            host.crash()
-            self.fleet.platform.removed(host.identifier)
-            self._later(step.lasts_ms, lambda: self._host_comes(step.target, False))
-
-        self._later(DRAIN_MS + step.lasts_ms, leave)
+        self._later(DRAIN_MS + step.lasts_ms, lambda: self._end_host(host, step, behind=False))
         return True
 
     def _operate(self, act: Callable[[], None]) -> bool:
--- a/hopsail/soak/desk.py
+++ b/hopsail/soak/desk.py
@@ -27,7 +27,6 @@
         self.fleet, self.history, self.loop = fleet, history, fleet.loop
         self.revision = self.written = 0  # in force, and the highest that was ever sent
         self.may_be_in_force: list[dict] = []  # the last one that was acknowledged, and what is unclear since
-        self.refused = self.unclear = 0
         self.violations: list[Violation] = []
         self.version = 1
         self.waiting: deque[Callable[[Callable[[], None]], None]] = deque()
@@ -53,13 +52,7 @@
     def name_version(self) -> None:
         """Newer weights of the model."""
         self.version += 1
-        version = self.version
-
-        def named(answer: Answer) -> None:
-            if answer.taken:
-                self.history.versions[version] = self.loop.now()
-
-        self.fleet.operator.name_version(MODEL, version, named)
+        self.fleet.operator.name_version(MODEL, self.version, lambda answer: None)
 
     def _queue(self, change: Callable[[Callable[[], None]], None]) -> None:
         self.waiting.append(change)
@@ -100,12 +93,8 @@
     def _answered(self, answer: Answer, whole: dict) -> None:
         if answer.taken:
             self.revision = whole["Revision"]
-            self.history.configurations[self.revision] = self.loop.now()
             self.may_be_in_force = [whole]
-        elif answer.status:
-            self.refused += 1
-        else:
-            self.unclear += 1
+        elif not answer.status:
             self.may_be_in_force.append(whole)
 
     def _settle(self, taken: int, base: int, over: Callable[[], None]) -> None:
--- a/hopsail/soak/run.py
+++ b/hopsail/soak/run.py
@@ -9,8 +9,7 @@
 
 from ..load.standstills import Heartbeat, merged, share
 from ..standins.client import RouteLoad
-from ..standins.fleet import SHORT_PROMPT, Fleet, TrialError, loads_of
-from ..standins.kept import MILLISECOND
+from ..standins.fleet import SECOND, SHORT_PROMPT, Fleet, TrialError, loads_of
 from ..standins.records import Violation
 from ..standins.settings import BOUNDS
 from .checks import Bounds, check_history, check_in_force, check_recovery
@@ -21,7 +20,6 @@
 from .history import History
 from .plan import Plan
 
-SECOND = 1000 * MILLISECOND
 LONGEST_ANSWER = 6 * SECOND
 PROGRESS_S = 5
 LAST_S = 9  # of the load, in which service must have recovered
@@ -71,7 +69,8 @@
         self.plan, self.per_second = plan, per_second
         self.fleet = Fleet(folder, edges=shape.data_planes, cores=shape.control_planes, hosts=shape.hosts,
                            seed=str(plan.seed))  # fmt: skip
-        self.history = History()
+        operator = self.fleet.operator
+        self.history = History(versions=operator.versions, configurations=operator.acknowledged)
         Heartbeat(self.fleet.loop, self.history.standstills.append, self.fleet.loop.now)
         self.desk = Desk(self.fleet, self.history)
         self.conductor = Conductor(self.fleet, plan, self.history, self.desk)
--- a/hopsail/standins/client.py
+++ b/hopsail/standins/client.py
@@ -323,16 +323,18 @@
             self.loop.soon(self._over, record, check, False, {})
             return
         record.taken_by, record.kept = connection.address[0], not connection.dialing
-        timer = self.loop.at(self.deadline, lambda: connection.over(False))
         up_by = min(self.deadline, self.loop.now() + CONNECT_MS * MILLISECOND)
-        dialing = self.loop.at(up_by, lambda: connection.over(False) if connection.dialing else None)
-        leaving = self._leave_later(connection, record)
+        timers = [
+            self.loop.at(self.deadline, lambda: connection.over(False)),
+            self.loop.at(up_by, lambda: connection.over(False) if connection.dialing else None),
+        ]
+        if client.random.random() < client.leave_share:
+            timers.append(self._leave_later(connection, record))
         client.open += 1
 
         def done(complete: bool) -> None:
-            timer.cancel()
-            leaving.cancel()
-            dialing.cancel()
+            for timer in timers:
+                timer.cancel()
             client.open -= 1
             client.keeper.keep(connection)
             self._over(record, check, complete, connection.headers)
@@ -340,9 +342,7 @@
         connection.ask(data, check, done)
 
     def _leave_later(self, connection: ClientConnection, record: Try):
-        """The timer at which its client leaves with no answer and asks no more; it is a far one for most."""
-        if self.client.random.random() >= self.client.leave_share:
-            return self.loop.at(self.deadline, lambda: None)
+        """The timer at which its client leaves with no answer and asks no more."""
 
         def leave() -> None:
             self.tries = self.route.tries
--- a/hopsail/standins/operator.py
+++ b/hopsail/standins/operator.py
@@ -147,24 +147,27 @@
 
     def name_version(self, model: str, revision: int, done: Callable[[Answer], None]) -> None:
         """Names new weights; hosts take orders for them from now on."""
-
-        def ended(answer: Answer) -> None:
-            if answer.taken:
-                self.versions[revision] = self.loop.now()
-            done(answer)
-
         self.fabric.name_version(model, revision)
         body = json.dumps({"Model": model, "Revision": revision}).encode()
-        self._send(OperatorCall("POST", "/-/version-put", tuple(JSON_HEADERS), body), ended)
+        call = OperatorCall("POST", "/-/version-put", tuple(JSON_HEADERS), body)
+        self._send(call, self._noting(self.versions, revision, done))
 
     def _change(self, method: str, tree: dict, current: int, done: Callable[[Answer], None]) -> None:
+        headers = (("if-match", str(current)), *JSON_HEADERS)
+        call = OperatorCall(method, CONFIGURATION, headers, json.dumps(tree).encode())
+        self._send(call, self._noting(self.acknowledged, tree["Revision"], done))
+
+    def _noting(
+        self, times: dict[int, int], revision: int, done: Callable[[Answer], None]
+    ) -> Callable[[Answer], None]:
+        """`done`, after the time of an acknowledgement is noted."""
+
         def ended(answer: Answer) -> None:
             if answer.taken:
-                self.acknowledged[tree["Revision"]] = self.loop.now()
+                times[revision] = self.loop.now()
             done(answer)
 
-        headers = (("if-match", str(current)), *JSON_HEADERS)
-        self._send(OperatorCall(method, CONFIGURATION, headers, json.dumps(tree).encode()), ended)
+        return ended
 
     def _send(self, call: OperatorCall, done: Callable[[Answer], None]) -> None:
         _Sending(self, call, done).try_next()
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -14,6 +14,7 @@
 
 import pytest
 from click.testing import CliRunner
+from processes_seen import running
 
 from hopsail.cli import main
 from hopsail.emulator import report, scenario
@@ -51,16 +52,11 @@
 
 def children(of=None):
     """Ids of processes that a rig has started and that are still there; of one parent, if it is given."""
-    found = []
-    for path in Path("/proc").glob("[0-9]*"):
-        try:
-            words = (path / "cmdline").read_bytes().split(b"\0")
-            parent = int((path / "stat").read_text().rpartition(")")[2].split()[1])
-        except (OSError, ValueError):
-            continue
-        if b"hopsail.load.child" in words and of in (None, parent):
-            found.append(int(path.name))
-    return found
+    return [
+        number
+        for number, parent, words in running()
+        if b"hopsail.load.child" in words and of in (None, parent)
+    ]
 
 
 def gone(ids, within=5.0):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,7 @@
 from types import SimpleNamespace
 
 import pytest
+from processes_seen import running
 
 from hopsail.load.standstills import Standstill
 from hopsail.soak.checks import Bounds, check_history, check_in_force, check_recovery
@@ -323,26 +324,13 @@
     assert [path.name for path in tmp_path.iterdir()] == ["plan.toml"]
 
 
-def children_of(parent):
-    """Ids of the processes that a process has started."""
-    found = []
-    for path in Path("/proc").glob("[0-9]*"):
-        try:
-            words = (path / "stat").read_text().rpartition(")")[2].split()
-        except OSError:
-            continue
-        if int(words[1]) == parent:
-            found.append(int(path.name))
-    return found
-
-
 @pytest.mark.parametrize("how", ["interrupted", "one of its processes dies"])
 def test_a_soak_that_cant_go_on_ends_all_its_processes(how, tmp_path):
     command = [sys.executable, "-B", "-m", "hopsail.soak", "--seconds", "20", "--folder", tmp_path / "kept"]
     process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
     try:
         assert "all data planes ready" in process.stdout.readline()
-        started = children_of(process.pid)
+        started = [number for number, parent, _ in running() if parent == process.pid]
         assert len(started) == SHAPE.processes
         if how == "interrupted":
             process.send_signal(signal.SIGINT)
