Placement: registrars tell the work under way at a long prompt's ring hosts

Change: a data plane is registrar of some hosts (consistent hashing), is told of long prompts begun and read, and is asked for four ring hosts before a long prompt is sent; parts come from where they move soonest; hosts without a model are not divided into lanes.

--- a/hopsail/dataplane/attempt.py
+++ b/hopsail/dataplane/attempt.py
@@ -4,6 +4,7 @@
 
 from ..http.client_connection import ClientConnection, Failure
 from ..http.message import ResponseHead
+from .work_directory import Told
 from .execution import ATTEMPT_ID, Outcome, declines, is_replaced, outcome_of
 
 
@@ -25,6 +26,9 @@
         self.connection: ClientConnection | None = None
         self.response: ResponseHead | None = None
         self.work = 0.0  # tokens that it is expected to cost the host
+        self.reading = 0.0  # tokens that the host has to read before it answers
+        self.is_whole = False  # nothing of the prompt is known to be kept anywhere
+        self.told: Told | None = None  # what the host's registrar was told of it
         self.revision: int | None = None  # of the weights that the host is expected to run it on
         self.is_withdrawn = False
         self.ended = False
--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -1,5 +1,6 @@
 """One client's request on its way: attempts at hosts, and the one answer that the client gets."""
 
+from collections.abc import Mapping
 from enum import Enum, auto
 from functools import partial
 
@@ -7,6 +8,7 @@
 from ..http.message import ResponseHead, encode_request, end_to_end, header_text, whole_number
 from ..http.server import Exchange
 from ..routing.admission import Verdict
+from ..routing.host_work import Backlog
 from .attempt import Attempt
 from .events import Event, EventError, EventSplitter
 from .execution import (
@@ -21,6 +23,7 @@
     told_at_deadline,
     told_at_end,
 )
+from .placement import Shortlist
 from .prompt import Prompt, read_prompt
 
 MILLISECOND = 1_000_000
@@ -126,14 +129,24 @@
         if not self.exchange.started and not plane.may_begin(self):
             self._give_up(Refusal.ENDING)
             return
-        placed = plane.place(self)
+        plane.consult(self, self._send)
+
+    def _send(
+        self, shortlist: Shortlist | None = None, backlogs: Mapping[str, Backlog] | None = None
+    ) -> None:
+        """Makes an attempt at the host that is best by what is known now."""
+        plane = self.plane
+        if self.ended or plane.loop.now() >= self.deadline:
+            return
+        placed = plane.place(self, shortlist, backlogs)
         if placed is None:
             self._give_up(Refusal.NO_HOST)
             return
         connection = self._connection_to(placed.host.address)
         attempt = Attempt(self, self.identifier, placed.host, plane.loop.now())
         attempt.work, attempt.connection = placed.work, connection
-        attempt.revision = placed.revision
+        attempt.revision, attempt.reading = placed.revision, placed.reading
+        attempt.is_whole = placed.is_whole
         self.attempt = attempt
         if connection is None:
             plane.loop.soon(attempt.failed, Failure.NOT_SENT)
--- a/hopsail/dataplane/placement.py
+++ b/hopsail/dataplane/placement.py
@@ -1,23 +1,44 @@
-"""Which host a request goes to, and what the host is told: salt, expected version, where parts are."""
+"""Which host a request goes to, and what the host is told: salt, expected version, where parts are.
 
-from collections.abc import Callable
+Departure from the design, for long prompts: reading one takes a host so long that what other balancers have
+sent it counts as much as the own requests. Among the first ring hosts of the key the one is taken at which
+the prompt would be read soonest, by the work that the hosts' registrars know of (`work_directory`). Without
+their answer the ordinary choice holds."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
 from typing import NamedTuple
 
 from ..configuration.process import ProcessSettings
-from ..hosts.instance import Instance, Phase, parse_address
-from ..prompts.reuse import WallReuse
+from ..hosts.instance import Instance, Phase
 from ..prompts.salt import cache_salt
 from ..routing.choice import ChoiceParameters, HostState
+from ..routing.host_work import Backlog, ReadingRate
 from ..routing.lanes import Lane, lane_of
 from ..weights.eligibility import Eligibility, EligibilityBounds, eligible, held_revision
 from .prompt import GENERATED_WEIGHT, Prompt
 from .service_hosts import ServiceHosts, UsableHosts
+from .sources import Source, Sources
 from .view import FleetView
 
 MILLISECOND = 1_000_000
-LEAST_FETCHED = 512  # tokens of a part that is worth a move
-SAVE_EXPECTED = 2500 * MILLISECOND  # a part that was to be saved and is not told of by then is saved anew
 MOST_PRIORITY = 9
+CANDIDATES = 4  # ring hosts that a long prompt is compared over; docs/studies/further.md weighs 2 to 8
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementParameters:
+    """Which mechanisms are in use; tests and studies switch them off one by one."""
+
+    choice: ChoiceParameters = ChoiceParameters()
+    lanes: bool = True  # hosts of a service are divided by the size of prompts
+    relief: bool = True  # crowded hosts of the short lane are relieved
+    shared_work: bool = True  # registrars are asked before a long prompt is sent
+    candidates: int = CANDIDATES
+    host_speeds: bool = True  # hosts are told apart by how fast they read
+    fetch: bool = True  # hosts take parts from others
+    save: bool = True  # hosts save parts to a store
+    expect: bool = True  # parts of own requests count as kept before they are told of
 
 
 class Placed(NamedTuple):
@@ -27,17 +48,32 @@
     revision: int | None
     work: float  # tokens that the prompt is expected to cost there
     headers: list[tuple[str, str]]
+    reading: float = 0.0  # tokens that the host has to read before it answers
+    is_whole: bool = False  # nothing of the prompt is known to be kept anywhere
+
+
+class Shortlist(NamedTuple):
+    """Hosts among which a long prompt goes to the one that reads it soonest."""
+
+    service: str
+    hosts: tuple[str, ...]  # in ring order
 
 
 class Placement:
     """Hosts of all services, kept up with the view."""
 
-    def __init__(self, settings: ProcessSettings, view: FleetView, random, parameters=None):
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        view: FleetView,
+        random,
+        parameters: PlacementParameters | None = None,
+    ):
         self.view, self.random = view, random
-        self.parameters = parameters or ChoiceParameters()
+        self.parameters = parameters or PlacementParameters()
         self.services: dict[str, ServiceHosts] = {}
-        self.zone = settings.zone
-        self.reuse = WallReuse()
+        self.sources = Sources(view, settings.zone, settings.zones)
+        self.rate = ReadingRate()
         bounds = settings.bounds
         self.bounds = EligibilityBounds(apply_one_ns=int(bounds.apply_one_ms * MILLISECOND))
         self.on_age_judged: Callable[[HostState], None] = lambda state: None
@@ -52,7 +88,9 @@
         for name in set(self.services) | set(live):
             service = self.services.get(name)
             if service is None:
-                service = self.services[name] = ServiceHosts(self.random, self.parameters)
+                service = self.services[name] = ServiceHosts(
+                    self.random, self.parameters.choice, self.parameters.lanes
+                )
             gone += service.renew(live.get(name, []))
         return gone
 
@@ -87,31 +125,64 @@
         named = self.view.targets.get(model)
         return named is None or not named.is_overdue(now, revision, self.bounds.wait_ns)
 
+    def shortlist(
+        self, now: int, name: str, prompt: Prompt, tenant: dict | None, excluded: set[str]
+    ) -> Shortlist | None:
+        """The hosts whose load decides where the prompt goes; None where the ordinary choice does."""
+        service = self.services.get(name)
+        if service is None or not self.parameters.shared_work or prompt.model is None:
+            return None
+        if lane_of(prompt.tokens) is not Lane.LONG:
+            return None
+        usable = self._usable(service, now, prompt, excluded)
+        key = prompt.key(cache_salt(prompt.model, 0, _wall(tenant)))
+        weight = 0.0 if excluded else 1.0
+        hosts = service.choosers[Lane.LONG].nearest(now, key, usable, self.parameters.candidates, weight)
+        return Shortlist(name, tuple(hosts)) if len(hosts) > 1 else None
+
     def place(
-        self, now: int, name: str, prompt: Prompt, tenant: dict | None, priority: int, excluded: set[str]
+        self,
+        now: int,
+        name: str,
+        prompt: Prompt,
+        tenant: dict | None,
+        priority: int,
+        excluded: set[str],
+        shortlist: Shortlist | None = None,
+        backlogs: Mapping[str, Backlog] | None = None,
     ) -> Placed | None:
-        """A host of the service for the prompt; None when there is none that may be used."""
+        """A host of the service for the prompt; None when there is none that may be used.
+
+        With a shortlist and what registrars have told of its hosts, the one that reads the prompt soonest."""
         service = self.services.get(name)
         if service is None:
             return None
-        wall = tenant["Name"] if tenant is not None and tenant.get("Isolated") else None
+        wall = _wall(tenant)
+        if shortlist is not None and backlogs:
+            usable = self._usable(service, now, prompt, excluded)
+            state = self._soonest(now, shortlist, backlogs, prompt, wall, usable)
+            if state is not None:
+                return self._placed(now, name, service, state, prompt, wall, priority, usable)
         key = prompt.key(cache_salt(prompt.model or "", 0, wall))
-        weight = 0.0 if excluded else 1.0  # the heat of keys counts first attempts only
+        # The heat of keys counts first attempts only, and those once.
+        weight = 0.0 if excluded or shortlist is not None else 1.0
         lane = lane_of(prompt.tokens)
         for paused in (False, True):  # those that are paused for their health only when there is no other
-            usable = UsableHosts(
-                service, now, excluded, lambda state: self._judge(now, prompt.model, state), paused
-            )
+            usable = self._usable(service, now, prompt, excluded, paused)
             choice = self._choose(service, lane, now, key, usable, weight if not paused else 0.0)
             if choice is not None:
                 break
         else:
             return None
         state = usable[choice.host]
-        if lane is Lane.SHORT:
+        if lane is Lane.SHORT and self.parameters.relief:
             state = service.relieved(state, usable)
-        service.health.sent(now, state.identifier)
-        return self._placed(now, state, prompt, wall, priority, usable)
+        return self._placed(now, name, service, state, prompt, wall, priority, usable)
+
+    def _usable(self, service: ServiceHosts, now: int, prompt: Prompt, excluded, paused=False) -> UsableHosts:
+        return UsableHosts(
+            service, now, excluded, lambda state: self._judge(now, prompt.model, state), paused
+        )
 
     def _choose(self, service: ServiceHosts, lane: Lane, now: int, key, usable, weight: float):
         """A host of the prompt's lane, else of the other one."""
@@ -121,7 +192,47 @@
             choice = service.choosers[other].choose(now, key, usable, weight=0.0)
         return choice
 
-    def _placed(self, now, state, prompt: Prompt, wall, priority, usable) -> Placed:
+    def _soonest(self, now: int, shortlist: Shortlist, backlogs, prompt: Prompt, wall, usable):
+        """The host that would have read the prompt first; the first on the ring of equals.
+
+        A host of which nothing was told counts with this balancer's own requests there."""
+        for backlog in backlogs.values():
+            self.rate.note(now, backlog)
+        best, best_ms = None, 0.0
+        for name in shortlist.hosts:
+            state = usable.get(name)
+            if state is None:
+                continue
+            backlog = backlogs.get(name) or Backlog(waiting=state.in_flight_work)
+            took = self._reading_ms(now, shortlist.service, state, backlog, prompt, wall, usable)
+            if best is None or took < best_ms:
+                best, best_ms = state, took
+        return best
+
+    def _reading_ms(
+        self, now: int, name: str, state, backlog: Backlog, prompt: Prompt, wall, usable
+    ) -> float:
+        """When the host would have read the prompt (ms); in tokens while no speed is known."""
+        salt = cache_salt(prompt.model, state.revision, wall)
+        rate = self.rate.of(backlog) if self.parameters.host_speeds else self.rate.typical
+        reading = prompt.tokens - self.sources.kept_tokens(now, state.identifier, salt, prompt.parts)
+        source = self._source(now, name, state, salt, prompt, usable, rate)
+        moving = 0.0
+        if source is not None and source.tokens:
+            reading -= source.tokens
+            moving = source.move_ms
+        tokens = backlog.waiting + max(0, reading)
+        return tokens / rate + moving if rate else tokens
+
+    def _source(self, now: int, name: str, state, salt: str, prompt: Prompt, usable, rate) -> Source | None:
+        if not self.parameters.fetch:
+            return None
+        return self.sources.best(now, name, state, salt, prompt, usable, rate)
+
+    def _placed(
+        self, now: int, name: str, service: ServiceHosts, state, prompt: Prompt, wall, priority, usable
+    ) -> Placed:
+        service.health.sent(now, state.identifier)
         headers = [("priority", str(min(MOST_PRIORITY, priority)))]
         if prompt.model is None:
             return Placed(state, None, prompt.size, headers)
@@ -129,56 +240,22 @@
         headers.append(("cache-salt", salt))
         if state.revision:
             headers.append(("expect-version", str(state.revision)))
-        kept = self._kept_tokens(now, state.identifier, salt, prompt.parts)
-        headers += self._moves(now, state, salt, wall, prompt, usable)
-        self.view.kept.expect(state.identifier, salt, prompt.parts[:-1] or prompt.parts, now)
-        work = max(0, prompt.tokens - kept) + GENERATED_WEIGHT * prompt.generated
-        return Placed(state, state.revision, work, headers)
-
-    def _moves(
-        self, now: int, state, salt: str, wall: str | None, prompt: Prompt, usable
-    ) -> list[tuple[str, str]]:
-        """Where the host is to take large shared parts from that it lacks, and where it is to save them.
-
-        A source is always named, since the host may have dropped what it was told to keep: asking in vain
-        costs a millisecond, reading the part again its whole length."""
-        shared = [part for part in prompt.parts[:-1] if part.tokens >= LEAST_FETCHED]
-        if not shared:
-            return []
-        store = self._store()
-        kept = self.view.kept
-        stored = store is not None and all(kept.keeps(store, salt, part, now) for part in shared)
-        headers = []
-        self.reuse.note(wall)
-        if store is not None and not stored and self.reuse.worth_saving(wall):
-            headers.append(("kv-save", store))
-            kept.expect(store, salt, shared, now, SAVE_EXPECTED)
-        source = store or self._peer(now, state, salt, shared, usable)
+        kept = self.sources.kept_tokens(now, state.identifier, salt, prompt.parts)
+        rate = self.rate.typical
+        source = self._source(now, name, state, salt, prompt, usable, rate)
+        if self.parameters.save:
+            store = self.sources.save_to(now, name, state, salt, wall, prompt, rate)
+            if store is not None:
+                headers.append(("kv-save", store))
         if source is not None:
-            headers.append(("kv-fetch", source))
-        return headers
-
-    def _peer(self, now: int, state, salt: str, shared, usable) -> str | None:
-        """Another host that keeps the first large part, or should."""
-        holders = self.view.kept.holders(salt, shared[0].identifier, now)
-        for holder, tokens in holders.items():
-            peer = usable.get(holder)
-            if peer is not None and peer is not state and tokens >= shared[0].tokens:
-                return f"{peer.address[0]}:{peer.address[1]}"
-        return None
-
-    def _kept_tokens(self, now: int, host: str, salt: str, parts) -> int:
-        kept = 0
-        for part in parts:
-            if not self.view.kept.keeps(host, salt, part, now):
-                break
-            kept += part.tokens
-        return kept
-
-    def _store(self) -> str | None:
-        """The address of a store that is up."""
-        table = self.view.table
-        store = table.store_for(self.zone) if table is not None else None
-        if store is None or not self.view.store_is_up(store["Name"]):
-            return None
-        return str(parse_address(store["StoreAddr"]))
+            headers.append(("kv-fetch", source.address))
+        if self.parameters.expect:
+            self.view.kept.expect(state.identifier, salt, prompt.parts[:-1] or prompt.parts, now)
+        reading = max(0, prompt.tokens - kept - (source.tokens if source is not None else 0))
+        work = max(0, prompt.tokens - kept) + GENERATED_WEIGHT * prompt.generated
+        return Placed(state, state.revision, work, headers, reading, reading >= prompt.tokens)
+
+
+def _wall(tenant: dict | None) -> str | None:
+    """The tenant whose parts no other may use, None where they are shared."""
+    return tenant["Name"] if tenant is not None and tenant.get("Isolated") else None
--- a/hopsail/dataplane/plane.py
+++ b/hopsail/dataplane/plane.py
@@ -1,5 +1,7 @@
 """The data plane's process: doors for clients, views from the control plane, hosts."""
 
+from collections.abc import Callable
+from functools import partial
 from random import Random
 
 from ..configuration.needs import DATA_PLANE_NEEDS
@@ -16,6 +18,7 @@
 from ..routing.admission import Verdict
 from ..routing.choice import HostState
 from ..routing.durations import RecentDurations
+from ..routing.lanes import Lane, lane_of
 from ..routing.outcomes import Failure
 from ..routing.retries import RetryBudget
 from ..rpc.channel import Channel
@@ -24,11 +27,14 @@
 from .execution import NOT_EXECUTED, Outcome
 from .forward import ELSEWHERE_AT_ONCE, Forwarding, Refusal
 from .gates import WAIT_SHARE, Gates
-from .placement import Placed, Placement
+from .placement import Placed, Placement, Shortlist
 from .stopping import Ending, Pending
 from .view import FleetView
+from .work_directory import WorkDirectory
+from .work_socket import WorkSocket
 
 ROLE = "dataplane"
+DIRECTORY_PORT = 1  # after the first of the range
 READY_PATH = "/-/readyz"
 TICK_MS = 200
 BEARER = "bearer "
@@ -68,6 +74,7 @@
         self.confirmed = ConfirmedFeeds(self.loop.now, longest_ago, longest_ago, self._apply)
         self.controls = ControlLinks(self.loop, settings.machine_losses, self._follow, self._left)
         self.durations = RecentDurations(self.loop.now())  # of attempts, by route and size
+        self.directory: WorkDirectory | None = None
         self.ending: Ending | None = None
         self.was_ready = False
         self.began = self.loop.now()  # ns
@@ -79,10 +86,32 @@
         self.front = self.listen(settings.frontend)
         self.readiness = HttpServer(self.loop, settings.readiness, self._answer_ready)
         self.join(ROLE)
+        self.directory = self._open_directory()
+        self._members_changed()
+        self.membership.on_change = self._members_changed
         self.controls.renew_seeds(self.seeds)
         self._tick()
         say("state", f"data plane {settings.node_name} starts")
 
+    def _open_directory(self) -> WorkDirectory | None:
+        """On the port after membership's; None where there is no such port or it is taken."""
+        settings = self.settings
+        port = settings.port_first + DIRECTORY_PORT
+        if port > settings.port_last:
+            return None
+        try:
+            return WorkSocket(self.loop, (settings.ip, port), FLEET, self.random, self.counters).directory
+        except OSError as error:
+            say("work", f"no directory of work, {settings.ip}:{port}: {error}")
+            return None
+
+    def _members_changed(self) -> None:
+        if self.directory is None:
+            return
+        live = self.membership.alive(ROLE)
+        members = {member.name: (member.address[0], member.address[1] + DIRECTORY_PORT) for member in live}
+        self.directory.renew(members)
+
     def listen(self, address: tuple[str, int]) -> HttpServer:
         """A server for clients."""
         return HttpServer(
@@ -261,12 +290,28 @@
         """Whether a request that has not begun may still wait at a host that holds this revision."""
         return self.placement.may_wait(self.loop.now(), model, revision)
 
-    def place(self, forwarding: Forwarding) -> Placed | None:
+    def consult(self, forwarding: Forwarding, then: Callable[..., None]) -> None:
+        """Calls `then` with hosts and their backlogs once registrars have told them, or at once with none."""
+        shortlist = self.placement.shortlist(
+            self.loop.now(), forwarding.service, forwarding.prompt, forwarding.tenant, forwarding.excluded
+        )
+        if shortlist is None or self.directory is None:
+            then(shortlist)
+        else:
+            self.counters.add("work.questions")
+            self.directory.ask(shortlist.hosts, partial(then, shortlist))
+
+    def place(self, forwarding: Forwarding, shortlist: Shortlist | None, backlogs) -> Placed | None:
         """A host for the next attempt."""
-        now = self.loop.now()
-        priority = priority_of(forwarding.tenant, forwarding.route)
         return self.placement.place(
-            now, forwarding.service, forwarding.prompt, forwarding.tenant, priority, forwarding.excluded
+            self.loop.now(),
+            forwarding.service,
+            forwarding.prompt,
+            forwarding.tenant,
+            priority_of(forwarding.tenant, forwarding.route),
+            forwarding.excluded,
+            shortlist,
+            backlogs,
         )
 
     def _left(self, follower: Follower) -> None:
@@ -285,10 +330,22 @@
         host.in_flight += 1
         host.in_flight_work += attempt.work
         self.counters.add("attempts")
+        if self.directory is not None and lane_of(int(attempt.reading)) is Lane.LONG:
+            left = forwarding.deadline - self.loop.now()
+            attempt.told = self.directory.begin(host.identifier, attempt.reading, left)
 
     def first_byte(self, forwarding: Forwarding, attempt: Attempt) -> None:
         """A host's answer has begun."""
         self._health(forwarding).succeeded(self.loop.now(), attempt.host.identifier)
+        took_ms = (self.loop.now() - attempt.sent_at) / MILLISECOND
+        shows_speed = self.placement.rate.shows_speed(attempt.reading, took_ms)
+        self._reading_over(attempt, attempt.is_whole and shows_speed)
+
+    def _reading_over(self, attempt: Attempt, is_sample: bool) -> None:
+        """The host has read the attempt's prompt, or will not."""
+        if attempt.told is not None:
+            self.directory.end(attempt.told, is_sample)
+            attempt.told = None
 
     def attempt_over(self, forwarding: Forwarding, attempt: Attempt, outcome: Outcome | None) -> None:
         """An attempt has ended, or was abandoned (None)."""
@@ -297,6 +354,7 @@
         host.in_flight_work = max(0.0, host.in_flight_work - attempt.work) if host.in_flight else 0.0
         self.counters.add(f"attempts.{outcome.name.lower() if outcome else 'abandoned'}")
         now, health = self.loop.now(), self._health(forwarding)
+        self._reading_over(attempt, False)
         if attempt.written:
             size = int(forwarding.prompt.size)
             self.durations.add(now, forwarding.route["Name"], size, now - attempt.sent_at)
--- a/hopsail/dataplane/service_hosts.py
+++ b/hopsail/dataplane/service_hosts.py
@@ -4,7 +4,7 @@
 
 from ..hosts.instance import Instance, Phase
 from ..routing.choice import ChoiceParameters, HostChooser, HostState
-from ..routing.lanes import Lane, divide
+from ..routing.lanes import Lane, divide, undivided
 from ..routing.outcomes import HostHealth
 
 RELIEF_IN_FLIGHT = 3  # own short requests at one host, from which on hosts of the other lane help out
@@ -13,10 +13,13 @@
 
 
 class ServiceHosts:
-    """States of the hosts by instance id, and the choosers of the lanes."""
+    """States of the hosts by instance id, and the choosers of the lanes.
 
-    def __init__(self, random, parameters: ChoiceParameters):
+    Only hosts that run models are divided into lanes: the others read no prompts."""
+
+    def __init__(self, random, parameters: ChoiceParameters, lanes: bool = True):
         self.random = random
+        self.lanes = lanes
         self.states: dict[str, HostState] = {}
         self.names: list[str] = []  # of those that are not draining
         self.capacity = 0  # places of those
@@ -35,7 +38,8 @@
         ready = {name: state for name, state in self.states.items() if not state.draining}
         self.names = list(ready)
         self.capacity = sum(state.capacity for state in ready.values())
-        lanes = divide(self.names)
+        has_models = any(instance.models for instance in live)
+        lanes = divide(self.names) if self.lanes and has_models else undivided(self.names)
         for lane, chooser in self.choosers.items():
             chooser.update(lanes[lane])
         return gone
--- /dev/null
+++ b/hopsail/dataplane/work_directory.py
@@ -0,0 +1,195 @@
+"""The directory of long prompts under way: who is a host's registrar, what is asked of it and told to it.
+
+Registrars are found by consistent hashing of the host's instance id over the data planes that live, so that
+no message names them and none is lost for longer than membership takes to see it. A question costs one
+datagram to each registrar and one back, whatever the number of data planes; without an answer within
+`ANSWER_NS` the sender goes by its own count. No I/O: `work_socket` carries the datagrams."""
+
+from collections.abc import Callable, Iterable
+from math import isfinite
+from random import Random
+
+from ..model import MS
+from ..routing.host_work import Backlog, HostWork, is_sound
+from ..routing.ring import HostRing
+from ..rpc.errors import FrameError
+from ..rpc.structs import decode, encode
+from .work_messages import Begun, Ended, HostBacklog, WorkDatagram
+
+Address = tuple[str, int]
+
+ANSWER_NS = 15 * MS
+DATAGRAM = 1200  # bytes, below the MTU of every path
+MOST_ASKED = 16  # hosts in one question
+MOST_QUESTIONS = 1024  # under way; a further one is answered by nobody
+MOST_LASTING_MS = 10_000  # for which a prompt whose end is not told counts
+REGISTRAR_POINTS = 16  # on the ring of data planes
+NUMBER_BITS = 62
+
+
+class Question:
+    """Loads that are waited for; `then` is called once, with those that were told in time."""
+
+    def __init__(self, hosts: Iterable[str], then: Callable[[dict[str, Backlog]], None]):
+        self.missing = set(hosts)
+        self.backlogs: dict[str, Backlog] = {}
+        self.then = then
+        self.timer = None
+
+
+class Told:
+    """Who was told of a prompt, so that its end is told to the same."""
+
+    __slots__ = ("address", "host", "number")
+
+    def __init__(self, address: Address | None, host: str, number: int):
+        self.address, self.host, self.number = address, host, number
+
+
+class WorkDirectory:
+    """One data plane's part in the directory: registrar of some hosts, sender to all.
+
+    `send(address, data)` sends one datagram; of the loop, only its clock and timers are used."""
+
+    def __init__(
+        self,
+        loop,
+        address: Address,
+        fleet: str,
+        random: Random,
+        counters,
+        send: Callable[[Address, bytes], None],
+    ):
+        self.loop, self.address, self.fleet, self.counters = loop, address, fleet, counters
+        self.send = send
+        self.work = HostWork()
+        self._members: dict[str, Address] = {}  # other data planes by name, this one among them
+        self._ring = HostRing(REGISTRAR_POINTS)
+        self._questions: dict[int, Question] = {}
+        self._number = random.getrandbits(NUMBER_BITS)
+
+    def renew(self, members: dict[str, Address]) -> None:
+        """Makes these the data planes that live, this one among them."""
+        self._members = members
+        self._ring.update(members)
+
+    # A sender's side.
+
+    def ask(self, hosts: Iterable[str], then: Callable[[dict[str, Backlog]], None]) -> None:
+        """Calls `then` with the backlogs that registrars tell in time; at once if this process knows all."""
+        now = self.loop.now()
+        question = Question(hosts, then)
+        remote: dict[Address, list[str]] = {}
+        for host in list(question.missing):
+            registrar = self._registrar(host)
+            if registrar is None:
+                self._answer(question, host, self.work.backlog(now, host))
+            else:
+                remote.setdefault(registrar, []).append(host)
+        if not question.missing or len(self._questions) >= MOST_QUESTIONS:
+            then(question.backlogs)
+            return
+        number = self._next_number()
+        self._questions[number] = question
+        question.timer = self.loop.at(now + ANSWER_NS, lambda: self._late(number))
+        for address, asked in remote.items():
+            self._send(address, WorkDatagram(fleet=self.fleet, question=number, asked=asked))
+
+    def begin(self, host: str, tokens: float, lasting_ns: int) -> Told:
+        """Tells the host's registrar of a prompt that is being sent."""
+        number = self._next_number()
+        registrar = self._registrar(host)
+        lasting_ms = min(max(1, lasting_ns // MS), MOST_LASTING_MS)
+        begun = Begun(host=host, number=number, tokens=tokens, lasting_ms=lasting_ms)
+        if registrar is None:
+            self._take_begun(self.address, begun)
+        else:
+            self._send(registrar, WorkDatagram(fleet=self.fleet, begun=[begun]))
+        return Told(registrar, host, number)
+
+    def end(self, told: Told, is_sample: bool) -> None:
+        """Tells the same registrar that the prompt is read, or given up."""
+        ended = Ended(host=told.host, number=told.number, is_sample=is_sample)
+        if told.address is None:
+            self._take_ended(self.address, ended)
+        else:
+            self._send(told.address, WorkDatagram(fleet=self.fleet, ended=[ended]))
+
+    def _registrar(self, host: str) -> Address | None:
+        """Where the host's registrar listens; None when it is this process."""
+        address = self._members.get(self._ring.home(host))
+        return None if address == self.address else address
+
+    def _next_number(self) -> int:
+        self._number = (self._number + 1) % (1 << NUMBER_BITS) or 1
+        return self._number
+
+    def _answer(self, question: Question, host: str, backlog: Backlog) -> None:
+        if host in question.missing:
+            question.missing.discard(host)
+            question.backlogs[host] = backlog
+
+    def _late(self, number: int) -> None:
+        question = self._questions.pop(number, None)
+        if question is not None:
+            self.counters.add("work.late")
+            question.then(question.backlogs)
+
+    # A registrar's side.
+
+    def _take_begun(self, sender: Address, begun: Begun) -> None:
+        lasting_ns = min(max(1, begun.lasting_ms), MOST_LASTING_MS) * MS
+        key = (f"{sender[0]}:{sender[1]}", begun.number)
+        if isfinite(begun.tokens) and begun.tokens > 0:
+            self.work.begin(self.loop.now(), begun.host, key, begun.tokens, lasting_ns)
+
+    def _take_ended(self, sender: Address, ended: Ended) -> None:
+        key = (f"{sender[0]}:{sender[1]}", ended.number)
+        self.work.end(self.loop.now(), ended.host, key, ended.is_sample)
+
+    # Datagrams.
+
+    def _send(self, address: Address, datagram: WorkDatagram) -> None:
+        self.send(address, encode(datagram))
+
+    def received(self, data: bytes, sender: Address) -> None:
+        """Takes one datagram in; one that is spoilt, or another fleet's, is passed over."""
+        try:
+            datagram = decode(WorkDatagram, data)
+        except FrameError:
+            self.counters.add("work.unreadable")
+            return
+        if datagram.fleet != self.fleet or len(data) > DATAGRAM:
+            self.counters.add("work.unreadable")
+            return
+        for begun in datagram.begun:
+            self._take_begun(sender, begun)
+        for ended in datagram.ended:
+            self._take_ended(sender, ended)
+        if datagram.asked:
+            self._tell(sender, datagram)
+        elif datagram.question:
+            self._told(datagram)
+
+    def _tell(self, sender: Address, datagram: WorkDatagram) -> None:
+        now = self.loop.now()
+        backlogs = []
+        for host in datagram.asked[:MOST_ASKED]:
+            backlog = self.work.backlog(now, host)
+            backlogs.append(
+                HostBacklog(host=host, waiting=backlog.waiting, read=backlog.read, read_ms=backlog.read_ms)
+            )
+        self._send(sender, WorkDatagram(fleet=self.fleet, question=datagram.question, backlogs=backlogs))
+
+    def _told(self, datagram: WorkDatagram) -> None:
+        question = self._questions.get(datagram.question)
+        if question is None:
+            return  # it came too late
+        for backlog in datagram.backlogs:
+            told = Backlog(backlog.waiting, backlog.read, backlog.read_ms)
+            if is_sound(told):
+                self._answer(question, backlog.host, told)
+        if not question.missing:
+            del self._questions[datagram.question]
+            question.timer.cancel()
+            question.then(question.backlogs)
--- /dev/null
+++ b/hopsail/dataplane/work_messages.py
@@ -0,0 +1,55 @@
+"""Datagrams between data planes about long prompts under way at hosts."""
+
+from ..rpc.structs import Struct, boolean, double, i32, i64, list_of, spec, structs, text, TType
+
+
+class Begun(Struct):
+    """A long prompt has been sent to a host."""
+
+    host: str
+    number: int  # of the prompt, unique within the sender's life
+    tokens: float  # that the host has to read
+    lasting_ms: int  # after which it is over even if no end is told
+
+    thrift_spec = spec(text(1, "host"), i64(2, "number"), double(3, "tokens"), i32(4, "lasting_ms"))
+
+
+class Ended(Struct):
+    """A prompt told of as begun is read, or given up."""
+
+    host: str
+    number: int
+    is_sample: bool  # the time that it took shows the host's speed
+
+    thrift_spec = spec(text(1, "host"), i64(2, "number"), boolean(3, "is_sample"))
+
+
+class HostBacklog(Struct):
+    """What the host's registrar knows of it; see `routing.host_work.HostLoad`."""
+
+    host: str
+    waiting: float
+    read: float
+    read_ms: float
+
+    thrift_spec = spec(text(1, "host"), double(2, "waiting"), double(3, "read"), double(4, "read_ms"))
+
+
+class WorkDatagram(Struct):
+    """One datagram; what does not apply is left out."""
+
+    fleet: str
+    question: int  # number of a question or of the one answered, 0 when there is none
+    asked: list[str]  # hosts whose load is asked for
+    backlogs: list[HostBacklog]  # the answer
+    begun: list[Begun]
+    ended: list[Ended]
+
+    thrift_spec = spec(
+        text(1, "fleet"),
+        i64(2, "question"),
+        list_of(3, "asked", TType.STRING, "UTF8"),
+        structs(4, "backlogs", HostBacklog),
+        structs(5, "begun", Begun),
+        structs(6, "ended", Ended),
+    )
--- a/hopsail/routing/choice.py
+++ b/hopsail/routing/choice.py
@@ -112,6 +112,20 @@
             return self._spread(home, list(islice(candidates, spread.hosts)))
         return self._ordinary(home, candidates, hosts)
 
+    def nearest(
+        self, now: int, key: str | None, hosts: Mapping[str, HostState], most: int, weight: float = 1.0
+    ) -> list[str]:
+        """The first eligible hosts from the key on: `most`, or as many as a hot key is spread over if more.
+
+        A read of `weight` 0 is not counted by the heat of keys."""
+        if not key:
+            key = f"{self.random.getrandbits(RANDOM_BITS):x}"
+            weight = 0.0
+        spread = self.heat.read(now, key, len(self.ring)) if weight > 0 else None
+        wanted = most if spread is None else max(most, spread.hosts)
+        candidates = self._candidates(key, hosts, frozenset(), inf)
+        return [host.identifier for host in islice(candidates, wanted)]
+
     def _candidates(self, key, hosts, exclude, place_share) -> Iterator[HostState]:
         """Hosts in ring order from the key on that may be sent to."""
         for identifier in self.ring.walk(key):
--- a/hopsail/routing/lanes.py
+++ b/hopsail/routing/lanes.py
@@ -33,3 +33,8 @@
     ranked = sorted(hosts, key=hash64)
     count = min(len(ranked) - 1, max(1, ceil(short_share * len(ranked))))
     return {Lane.SHORT: frozenset(ranked[:count]), Lane.LONG: frozenset(ranked[count:])}
+
+
+def undivided(hosts: Collection[str]) -> dict[Lane, frozenset[str]]:
+    """All hosts for each lane, where the size of prompts does not matter."""
+    return dict.fromkeys(Lane, frozenset(hosts))
--- a/tests/test_callers_simulation.py
+++ b/tests/test_callers_simulation.py
@@ -366,7 +366,10 @@
     def manner(self):
         return self.random.choices(list(MANNERS), MANNERS.values())[0]
 
-    def place(self, forwarding):
+    def consult(self, forwarding, then):
+        then()
+
+    def place(self, forwarding, shortlist=None, backlogs=None):
         hosts = [host for host in self.plane.hosts if host.identifier not in forwarding.excluded]
         return Placed(self.random.choice(hosts), 3, 10.0, []) if hosts else None
 
--- a/tests/test_dataplane_forward.py
+++ b/tests/test_dataplane_forward.py
@@ -258,7 +258,10 @@
     def may_wait(self, model, revision):
         return revision not in self.superseded
 
-    def place(self, forwarding):
+    def consult(self, forwarding, then):
+        then()
+
+    def place(self, forwarding, shortlist=None, backlogs=None):
         for host in self.hosts:
             if host.identifier not in forwarding.excluded:
                 return Placed(
--- a/tests/test_dataplane_placement.py
+++ b/tests/test_dataplane_placement.py
@@ -6,8 +6,9 @@
 
 from hopsail.configuration.items import split_items
 from hopsail.configuration.process import parse_settings
-from hopsail.dataplane.placement import LEAST_FETCHED, Placement
+from hopsail.dataplane.placement import CANDIDATES, Placement, PlacementParameters
 from hopsail.dataplane.prompt import Prompt, read_prompt
+from hopsail.dataplane.sources import LEAST_FETCHED
 from hopsail.dataplane.view import MOST_KEPT, FleetView
 from hopsail.feed.journal import Change
 from hopsail.feed.topics import Topic
@@ -17,6 +18,8 @@
 from hopsail.prompts.kept import EXPECTATION_NS, EXPECTED_SHARE
 from hopsail.prompts.prefix import Part
 from hopsail.prompts.salt import cache_salt
+from hopsail.routing.host_work import Backlog
+from hopsail.routing.lanes import Lane
 from hopsail.routing.outcomes import Failure
 from hopsail.weights.load import HostLoad, LoadPhase, encode_load
 
@@ -464,3 +467,199 @@
     if count is not None:
         headers["hopsail_token_count"] = count
     assert read(**headers).tokens == 1050
+
+
+# Long prompts: the host that reads soonest, by what registrars tell
+
+LONG = (("5c1e", 9000), ("91bd", 3000))
+IDLE = Backlog(0.0, 40_000.0, 1000.0)  # 40 tokens a ms
+
+
+def busy(tokens):
+    return Backlog(float(tokens), 40_000.0, 1000.0)
+
+
+def shortlist(fleet, asked=None, excluded=()):
+    asked = prompt(*LONG) if asked is None else asked
+    return fleet.placement.shortlist(fleet.now, "s", asked, None, set(excluded))
+
+
+def placed_among(fleet, backlogs, asked=None, listed=None):
+    asked = prompt(*LONG) if asked is None else asked
+    listed = listed or shortlist(fleet, asked)
+    placed = fleet.placement.place(fleet.now, "s", asked, None, 0, set(), listed, backlogs)
+    return placed.host.identifier
+
+
+def test_backlogs_are_asked_for_long_prompts_of_services_with_a_choice_alone():
+    assert shortlist(Fleet(hosts=9)) is not None
+    assert shortlist(Fleet(hosts=9), prompt(("aa", 40), ("bb", 300))) is None
+    assert shortlist(Fleet(hosts=9), prompt(*LONG, model=None)) is None
+    assert shortlist(Fleet(hosts=1)) is None
+    assert shortlist(Fleet(hosts=0)) is None
+    assert Fleet().placement.shortlist(START, "unheard-of", prompt(*LONG), None, set()) is None
+    fleet = Fleet(hosts=9)
+    fleet.placement.parameters = PlacementParameters(shared_work=False)
+    assert shortlist(fleet) is None
+
+
+def test_the_hosts_compared_are_the_first_on_the_ring():
+    fleet = Fleet(hosts=9)
+    listed = shortlist(fleet)
+    assert len(listed.hosts) == CANDIDATES == len(set(listed.hosts))
+    assert listed.hosts[0] == Fleet(hosts=9, seed=5).host(prompt(*LONG))
+    fleet.list(instance(listed.hosts[1], Phase.DRAINING))
+    assert listed.hosts[1] not in shortlist(fleet).hosts
+    assert listed.hosts[0] not in shortlist(fleet, excluded=[listed.hosts[0]]).hosts
+
+
+def test_among_equal_hosts_the_home_is_taken():
+    fleet = Fleet(hosts=9)
+    listed = shortlist(fleet)
+    assert placed_among(fleet, dict.fromkeys(listed.hosts, IDLE)) == listed.hosts[0]
+
+
+def test_the_host_with_the_least_before_the_prompt_is_taken():
+    for least in range(CANDIDATES):
+        fleet = Fleet(hosts=9)
+        listed = shortlist(fleet)
+        backlogs = dict.fromkeys(listed.hosts, busy(20_000)) | {listed.hosts[least]: busy(5_000)}
+        assert placed_among(fleet, backlogs) == listed.hosts[least]
+
+
+def test_a_host_that_keeps_the_shared_part_is_worth_waiting_for_as_long_as_reading_it_takes():
+    for waiting, expected in ((8_000, 0), (10_000, 1)):
+        fleet = Fleet(hosts=9)
+        listed = shortlist(fleet)
+        fleet.keeps(listed.hosts[0], cache_salt("m", 1, None), "5c1e", 9000)
+        fleet.placement.parameters = PlacementParameters(fetch=False)
+        backlogs = dict.fromkeys(listed.hosts, IDLE) | {listed.hosts[0]: busy(waiting)}
+        assert placed_among(fleet, backlogs) == listed.hosts[expected]
+
+
+def test_a_slow_host_is_passed_over_unless_the_others_have_more_before_it():
+    slow = Backlog(0.0, 100_000.0, 10_000.0)  # 10 tokens a ms
+    for waiting, expected in ((2_000, 1), (90_000, 0)):
+        fleet = Fleet(hosts=9)
+        listed = shortlist(fleet)
+        backlogs = dict.fromkeys(listed.hosts, busy(waiting)) | {listed.hosts[0]: slow}
+        assert placed_among(fleet, backlogs) == listed.hosts[expected]
+
+
+def test_a_host_of_which_nothing_is_told_counts_with_the_own_requests_there():
+    fleet = Fleet(hosts=9)
+    listed = shortlist(fleet)
+    fleet.placement.services["s"].states[listed.hosts[0]].in_flight_work = 30_000.0
+    backlogs = {listed.hosts[1]: busy(10_000)}
+    assert placed_among(fleet, backlogs, listed=listed) == listed.hosts[2]
+
+
+def test_without_any_word_the_ordinary_choice_holds():
+    fleet = Fleet(hosts=9)
+    listed = shortlist(fleet)
+    for backlogs in (None, {}):
+        assert placed_among(fleet, backlogs, listed=listed) == listed.hosts[0]
+
+
+def test_hosts_that_can_no_longer_be_used_when_the_word_comes_are_passed_over():
+    fleet = Fleet(hosts=9)
+    listed = shortlist(fleet)
+    backlogs = dict.fromkeys(listed.hosts, IDLE)
+    fleet.list(instance(listed.hosts[0], Phase.GONE))
+    assert placed_among(fleet, backlogs, listed=listed) == listed.hosts[1]
+    for name in listed.hosts[1:]:
+        fleet.list(instance(name, Phase.DRAINING))
+    assert placed_among(fleet, backlogs, listed=listed) not in listed.hosts
+
+
+def test_a_hot_subject_is_compared_over_as_many_hosts_as_it_is_spread_over():
+    fleet = Fleet(hosts=30)
+    for _ in range(60):
+        listed = shortlist(fleet)
+    assert len(listed.hosts) > CANDIDATES
+
+
+def test_a_read_of_a_key_is_counted_once():
+    fleet = Fleet(hosts=9)
+    heat = fleet.placement.services["s"].choosers[Lane.LONG].heat
+    listed = shortlist(fleet)
+    before = heat._counts.share(prompt(*LONG).key(cache_salt("m", 0, None)))
+    placed_among(fleet, {}, listed=listed)
+    assert heat._counts.share(prompt(*LONG).key(cache_salt("m", 0, None))) == before
+
+
+# Requests without a prompt
+
+
+def test_requests_without_a_prompt_use_all_hosts_of_their_service():
+    fleet = Fleet(hosts=4, model=None)
+    plain = prompt(model=None, tokens=0)
+    assert {fleet.host(plain) for _ in range(100)} == {f"i-{number}" for number in range(4)}
+
+
+def test_hosts_that_run_a_model_are_divided_by_the_size_of_prompts():
+    fleet = Fleet(hosts=9)
+    short = {fleet.host(prompt((f"{number:04x}", 60), ("aa", 5))) for number in range(200)}
+    long = {fleet.host(prompt((f"{number:04x}", 6000), ("aa", 5))) for number in range(200)}
+    assert len(short) < 9 and not short & long
+
+
+# Where parts are taken from
+
+FAST, SLOW = 400_000.0, 4_000.0  # Mbit/s; 9,000 tokens of 65,536 bytes take 12 ms and 1.2 s
+
+
+def with_links(hosts_mbps, store_mbps, store_zone="z1", **more):
+    runtime = {"TokenBytes": 65_536, "LinkMbps": hosts_mbps}
+    store = {"Name": "w", "StoreAddr": STORE_ADDRESS, "Zone": store_zone, "LinkMbps": store_mbps}
+    fleet = Fleet(stores=True, **more)
+    items = split_items({"Revision": 2, "Routes": [], "Services": [{"Name": "s", "Runtime": runtime}, store]})
+    fleet.tell(*[Change(Topic.CONFIGURATION, key, value) for key, value in items.items()])
+    return fleet
+
+
+def kept_by_store_and_host(fleet):
+    salt = cache_salt("m", 1, None)
+    home = fleet.host(prompt(*LONG))
+    holder = next(name for name in sorted(fleet.placement.services["s"].states) if name != home)
+    fleet.now += EXPECTATION_NS + MS
+    fleet.keeps(STORE_ADDRESS, salt, "5c1e", 9000)
+    fleet.keeps(holder, salt, "5c1e", 9000)
+    return str(instance(holder).address)
+
+
+@pytest.mark.parametrize(("hosts", "store", "from_store"), [(FAST, SLOW, False), (SLOW, FAST, True)])
+def test_parts_are_taken_from_where_they_come_soonest(hosts, store, from_store):
+    fleet = with_links(max(hosts, store), store) if not from_store else with_links(None, store)
+    holder = kept_by_store_and_host(fleet)
+    told_source = told(fleet.place(prompt(*LONG)), "kv-fetch")
+    assert told_source in ((STORE_ADDRESS, holder) if from_store else (holder,))
+
+
+def test_nothing_is_moved_that_is_read_sooner():
+    fleet = with_links(FAST, SLOW)
+    salt = cache_salt("m", 1, None)
+    fleet.keeps(STORE_ADDRESS, salt, "5c1e", 9000)
+    assert told(fleet.place(prompt(*LONG)), "kv-fetch") == STORE_ADDRESS  # no speed is known yet
+    fleet.now += EXPECTATION_NS + MS
+    fleet.placement.rate.note(fleet.now, Backlog(0.0, 100_000.0, 2_000.0))  # 50 a ms: 180 ms, not 1.2 s
+    placed = fleet.place(prompt(*LONG))
+    assert told(placed, "kv-fetch") is None
+
+
+def test_nothing_is_saved_to_a_store_that_is_slower_than_reading():
+    fleet = with_links(FAST, SLOW)
+    fleet.placement.rate.note(fleet.now, Backlog(0.0, 100_000.0, 2_000.0))
+    assert told(fleet.place(prompt(*LONG)), "kv-save") is None
+    quick = with_links(FAST, FAST)
+    quick.placement.rate.note(quick.now, Backlog(0.0, 100_000.0, 2_000.0))
+    assert told(quick.place(prompt(*LONG)), "kv-save") == STORE_ADDRESS
+
+
+def test_what_is_taken_from_elsewhere_is_not_counted_as_read():
+    fleet = with_links(FAST, FAST)
+    kept_by_store_and_host(fleet)
+    placed = fleet.place(prompt(*LONG))
+    assert placed.reading == 3000 and not placed.is_whole
+    other = with_links(FAST, FAST).place(prompt(*LONG))
+    assert other.reading == 12_000 and other.is_whole
