Sources: a store is named also for what the host is told to keep itself

Cause, by reading: the test of move time against reading time took the tokens that are missing; with none missing no source was named, and hosts drop parts unseen. The text before always named one. A test that fails before.

--- a/hopsail/dataplane/sources.py
+++ b/hopsail/dataplane/sources.py
@@ -45,22 +45,23 @@
     ) -> Source | None:
         """A store that keeps what the host lacks, else another host; None where it reads that sooner itself.
 
-        A store keeps parts for longer than hosts, whose word is seconds old when their memory is short.
+        A store keeps parts for longer than hosts, whose word is seconds old when their memory is short. One
+        is named also where nobody is known to keep the parts, or the host is told to keep all of them: hosts
+        may have saved or dropped some unseen, and asking in vain costs a millisecond.
 
-        `rate` is how many tokens the host reads in a ms, None while that is not known. Where nobody is known
-        to keep the parts, a store is named all the same: hosts may have saved more than is told, and asking
-        in vain costs a millisecond."""
+        `rate` is how many tokens the host reads in a ms, None while that is not known."""
         shared = large_parts(prompt)
         if not shared:
             return None
         missing = self._missing(now, state, salt, prompt)
+        total = sum(part.tokens for part in shared)
         store = self._store()
-        found = [] if store is None else [self._from_store(now, service, state, salt, shared, missing, store)]
-        peer = self._peer(now, service, state, salt, shared, missing, usable)
+        found = []
+        if store is not None and not self._reads_sooner(service, state, total, _link(store), rate):
+            found.append(self._from_store(now, service, state, salt, shared, missing, store))
+        peer = self._peer(now, service, state, salt, shared, missing, usable, rate)
         if peer is not None:
             found.append(peer)
-        if rate is not None:
-            found = [source for source in found if source.move_ms * rate < missing]
         if not found:
             return None
         return next((source for source in found if source.tokens), found[0])
@@ -76,8 +77,8 @@
         self.reuse.note(wall)
         if store is None or not self.reuse.worth_saving(wall):
             return None
-        tokens = sum(part.tokens for part in shared)
-        if rate is not None and self._from_store_ms(service, state, tokens, store) * rate >= tokens:
+        total = sum(part.tokens for part in shared)
+        if self._reads_sooner(service, state, total, _link(store), rate):
             return None
         address = str(parse_address(store["StoreAddr"]))
         kept = self.view.kept
@@ -86,6 +87,10 @@
         kept.expect(address, salt, shared, now, SAVE_EXPECTED_NS)
         return address
 
+    def _reads_sooner(self, service: str, state, tokens: int, source: Link, rate: float | None) -> bool:
+        """Whether the host reads so many tokens sooner than it takes them from the source."""
+        return rate is not None and self._move_ms(service, state, tokens, source) * rate >= tokens
+
     def _missing(self, now: int, state: HostState, salt: str, prompt: Prompt) -> int:
         """Tokens of the shared parts that the host does not keep."""
         parts = prompt.parts[:-1]
@@ -94,21 +99,23 @@
     def _from_store(self, now, service: str, state, salt: str, shared, missing: int, store) -> Source:
         address = str(parse_address(store["StoreAddr"]))
         stored = all(self.view.kept.keeps(address, salt, part, now) for part in shared)
-        return Source(address, missing if stored else 0, self._from_store_ms(service, state, missing, store))
-
-    def _from_store_ms(self, service: str, state, tokens: int, store) -> float:
-        return self._move_ms(service, state, tokens, Link(store.get("Zone", ""), link_mbps(store)))
+        took = self._move_ms(service, state, missing, _link(store))
+        return Source(address, missing if stored else 0, took)
 
-    def _peer(self, now, service: str, state, salt: str, shared, missing: int, usable) -> Source | None:
+    def _peer(self, now, service: str, state, salt: str, shared, missing: int, usable, rate) -> Source | None:
         """The nearest other host that keeps the first large part, or should."""
         first = shared[0]
-        held_by_service = link_mbps(self.view.table.service(service)) if self.view.table else None
+        total = sum(part.tokens for part in shared)
+        mbps = link_mbps(self.view.table.service(service)) if self.view.table is not None else None
         nearest = None
         for holder, tokens in self.view.kept.holders(salt, first.identifier, now).items():
             peer = usable.get(holder)
             if peer is None or peer is state or tokens < first.tokens:
                 continue
-            took = self._move_ms(service, state, missing, Link(peer.zone, held_by_service))
+            link = Link(peer.zone, mbps)
+            took = self._move_ms(service, state, missing, link)
+            if self._reads_sooner(service, state, total, link, rate):
+                continue
             if nearest is None or took < nearest.move_ms:
                 nearest = Source(f"{peer.address[0]}:{peer.address[1]}", missing, took)
         return nearest
@@ -127,6 +134,10 @@
         return store
 
 
+def _link(store: Mapping) -> Link:
+    return Link(store.get("Zone", ""), link_mbps(store))
+
+
 def large_parts(prompt: Prompt) -> list[Part]:
     """Shared parts that are worth a move."""
     return [part for part in prompt.parts[:-1] if part.tokens >= LEAST_FETCHED]
--- a/tests/test_dataplane_placement.py
+++ b/tests/test_dataplane_placement.py
@@ -699,3 +699,14 @@
     fleet = Fleet(hosts=9)
     assert shortlist(fleet, prompt(("aa", 9000))).parts == {}
     assert shortlist(fleet, prompt(("aa", LEAST_FETCHED - 1), ("bb", 9000))).parts == {}
+
+
+def test_a_store_is_named_also_for_what_the_host_is_told_to_keep():
+    """Hosts drop parts unseen."""
+    fleet = with_links(FAST, FAST)
+    fleet.placement.rate.note(fleet.now, Backlog(0.0, 100_000.0, 2_000.0))
+    home = fleet.host(prompt(*LONG))
+    fleet.keeps(home, cache_salt("m", 1, None), "5c1e", 9000)
+    placed = fleet.place(prompt(*LONG))
+    assert placed.host.identifier == home and placed.reading == 3000
+    assert told(placed, "kv-fetch") == STORE_ADDRESS
