Lanes follow the demand that each balancer sees

Cause: 22 % of the hosts served prompts under 2,048 tokens whatever came. Change: the short lane's share follows its share of the work sent (tokens + 512 a request), left where it is while the demand differs by less than a tenth, so that balancers that see a few requests each divide alike.

--- a/hopsail/dataplane/placement.py
+++ b/hopsail/dataplane/placement.py
@@ -34,6 +34,7 @@
 
     choice: ChoiceParameters = ChoiceParameters()
     lanes: bool = True  # hosts of a service are divided by the size of prompts
+    follow_demand: bool = True  # in proportion to what comes
     relief: bool = True  # crowded hosts of the short lane are relieved
     shared_work: bool = True  # registrars are asked before a long prompt is sent
     candidates: int = CANDIDATES
@@ -94,7 +95,10 @@
             service = self.services.get(name)
             if service is None:
                 service = self.services[name] = ServiceHosts(
-                    self.random, self.parameters.choice, self.parameters.lanes
+                    self.random,
+                    self.parameters.choice,
+                    self.parameters.lanes,
+                    self.parameters.follow_demand,
                 )
             gone += service.renew(live.get(name, []))
         return gone
@@ -184,6 +188,8 @@
         if service is None:
             return None
         wall = _wall(tenant)
+        if not excluded:
+            service.note_demand(lane_of(prompt.tokens), prompt.size)
         if shortlist is not None and answer is not None and answer.backlogs:
             self._expect(now, service, shortlist, answer, prompt)
             usable = self._usable(service, now, prompt, excluded)
--- a/hopsail/dataplane/service_hosts.py
+++ b/hopsail/dataplane/service_hosts.py
@@ -4,7 +4,7 @@
 
 from ..hosts.instance import Instance, Phase
 from ..routing.choice import ChoiceParameters, HostChooser, HostState
-from ..routing.lanes import Lane, divide, undivided
+from ..routing.lanes import Lane, LaneDemand, divide, undivided
 from ..routing.outcomes import HostHealth
 
 RELIEF_IN_FLIGHT = 3  # own short requests at one host, from which on hosts of the other lane help out
@@ -17,9 +17,11 @@
 
     Only hosts that run models are divided into lanes: the others read no prompts."""
 
-    def __init__(self, random, parameters: ChoiceParameters, lanes: bool = True):
+    def __init__(self, random, parameters: ChoiceParameters, lanes: bool = True, follow_demand: bool = True):
         self.random = random
-        self.lanes = lanes
+        self.lanes, self.follow_demand = lanes, follow_demand
+        self.demand = LaneDemand()
+        self.has_models = False
         self.states: dict[str, HostState] = {}
         self.names: list[str] = []  # of those that are not draining
         self.capacity = 0  # places of those
@@ -38,11 +40,20 @@
         ready = {name: state for name, state in self.states.items() if not state.draining}
         self.names = list(ready)
         self.capacity = sum(state.capacity for state in ready.values())
-        has_models = any(instance.models for instance in live)
-        lanes = divide(self.names) if self.lanes and has_models else undivided(self.names)
+        self.has_models = any(instance.models for instance in live)
+        self._divide()
+        return gone
+
+    def note_demand(self, lane: Lane, tokens: float) -> None:
+        """Counts a first attempt of so many tokens: the lanes follow what comes."""
+        if self.follow_demand and self.demand.note(lane, tokens):
+            self._divide()
+
+    def _divide(self) -> None:
+        divided = self.lanes and self.has_models
+        lanes = divide(self.names, self.demand.share) if divided else undivided(self.names)
         for lane, chooser in self.choosers.items():
             chooser.update(lanes[lane])
-        return gone
 
     def _take(self, instance: Instance) -> None:
         state = self.states.get(instance.identifier)
--- a/hopsail/routing/lanes.py
+++ b/hopsail/routing/lanes.py
@@ -11,7 +11,11 @@
 from .ring import hash64
 
 LONG_PROMPT = 2048  # tokens
-SHORT_SHARE = 0.22  # of the hosts, rounded up
+SHORT_SHARE = 0.22  # of the hosts, rounded up, before anything is known of the demand
+REQUEST_TOKENS = 512  # what a request costs a host beside its tokens, in tokens read
+FIRST_WEIGHT = 50_000.0  # tokens that the first share counts as
+MOST_WEIGHT = 2_000_000.0  # tokens counted; older ones fade, so that the share follows the demand
+LEAST_CHANGE = 0.1  # of the hosts: the division stays while the demand's differs by less
 
 
 class Lane(Enum):
@@ -26,6 +30,32 @@
     return Lane.LONG if tokens >= LONG_PROMPT else Lane.SHORT
 
 
+class LaneDemand:
+    """The short lane's share of the work that this balancer has sent lately.
+
+    Balancers see different requests and divide the hosts each by its own count, so small differences are left
+    aside: `share` moves only when the demand's has moved by `LEAST_CHANGE`."""
+
+    def __init__(self):
+        self.share = SHORT_SHARE
+        self._short = SHORT_SHARE * FIRST_WEIGHT
+        self._all = FIRST_WEIGHT
+
+    def note(self, lane: Lane, tokens: float) -> bool:
+        """Counts a request of so many tokens; whether the share has moved."""
+        cost = tokens + REQUEST_TOKENS
+        self._all += cost
+        if lane is Lane.SHORT:
+            self._short += cost
+        if self._all > MOST_WEIGHT:
+            self._short, self._all = self._short / 2, self._all / 2
+        wanted = self._short / self._all
+        if abs(wanted - self.share) < LEAST_CHANGE:
+            return False
+        self.share = wanted
+        return True
+
+
 def divide(hosts: Collection[str], short_share: float = SHORT_SHARE) -> dict[Lane, frozenset[str]]:
     """The hosts of each lane; of a single host, both have it."""
     if len(hosts) < 2:
--- a/tests/test_lanes.py
+++ b/tests/test_lanes.py
@@ -4,7 +4,17 @@
 
 import pytest
 
-from hopsail.routing.lanes import LONG_PROMPT, SHORT_SHARE, Lane, divide, lane_of
+from hopsail.routing.lanes import (
+    FIRST_WEIGHT,
+    LEAST_CHANGE,
+    LONG_PROMPT,
+    MOST_WEIGHT,
+    SHORT_SHARE,
+    Lane,
+    LaneDemand,
+    divide,
+    lane_of,
+)
 
 
 def names(number):
@@ -62,3 +72,43 @@
         before, after = divide(hosts), divide([host for host in hosts if host != leaving])
         moved = (before[Lane.SHORT] ^ after[Lane.SHORT]) - {leaving}
         assert len(moved) <= 1
+
+
+def test_the_share_follows_a_demand_of_short_prompts_alone():
+    demand = LaneDemand()
+    moved = sum(demand.note(Lane.SHORT, 400) for _ in range(3000))
+    assert demand.share > 0.9 and 1 <= moved <= 1 / LEAST_CHANGE
+    assert len(divide(names(16), demand.share)[Lane.SHORT]) == 15
+
+
+def test_the_share_follows_a_demand_of_long_prompts_alone():
+    demand = LaneDemand()
+    for _ in range(200):
+        demand.note(Lane.LONG, 16_000)
+    assert demand.share < SHORT_SHARE - LEAST_CHANGE
+    assert len(divide(names(16), demand.share)[Lane.SHORT]) <= 2
+
+
+def test_a_demand_near_the_first_share_changes_nothing():
+    """Balancers that see a few requests each still divide the hosts in the same way."""
+    for seed in range(30):
+        draw, demand = Random(seed), LaneDemand()
+        for _ in range(200):
+            is_long = draw.random() < 0.13
+            demand.note(Lane.LONG if is_long else Lane.SHORT, 12_000 if is_long else 430)
+        assert demand.share == SHORT_SHARE or abs(demand.share - SHORT_SHARE) < 2.5 * LEAST_CHANGE
+
+
+def test_the_share_comes_back_when_the_demand_does():
+    demand = LaneDemand()
+    for _ in range(5000):
+        demand.note(Lane.SHORT, 400)
+    for _ in range(int(4 * MOST_WEIGHT / 16_000)):
+        demand.note(Lane.LONG, 16_000)
+    assert demand.share < 0.3
+
+
+def test_the_first_requests_move_nothing():
+    demand = LaneDemand()
+    assert not any(demand.note(Lane.SHORT, 400) for _ in range(int(FIRST_WEIGHT / 20 / 912)))
+    assert demand.share == SHORT_SHARE
--- a/tests/test_service_hosts.py
+++ b/tests/test_service_hosts.py
@@ -1,10 +1,12 @@
 """Hosts of a service at a data plane: judged only when asked for, whatever their number."""
 
 import random
+from dataclasses import replace
 
 from hopsail.dataplane.service_hosts import RELIEF_IN_FLIGHT, ServiceHosts, UsableHosts
 from hopsail.hosts.instance import Address, Instance, ModelRevision, Phase
 from hopsail.routing.choice import ChoiceParameters
+from hopsail.routing.lanes import Lane
 from hopsail.routing.outcomes import Failure
 
 NUMBER = 2000
@@ -74,3 +76,22 @@
     assert hosts.relieved(crowded, usable) is hosts.states["i-2"]
     crowded.in_flight = RELIEF_IN_FLIGHT - 1
     assert hosts.relieved(crowded, usable) is crowded
+
+
+def test_where_all_prompts_are_short_nearly_all_hosts_serve_them():
+    hosts = service(16)
+    assert len(hosts.choosers[Lane.SHORT].ring) == 4
+    for _ in range(3000):
+        hosts.note_demand(Lane.SHORT, 400)
+    assert len(hosts.choosers[Lane.SHORT].ring) == 15 and len(hosts.choosers[Lane.LONG].ring) == 1
+    hosts.renew([instance(index) for index in range(8)])
+    assert len(hosts.choosers[Lane.SHORT].ring) == 7
+
+
+def test_hosts_without_models_are_not_divided_whatever_comes():
+    hosts = ServiceHosts(random.Random(1), ChoiceParameters())
+    plain = [replace(instance(index), models=()) for index in range(6)]
+    hosts.renew(plain)
+    for _ in range(3000):
+        hosts.note_demand(Lane.SHORT, 400)
+    assert [len(chooser.ring) for chooser in hosts.choosers.values()] == [6, 6]
