--- a/hopsail/routing/lanes.py
+++ b/hopsail/routing/lanes.py
@@ -36,8 +36,8 @@
 class LaneDemand:
     """How large the short lane is to be, by the requests that this balancer has sent lately.
 
-    It has the first share at least, the short prompts' share of all tokens, and room to read what comes at
-    half of its hosts' speed. Balancers see different requests and divide the hosts each by its own count, so
+    It has the first share at least, the short prompts' share of all tokens where they have most of them, and
+    room to read what comes at half of its hosts' speed. Balancers see different requests and divide the hosts each by its own count, so
     small differences are left aside: `share` moves only when what is wanted has moved by `LEAST_CHANGE`."""
 
     def __init__(self):
@@ -58,12 +58,17 @@
             self._recent += tokens
         if self._all > MOST_WEIGHT:
             self._short, self._all = self._short / 2, self._all / 2
-        wanted = max(SHORT_SHARE, self._short / self._all, self._needed(capacity))
+        wanted = max(SHORT_SHARE, self._majority(), self._needed(capacity))
         if abs(wanted - self.share) < LEAST_CHANGE:
             return False
         self.share = wanted
         return True
 
+    def _majority(self) -> float:
+        """The short prompts' share of all tokens where they have most of them, else 0."""
+        share = self._short / self._all
+        return share if share > MOST_NEEDED else 0.0
+
     def _needed(self, capacity: float | None) -> float:
         """The share of the hosts that reads the short prompts when busy for `BUSY` of the time."""
         if not capacity:
