--- a/hopsail/routing/lanes.py
+++ b/hopsail/routing/lanes.py
@@ -16,7 +16,7 @@
 BUSY = 0.5  # of the time, for hosts of the short lane: what waits there stays short
 MOST_NEEDED = 0.5  # of the hosts, while long prompts have most of the tokens
 DEMAND_HALF_NS = 10 * SECOND
-FIRST_WEIGHT = 50_000.0  # tokens that the first share counts as
+FIRST_WEIGHT = 20_000.0  # tokens that the first share counts as
 MOST_WEIGHT = 2_000_000.0  # tokens counted; older ones fade, so that the share follows the demand
 LEAST_CHANGE = 0.1  # of the hosts: the division stays while the demand's differs by less
 
@@ -37,8 +37,9 @@
     """How large the short lane is to be, by the requests that this balancer has sent lately.
 
     It has the first share at least, the short prompts' share of all tokens where they have most of them, and
-    room to read what comes at half of its hosts' speed. Balancers see different requests and divide the hosts each by its own count, so
-    small differences are left aside: `share` moves only when what is wanted has moved by `LEAST_CHANGE`."""
+    room to read what comes at half of its hosts' speed. Balancers see different requests and divide the hosts
+    each by its own count, so small differences are left aside: `share` moves only when what is wanted has
+    moved by `LEAST_CHANGE`."""
 
     def __init__(self):
         self.share = SHORT_SHARE
