Lanes: they move only where short prompts have two thirds of all tokens

Tried and reverted: growing the short lane by what short prompts need, each data plane by its own count. Kept: where short prompts have two thirds of the tokens (no site here), each data plane follows that.

--- a/hopsail/dataplane/placement.py
+++ b/hopsail/dataplane/placement.py
@@ -24,7 +24,6 @@
 from .work_directory import MOST_ASKED, Answer
 
 MILLISECOND = 1_000_000
-MILLISECONDS = 1000  # in a second
 MOST_PRIORITY = 9
 CANDIDATES = 4  # ring hosts that a long prompt is compared over; docs/studies/further.md weighs 2 to 8
 
@@ -35,7 +34,7 @@
 
     choice: ChoiceParameters = ChoiceParameters()
     lanes: bool = True  # hosts of a service are divided by the size of prompts
-    follow_demand: bool = True  # in proportion to what comes
+    follow_demand: bool = True  # with more for short prompts where these have most of the tokens
     relief: bool = True  # crowded hosts of the short lane are relieved
     shared_work: bool = True  # registrars are asked before a long prompt is sent
     candidates: int = CANDIDATES
@@ -190,7 +189,7 @@
             return None
         wall = _wall(tenant)
         if not excluded:
-            service.note_demand(now, lane_of(prompt.tokens), prompt.size, self._host_rate())
+            service.note_demand(lane_of(prompt.tokens), prompt.size)
         if shortlist is not None and answer is not None and answer.backlogs:
             self._expect(now, service, shortlist, answer, prompt)
             usable = self._usable(service, now, prompt, excluded)
@@ -213,11 +212,6 @@
             state = service.relieved(state, usable)
         return self._placed(now, name, service, state, prompt, wall, priority, usable)
 
-    def _host_rate(self) -> float:
-        """This balancer's part of the tokens that a host reads in a second, 0 while unknown."""
-        rate, balancers = self.rate.typical, self.view.balancers
-        return rate * MILLISECONDS / balancers if rate and balancers else 0.0
-
     def _usable(self, service: ServiceHosts, now: int, prompt: Prompt, excluded, paused=False) -> UsableHosts:
         return UsableHosts(
             service, now, excluded, lambda state: self._judge(now, prompt.model, state), paused
--- a/hopsail/dataplane/service_hosts.py
+++ b/hopsail/dataplane/service_hosts.py
@@ -44,11 +44,9 @@
         self._divide()
         return gone
 
-    def note_demand(self, now: int, lane: Lane, tokens: float, host_rate: float) -> None:
-        """Counts a first attempt of so many tokens: the lanes follow what comes.
-
-        `host_rate` is this balancer's part of what one host reads in a second, 0 while unknown."""
-        if self.follow_demand and self.demand.note(now, lane, tokens, host_rate * len(self.names)):
+    def note_demand(self, lane: Lane, tokens: float) -> None:
+        """Counts a first attempt of so many tokens: the lanes follow what comes."""
+        if self.follow_demand and self.demand.note(lane, tokens):
             self._divide()
 
     def _divide(self) -> None:
