--- a/tests/test_reused_address.py
+++ b/tests/test_reused_address.py
@@ -20,9 +20,12 @@
 TAKEN_OVER = declined(421, ("Hopsail-Instance-Id: i-of-another-service",))
 
 
+PROMPT = [("hopsail-prompt-prefix", "aa:60,bb:10")]  # of one shared part, so with one home
+
+
 def asked(plane):  # noqa: F811
     """The name of the host that the next request goes to first, and its connection."""
-    ask(plane, headers_of())
+    ask(plane, headers_of() + PROMPT)
     host = plane.pool.made[-1]
     return host.told("hopsail-target-instance"), host
 
