Read again: one fixture of a data plane and one clock for the tests that need them

The fixture stood in test_rules_of_pages, test_dataplane_forward and, new, test_dataplane_directory; the timers of test_work_directory were those of test_dataplane_forward's clock.

--- a/tests/test_dataplane_directory.py
+++ b/tests/test_dataplane_directory.py
@@ -1,13 +1,20 @@
 """A data plane and the directory of long prompts: what it tells, when, and how it does without."""
 
-import signal
 import socket
 
 import pytest
-from tests.test_dataplane_forward import SETTINGS, Clock, Pool, answer, ask, feed, headers_of, instance
+from test_dataplane_forward import (
+    SETTINGS,
+    answer,
+    ask,
+    feed,
+    headers_of,
+    instance,
+    plane as data_plane,  # noqa: F401 (the fixture)
+)
 
 from hopsail.configuration.process import parse_settings
-from hopsail.dataplane.plane import DIRECTORY_PORT, DataPlane
+from hopsail.dataplane.plane import DIRECTORY_PORT
 from hopsail.dataplane.work_directory import ANSWER_NS, Answer, Told
 from hopsail.routing.host_work import Backlog
 
@@ -44,18 +51,10 @@
 
 
 @pytest.fixture
-def plane():
-    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
-    handlers = {number: signal.getsignal(number) for number in numbers}
-    one = DataPlane(parse_settings(SETTINGS))
-    loop, one.loop = one.loop, Clock()
-    one.pool = Pool(one.loop)
-    one.directory = Directory()
-    feed(one.view, instances=[instance(f"i-{number}", port=8000 + number) for number in range(6)])
-    yield one
-    loop.close()
-    for number, handler in handlers.items():
-        signal.signal(number, handler)
+def plane(data_plane):  # noqa: F811
+    data_plane.directory = Directory()
+    feed(data_plane.view, instances=[instance(f"i-{number}", port=8000 + number) for number in range(6)])
+    return data_plane
 
 
 def test_a_long_prompt_waits_for_the_word_and_goes_to_the_least_loaded(plane):
--- a/tests/test_rules_of_pages.py
+++ b/tests/test_rules_of_pages.py
@@ -1,7 +1,6 @@
 """Rules of the pages that other tests pass by without asking for them by name."""
 
 import json
-import signal
 import socket
 from contextlib import suppress
 
@@ -22,13 +21,13 @@
     ClientSide,
     Front,
     Journey,
-    Pool,
     answer,
     ask,
     declined,
     feed,
     headers_of,
     instance,
+    plane as data_plane,  # noqa: F401 (the fixture)
 )
 from test_http import LOCAL, RawPeer, Runner, in_chunks, post, request
 
@@ -44,16 +43,8 @@
 
 
 @pytest.fixture
-def plane():
-    numbers = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
-    handlers = {number: signal.getsignal(number) for number in numbers}
-    one = DataPlane(parse_settings(SETTINGS))
-    loop, one.loop = one.loop, Clock()
-    one.pool = Pool(one.loop)
-    yield one
-    loop.close()
-    for number, handler in handlers.items():
-        signal.signal(number, handler)
+def plane(data_plane):  # noqa: F811
+    return data_plane
 
 
 # BUDGET: the time that hosts are handed
--- a/tests/test_work_directory.py
+++ b/tests/test_work_directory.py
@@ -4,6 +4,7 @@
 from random import Random
 
 import pytest
+from test_dataplane_forward import Clock
 
 from hopsail.dataplane.work_directory import (
     ANSWER_NS,
@@ -25,19 +26,11 @@
 FLEET = "f"
 
 
-class Timer:
-    def __init__(self, when, act):
-        self.when, self.act = when, act
-
-    def cancel(self):
-        self.act = None
-
-
 class Network:
     """Carries datagrams between directories; what `is_lost` says is lost."""
 
     def __init__(self, members=3):
-        self.time, self.timers, self.flying = 1000 * SECOND, [], deque()
+        self.clock, self.flying = Clock(), deque()
         self.carried = 0
         self.is_lost = lambda sender, address: False
         self.directories = {}
@@ -51,19 +44,11 @@
         def send(target, data):
             self.flying.append((address, target, data))
 
-        return WorkDirectory(self, address, FLEET, Random(name), Counters(name), send)
+        return WorkDirectory(self.clock, address, FLEET, Random(name), Counters(name), send)
 
     def __getitem__(self, number):
         return list(self.directories.values())[number]
 
-    def now(self):
-        return self.time
-
-    def at(self, when, act):
-        timer = Timer(when, act)
-        self.timers.append(timer)
-        return timer
-
     def settle(self):
         while self.flying:
             sender, target, data = self.flying.popleft()
@@ -71,12 +56,6 @@
                 self.carried += 1
                 self.directories[target].received(data, sender)
 
-    def forward(self, nanoseconds):
-        self.time += nanoseconds
-        for timer in [timer for timer in self.timers if timer.act and timer.when <= self.time]:
-            act, timer.act = timer.act, None
-            act()
-
     def backlogs(self, number, hosts=HOSTS):
         """What one data plane is told, and whether it was told before any time went by."""
         told = []
@@ -101,7 +80,7 @@
     network = Network()
     told = [network[1].begin(host, 1000.0, 5 * SECOND) for host in HOSTS]
     network.settle()
-    network.time += 20 * MS
+    network.clock.time += 20 * MS
     for one in told:
         network[1].end(one, True)
     network.settle()
@@ -134,9 +113,9 @@
     network[0].ask(HOSTS, (), told.append)
     network.settle()
     assert not told
-    network.forward(ANSWER_NS - 1)
+    network.clock.forward(ANSWER_NS - 1)
     assert not told
-    network.forward(1)
+    network.clock.forward(1)
     assert len(told) == 1 and 0 < len(told[0].backlogs) < len(HOSTS)
     assert all(network[0]._registrar(host) == lost for host in set(HOSTS) - set(told[0].backlogs))
 
@@ -145,7 +124,7 @@
     network = Network()
     told = []
     network[0].ask(HOSTS, (), told.append)
-    network.forward(ANSWER_NS)
+    network.clock.forward(ANSWER_NS)
     network.settle()
     assert len(told) == 1
 
@@ -156,7 +135,7 @@
     network[0].ask(HOSTS, (), told.append)
     network.flying.extend(list(network.flying))
     network.settle()
-    network.forward(ANSWER_NS)
+    network.clock.forward(ANSWER_NS)
     assert len(told) == 1 and set(told[0].backlogs) == set(HOSTS)
 
 
@@ -177,7 +156,7 @@
     network[0].renew({"n0": network[0].address})
     network[0].end(told, False)
     network.settle()
-    assert network[1].work.backlog(network.time, host).waiting == 0
+    assert network[1].work.backlog(network.clock.time, host).waiting == 0
 
 
 def test_two_senders_with_one_number_are_told_apart():
@@ -187,7 +166,7 @@
             fleet=FLEET, begun=[Begun(host="i-1", number=5, tokens=100.0, lasting_ms=900)]
         )
         network[0].received(encode(datagram), (sender, 7001))
-    assert network[0].work.backlog(network.time, "i-1").waiting == 200
+    assert network[0].work.backlog(network.clock.time, "i-1").waiting == 200
 
 
 @pytest.mark.parametrize("tokens", [-1.0, 0.0, float("nan"), float("inf")])
@@ -195,7 +174,7 @@
     network = Network()
     datagram = WorkDatagram(fleet=FLEET, begun=[Begun(host="i-1", number=5, tokens=tokens, lasting_ms=900)])
     network[0].received(encode(datagram), ("10.0.0.9", 7001))
-    assert network[0].work.backlog(network.time, "i-1") == Backlog()
+    assert network[0].work.backlog(network.clock.time, "i-1") == Backlog()
 
 
 def test_nothing_lasts_longer_than_the_bound():
@@ -204,8 +183,8 @@
         fleet=FLEET, begun=[Begun(host="i-1", number=5, tokens=9.0, lasting_ms=2**31 - 1)]
     )
     network[0].received(encode(datagram), ("10.0.0.9", 7001))
-    assert network[0].work.backlog(network.time + MOST_LASTING_MS * MS - 1, "i-1").waiting == 9
-    assert network[0].work.backlog(network.time + MOST_LASTING_MS * MS, "i-1").waiting == 0
+    assert network[0].work.backlog(network.clock.time + MOST_LASTING_MS * MS - 1, "i-1").waiting == 9
+    assert network[0].work.backlog(network.clock.time + MOST_LASTING_MS * MS, "i-1").waiting == 0
 
 
 def test_an_answer_with_false_figures_or_of_another_question_is_no_answer():
@@ -236,7 +215,7 @@
     spoilt += [bytes(draw.randrange(256) for _ in range(draw.randrange(80))) for _ in range(300)]
     for data in spoilt:
         network[0].received(data, ("10.0.0.9", 7001))
-    assert network[0].work.backlog(network.time, "i-1") == Backlog()
+    assert network[0].work.backlog(network.clock.time, "i-1") == Backlog()
     assert network[0].counters.counts["work.unreadable"] == len(spoilt)
 
 
@@ -311,7 +290,7 @@
     told = []
     network[0].ask(HOSTS, parts, told.append)
     network.settle()
-    network.forward(ANSWER_NS)
+    network.clock.forward(ANSWER_NS)
     unanswered = {part for part in parts if network[0]._registrar(part) == lost}
     assert unanswered == set(parts) - set(told[0].readers)
     assert set(told[0].readers) and set(told[0].backlogs)
