Tallies: a replica that merges records by origin and waits for disks

A reply names the life that it comes from, so that a peer whose disk was wiped is known to hold nothing.

--- a/hopsail/tallies/messages.py
+++ b/hopsail/tallies/messages.py
@@ -52,8 +52,9 @@
 
     known: list[Position]
     durable: list[Position]
+    origin: str  # that of the replica that replies
 
-    thrift_spec = spec(structs(1, "known", Position), structs(2, "durable", Position))
+    thrift_spec = spec(structs(1, "known", Position), structs(2, "durable", Position), text(3, "origin"))
 
 
 class ExchangeCall(Struct):
@@ -70,9 +71,13 @@
     runs: list[OriginRun]
     known: list[Position]
     durable: list[Position]
+    origin: str  # that of the replica that replies
 
     thrift_spec = spec(
-        structs(1, "runs", OriginRun), structs(2, "known", Position), structs(3, "durable", Position)
+        structs(1, "runs", OriginRun),
+        structs(2, "known", Position),
+        structs(3, "durable", Position),
+        text(4, "origin"),
     )
 
 
--- /dev/null
+++ b/hopsail/tallies/peers.py
@@ -0,0 +1,132 @@
+"""What a replica knows of another one: what it holds, and whether it answers.
+
+A peer that is silent for some time is cut off. One that refuses connections is not: its process restarts.
+"""
+
+from collections.abc import Iterable, Mapping
+from enum import Enum, auto
+
+from .messages import ExchangeCall, PushCall
+from .records import Positions, covers, to_positions
+from .types import PeerCall, PeerReply
+
+CUT_OFF_NS = 1_000_000_000  # ns without a reply after which a silent peer is cut off
+RESTART_WAIT_NS = 3_000_000_000  # ns that a peer which refuses connections may take to start
+EXCHANGE_INTERVAL_NS = 250_000_000  # ns between two exchanges with a peer
+CALL_TIMEOUT_NS = 500_000_000  # ns
+
+
+class Ending(Enum):
+    """How the last call to a peer ended."""
+
+    NONE = auto()  # there was none yet
+    REPLY = auto()
+    REFUSED = auto()  # or the connection broke
+    SILENCE = auto()
+
+
+class Peer:
+    """One other replica, as seen from here."""
+
+    def __init__(self, name: str, now: int) -> None:
+        """Nothing is known of it yet."""
+        self.name = name
+        self.life = ""  # the origin that it has named last
+        self.known: Positions = {}
+        self.durable: Positions = {}
+        self.complete = False  # all that it held at an exchange was merged here
+        self.ending = Ending.NONE
+        self.last_reply = now  # or when it became known
+        self.silent_since = now
+        self.exchange_due = now
+        self.push_due = now
+        self.push_limits: Positions = {}  # how much of other origins it gets
+        self._calls: dict[int, tuple[PeerCall, int]] = {}  # with their time-outs
+        self._former_lives: set[str] = set()
+
+    def cut_off(self, now: int) -> bool:
+        """Whether it has to be taken for the other side of a partition."""
+        return self.ending is Ending.SILENCE and now - self.silent_since >= CUT_OFF_NS
+
+    def reachable(self, now: int) -> bool:
+        """Whether the next push may well arrive."""
+        return self.ending is not Ending.REFUSED and not self.cut_off(now)
+
+    def awaited(self, now: int) -> bool:
+        """Whether a process that has started should still wait for what this peer holds."""
+        if self.complete or self.ending is Ending.REPLY:
+            return not self.complete
+        patience = RESTART_WAIT_NS if self.ending is Ending.REFUSED else CUT_OFF_NS
+        return now - self.last_reply < patience
+
+    def calling(self, kind: type) -> bool:
+        """Whether a call with such a message is under way."""
+        return any(isinstance(call.message, kind) for call, _ in self._calls.values())
+
+    def called(self, call: PeerCall, now: int) -> None:
+        """A call to it begins."""
+        self._calls[call.number] = (call, now + CALL_TIMEOUT_NS)
+
+    def ended(self, number: int) -> PeerCall | None:
+        """The call with the number ends; None when it is none that is under way."""
+        call, _ = self._calls.pop(number, (None, 0))
+        return call
+
+    def overdue(self, now: int) -> list[int]:
+        """The numbers of calls that have waited for too long."""
+        return [number for number, (_, time_out) in self._calls.items() if time_out <= now]
+
+    def answered(self, now: int, reply: PeerReply) -> bool:
+        """Takes its positions over; False for a late reply of a former life of its process.
+
+        In one life they only grow, so that replies may overtake each other; a new life may hold nothing.
+        """
+        if reply.origin in self._former_lives:
+            return False
+        if reply.origin != self.life:
+            self._former_lives.add(self.life)
+            self.life, self.known, self.durable = reply.origin, {}, {}
+        _raise_to(self.known, to_positions(reply.known))
+        _raise_to(self.durable, to_positions(reply.durable))
+        self.ending = Ending.REPLY
+        self.last_reply = self.silent_since = now
+        return True
+
+    def failed(self, now: int, refused: bool) -> None:
+        """A call has ended without a reply. A process that is gone may come back with an empty disk."""
+        self.ending = Ending.REFUSED if refused else Ending.SILENCE
+        self.push_limits = {}
+        self.exchange_due = max(self.exchange_due, now + (EXCHANGE_INTERVAL_NS if refused else 0))
+        if refused:
+            self.silent_since, self.durable = now, {}
+
+    def lacks(self, limits: Mapping[str, int]) -> bool:
+        """Whether it lacks something up to these positions."""
+        return not covers(self.known, limits)
+
+    def pushable(self, now: int) -> bool:
+        """Whether a push may begin: one at a time, and none to a peer that has not answered last."""
+        return self.ending is Ending.REPLY and self.push_due <= now and not self.calling(PushCall)
+
+    def shift(self, by: int) -> None:
+        """This process stood still for so long: that is not the peer's silence."""
+        self.silent_since += by
+        self.last_reply += by
+        self._calls = {number: (call, time_out + by) for number, (call, time_out) in self._calls.items()}
+
+    def due(self, now: int) -> Iterable[int]:
+        """The times at which something about it changes, ns."""
+        yield from (time_out for _, time_out in self._calls.values())
+        if not self.calling(ExchangeCall):
+            yield self.exchange_due
+        if self.push_due > now:
+            yield self.push_due
+        if self.ending is Ending.SILENCE and not self.cut_off(now):
+            yield self.silent_since + CUT_OFF_NS
+
+
+def _raise_to(positions: Positions, others: Positions) -> None:
+    """Raises positions to those of the others."""
+    for origin, sequence in others.items():
+        if sequence > positions.get(origin, 0):
+            positions[origin] = sequence
