--- a/hopsail/tallies/replica.py
+++ b/hopsail/tallies/replica.py
@@ -15,8 +15,8 @@
 from .records import Positions, RecordSet, check_add, covers, ends, from_positions, to_positions
 from .types import Add, AddDone, AddOutcome, PeerCall, PeerReply, TallyWrite
 
-MAX_ADDS = 200_000  # records; beyond it an add is rejected
-MAX_MERGED_ADDS = 300_000  # records; beyond it those of others are not taken in either
+MAX_ADDS = 100_000  # records; beyond it an add is rejected
+MAX_MERGED_ADDS = 150_000  # records; beyond it those of others are not taken in either
 MAX_MESSAGE_BYTES = 256 * 1024  # bytes of the records in one call or reply
 PUSH_WAIT_NS = 300_000_000  # ns that a push waits for the own disk
 STANDSTILL_NS = 100_000_000  # ns by which a tick is late when the whole process has stood still
