Settings: bounds of warm-up, evacuation and the merging of tallies

Bounds.WarmupExcess, .WarmupMargin, .EvacuateMs and .MergeMs are read and checked; no part acts on them yet.

--- a/hopsail/configuration/process.py
+++ b/hopsail/configuration/process.py
@@ -98,6 +98,10 @@
     apply_one_ms: Number = field(metadata=_number("Bounds.ApplyOneMs", 8000))
     seed_delay_s: Number = field(metadata=_number("Bounds.SeedDelayS", 3))
     addr_reuse_s: Number = field(metadata=_number("Bounds.AddrReuseS", 2))
+    warmup_excess: Number = field(metadata=_number("Bounds.WarmupExcess", 1.5))
+    warmup_margin: Number = field(metadata=_number("Bounds.WarmupMargin", 5))
+    evacuate_ms: Number = field(metadata=_number("Bounds.EvacuateMs", 5000))
+    merge_ms: Number = field(metadata=_number("Bounds.MergeMs", 3000))
 
 
 @dataclass(frozen=True)
