Control plane: orders to evacuate a zone and to withdraw it, in the replicated log

What callers saw: POST and DELETE /-/evacuations/ZONE were answered 404 with code 4002.

The order is a command in the log of a service shard, acknowledged once a majority has synced it, and fed to data planes under a topic of its own. An order carries no precondition of the operator's, so one that was delayed could undo a later one: each command has the number of the newest order that was known when its call came, and counts only while that is the newest. Every acknowledged order raises the number, also one that changes nothing: else a withdrawal under way before the evacuation was ordered once more could still count after it. A superseded order is offered again on the newer number within the call's time, as long as its caller waits; the first offer comes 20 ms after the call, when the end of a connection that its caller gave up (a call read after a pause of the process) would have been noticed.

--- a/hopsail/configuration/codes.py
+++ b/hopsail/configuration/codes.py
@@ -70,6 +70,8 @@
     CONTROL_STOPPING = 4009, 503, "the process is stopping"
     CONTROL_BODY_TOO_LARGE = 4010, 413, "the body is larger than a configuration may be"
     CONTROL_FORGOTTEN = 4012, 503, "it is not remembered any more whether so old a change was taken"
+    CONTROL_SUPERSEDED = 4013, 503, "another order on the zone came first"
+    CONTROL_UNKNOWN_ZONE = 4014, 404, "the settings name no such zone"
 
 
 class ConfigurationError(HopsailError, ValueError):
--- a/hopsail/controlplane/commands.py
+++ b/hopsail/controlplane/commands.py
@@ -15,14 +15,17 @@
     NAME_REVISION = 3
     ACQUIRE_ROLE = 4
     RELEASE_ROLE = 5
+    EVACUATE_ZONE = 6
+    WITHDRAW_EVACUATION = 7
 
 
 class Command(NamedTuple):
-    """A log entry's content. `base` is the revision that a change of configuration builds on."""
+    """A log entry's content. `base` is the revision that a change of configuration builds on, or the number
+    of the newest order on the zone that was known when an order on it was taken."""
 
     kind: CommandKind
     base: int
-    subject: str  # model, or the singleton role's service
+    subject: str  # model, the singleton role's service, or zone
     number: int  # revision named, or the fencing token given back
     owner: str
     body: bytes  # the operator's bytes
--- a/hopsail/controlplane/decisions.py
+++ b/hopsail/controlplane/decisions.py
@@ -16,11 +16,11 @@
 from ..net.loop import Loop
 from ..replication.state import ReadToken
 from ..rpc.channel import Channel
-from .commands import Command, Result, decode_command
-from .forwarding import CALL_TIMEOUT_NS, ConfigurationRead, Submission
+from .commands import Command, CommandKind, Result, decode_command
+from .forwarding import CALL_TIMEOUT_NS, ConfigurationRead, Submission, ZoneOrder
 from .messages import CommandCall, CommandReply, ReadCall, ReadReply
 from .shard import Done, Shard
-from .shards import CONFIGURATION_SHARD
+from .shards import CONFIGURATION_SHARD, shard_of_zone
 
 CHECK_INTERVAL_MS = 5  # whether a round is confirmed
 STEP_INTERVAL_MS = 1  # between the steps of a judgement
@@ -55,6 +55,15 @@
         """Has the shard's leader carry the command out, wherever it is; `done` is called once."""
         Submission(self, number, command, done).attempt()
 
+    def order_evacuation(
+        self, kind: CommandKind, zone: str, is_awaited: Callable[[], bool], done: Done
+    ) -> None:
+        """Has an order on a zone carried out as long as its caller waits; `done` is called once."""
+        number = shard_of_zone(zone)
+        newest = self.process.shards[number].state.evacuations.newest(zone)
+        command = Command(kind, newest.number, zone, 0, "", b"")
+        ZoneOrder(self, number, command, is_awaited, done).begin()
+
     def decide(self, number: int, command: Command, done: Done) -> bool:
         """Carries the command out if this process leads; False when it does not."""
         shard = self.process.shards[number]
--- a/hopsail/controlplane/forwarding.py
+++ b/hopsail/controlplane/forwarding.py
@@ -1,14 +1,18 @@
 """Operators' calls on their way to the leader of a shard, from whichever control process took them."""
 
+from collections.abc import Callable
+
 from ..process import MILLISECOND
 from ..rpc.channel import Channel
-from .commands import Command, decode_result
+from .commands import Command, Result, decode_result
+from .evacuations import is_superseded
 from .messages import COMMAND, READ, CommandCall, CommandReply, ReadCall, ReadReply
 from .shards import CONFIGURATION_SHARD
 
 ANSWER_TIMEOUT_NS = 850 * MILLISECOND  # the operator moves on after a second of silence
 RETRY_INTERVAL_MS = 40  # until a command is offered again while no leader takes it
 CALL_TIMEOUT_NS = 700 * MILLISECOND
+CALLER_CHECK_MS = 20  # after which the end of a connection that the caller has given up has come, too
 
 
 class RetriedCall:
@@ -79,6 +83,34 @@
         self.report(decode_result(reply.result) if reply is not None and reply.decided else None)
 
 
+class ZoneOrder(Submission):
+    """An order on a zone on its way, offered only while its caller is known to wait.
+
+    A pause of this process, or a broken link, may bring the call long after its caller has turned elsewhere.
+    So it begins after `CALLER_CHECK_MS`, with the number of the order that was the newest when it came. One
+    that another order came before is offered again on that one's number, within the call's time."""
+
+    def __init__(self, decisions, number: int, command: Command, is_awaited: Callable[[], bool], done):
+        super().__init__(decisions, number, command, done)
+        self.is_awaited = is_awaited
+
+    def begin(self) -> None:
+        """Offers the order a moment from now."""
+        self.process.after(CALLER_CHECK_MS, self.attempt)
+
+    def attempt(self) -> None:
+        if self.is_awaited():
+            super().attempt()
+        else:
+            self.finish(None)
+
+    def report(self, answer: Result | None) -> None:
+        if is_superseded(answer):
+            self.command = self.command._replace(base=answer.value)
+            answer = None
+        super().report(answer)
+
+
 class ConfigurationRead(RetriedCall):
     """A read of the configuration on its way."""
 
--- a/hopsail/controlplane/operator.py
+++ b/hopsail/controlplane/operator.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import Callable
 from typing import Protocol
+from urllib.parse import unquote
 
 from ..configuration.checker import parse_configuration, parse_patch
 from ..configuration.codes import ConfigurationError, ResultCode
@@ -12,6 +13,8 @@
 from .shards import CONFIGURATION_SHARD, shard_of_service
 
 CONFIGURATION_PATH, VERSION_PATH = "/-/config", "/-/version-put"
+EVACUATIONS_PATH = "/-/evacuations/"  # and the zone
+EVACUATION_KINDS = {"POST": CommandKind.EVACUATE_ZONE, "DELETE": CommandKind.WITHDRAW_EVACUATION}
 JSON_TYPE = ("content-type", "application/json")
 UNAVAILABLE_RETRY_AFTER = "0.1"  # s
 MAX_PARSED_HERE_BYTES = 256 << 10  # a larger body is read by the leader alone, in steps
@@ -23,6 +26,17 @@
     def submit(self, shard: int, command: Command, done: Callable[[Result | None], None]) -> None:
         """`done(None)` when nothing is known of it in time."""
 
+    def order_evacuation(
+        self,
+        kind: CommandKind,
+        zone: str,
+        is_awaited: Callable[[], bool],
+        done: Callable[[Result | None], None],
+    ) -> None:
+        """As `submit`; what the caller does not wait for any more is given up."""
+
+    zones: set[str]
+
     def read_configuration(self, done: Callable[[bytes | None], None]) -> None:
         """The newest configuration as JSON, b"" before the first; None when it can't be had in time."""
 
@@ -47,6 +61,8 @@
             self._change(request, exchange, CommandKind.PATCH_CONFIGURATION, parse_patch)
         elif call == f"POST {VERSION_PATH}":
             self._name_revision(request, exchange)
+        elif request.path.startswith(EVACUATIONS_PATH):
+            self._order_evacuation(request, exchange)
         elif request.path in (CONFIGURATION_PATH, VERSION_PATH):
             self._answer(exchange, Result.rejection(ResultCode.CONTROL_NO_METHOD, request.method))
         else:
@@ -81,6 +97,18 @@
         shard = shard_of_service(self.control.service_of_model(model))
         self.control.submit(shard, command, lambda result: self._answer(exchange, result))
 
+    def _order_evacuation(self, request: Request, exchange: Exchange) -> None:
+        zone = unquote(request.path.removeprefix(EVACUATIONS_PATH))
+        kind = EVACUATION_KINDS.get(request.method)
+        if kind is None:
+            self._answer(exchange, Result.rejection(ResultCode.CONTROL_NO_METHOD, request.method))
+        elif zone not in self.control.zones:
+            self._answer(exchange, Result.rejection(ResultCode.CONTROL_UNKNOWN_ZONE, zone))
+        else:
+            self.control.order_evacuation(
+                kind, zone, lambda: not exchange.gone, lambda result: self._answer(exchange, result)
+            )
+
     def _answer_read(self, exchange: Exchange, body: bytes | None) -> None:
         if body is None:
             self._answer(exchange, None)
--- a/hopsail/controlplane/plane.py
+++ b/hopsail/controlplane/plane.py
@@ -16,7 +16,7 @@
 from ..process import FLEET, Program
 from ..rpc.channel import Channel
 from ..rpc.server import RpcServer
-from .commands import Command
+from .commands import Command, CommandKind
 from .configuration_feed import ConfigurationFeed
 from .contact import CONFIRM, ConfirmCall
 from .decisions import Decisions
@@ -136,6 +136,12 @@
         """Has the shard's leader carry the command out, wherever it is; `done` is called once."""
         self.decisions.submit(number, command, done)
 
+    def order_evacuation(
+        self, kind: CommandKind, zone: str, is_awaited: Callable[[], bool], done: Done
+    ) -> None:
+        """Has an order on a zone carried out as long as its caller waits; `done` is called once."""
+        self.decisions.order_evacuation(kind, zone, is_awaited, done)
+
     def read_configuration(self, done: Callable[[bytes | None], None]) -> None:
         """The newest configuration, confirmed by a majority."""
         self.decisions.read_configuration(done)
@@ -186,6 +192,11 @@
     def _alive_controls(self) -> list[str]:
         return [f"{m.address[0]}:{m.address[1]}" for m in self.membership.alive(ROLE)]
 
+    @property
+    def zones(self) -> set[str]:
+        """The zones that the settings name."""
+        return {self.settings.zone, *self.settings.zones}
+
     def service_of_model(self, model: str) -> str:
         """The service whose hosts run the model; the model's own name while none is known."""
         if self.table is not None:
@@ -206,6 +217,7 @@
                 known = self.journal.get(Topic.TARGET, model)
                 if known is None or int(known) < revision:
                     self.journal.set(Topic.TARGET, model, str(revision).encode())
+            shard.state.evacuations.publish(self.journal)
         self.rollouts.wake()
 
     def _configuration_fed(self, table: RouteTable) -> None:
--- a/hopsail/controlplane/service_state.py
+++ b/hopsail/controlplane/service_state.py
@@ -1,10 +1,14 @@
-"""The state of a shard that holds services: named weights and the duty of rolling them out. No I/O."""
+"""The state of a shard that holds services and zones: named weights, duties of rolling them out, evacuations.
+
+No I/O."""
 
 import json
 from collections.abc import Generator, Iterator
 from typing import NamedTuple
 
+from ..feed.evacuation import Evacuation
 from .commands import Command, CommandKind, Result
+from .evacuations import ORDER_KINDS, Evacuations
 
 OK = 200
 
@@ -29,14 +33,17 @@
 
 
 class ServiceState:
-    """Revisions named for models, and holders of duties by service."""
+    """Revisions named for models, holders of duties by service, orders on zones."""
 
     def __init__(self):
         self.revisions: dict[str, int] = {}  # model -> the newest named
         self.roles: dict[str, SingletonRole] = {}  # service -> its roll-out's holder
+        self.evacuations = Evacuations()
 
     def apply(self, index: int, command: Command) -> Result:
         """Carries the command of the log's entry `index` out."""
+        if command.kind in ORDER_KINDS:
+            return self.evacuations.apply(command)
         if command.kind is CommandKind.NAME_REVISION:
             newest = max(command.number, self.revisions.get(command.subject, 0))
             self.revisions[command.subject] = newest
@@ -53,7 +60,10 @@
 
     def encode(self) -> bytes:
         """The whole state, for a snapshot."""
-        return json.dumps({"revisions": self.revisions, "duties": self.roles}).encode()
+        tree = {"revisions": self.revisions, "duties": self.roles}
+        if self.evacuations:  # without any the bytes are those of versions that knew none
+            tree["evacuations"] = dict(self.evacuations)
+        return json.dumps(tree).encode()
 
     def encode_steps(self) -> Iterator[bytes]:
         """The same, in one step: it is small."""
@@ -64,6 +74,8 @@
         state, tree = cls(), json.loads(data)
         state.revisions = tree["revisions"]
         state.roles = {service: SingletonRole(*duty) for service, duty in tree["duties"].items()}
+        orders = tree.get("evacuations", {})
+        state.evacuations = Evacuations({zone: Evacuation(*order) for zone, order in orders.items()})
         return state
 
     @classmethod
--- a/hopsail/feed/topics.py
+++ b/hopsail/feed/topics.py
@@ -15,6 +15,7 @@
     BALANCERS = 7  # "count" -> decimal upper bound of live data planes
     LISTING = 8  # control process -> decimal count of its complete readings of the platform's list
     REQUIRED = 9  # model -> decimal revision that a host must hold to be used: its time to load is over
+    EVACUATION = 10  # zone -> `evacuation` encoding; never removed
 
 
 SOFT_TOPICS = (Topic.INSTANCE, Topic.LOAD, Topic.LISTING)  # control processes follow each other's
