Data plane: a host in an evacuated zone gets nothing new

The view takes the order with the higher number, whatever feed told it. A host in an evacuated zone is passed over where a host is chosen: by requests that come, by queued ones, by retries and by streams that are taken up again. It stays on the rings, so that it is a home again afterwards, and its places do not count at the gates. What is under way at its hosts runs on to its end.

The view also tells of each withdrawal (on_evacuation_withdrawn), also of one whose evacuation it never saw.

--- a/hopsail/dataplane/placement.py
+++ b/hopsail/dataplane/placement.py
@@ -110,7 +110,7 @@
         self.on_age_judged: Callable[[HostState], None] = lambda state: None
 
     def renew(self) -> list[tuple[str, int]]:
-        """Takes over changes of the view's instances; the addresses of hosts that are gone."""
+        """Takes over changes of the view's instances and zones; the addresses of hosts that are gone."""
         gone = []
         live: dict[str, list[Instance]] = {}
         for instance in self.view.instances.values():
@@ -122,18 +122,18 @@
                 service = self.services[name] = ServiceHosts(
                     self.random, self.parameters.choice, self.parameters.lanes
                 )
-            gone += service.renew(live.get(name, []))
+            gone += service.renew(live.get(name, []), self.view.evacuated)
         return gone
 
     def capacity(self, name: str) -> int:
-        """Places of a service's hosts that are not draining."""
+        """Places of a service's hosts that are not draining, outside evacuated zones."""
         service = self.services.get(name)
         return service.capacity if service is not None else 0
 
     def _judge(self, now: int, model: str | None, state: HostState) -> bool:
-        """Whether the host serves and its weights are such that it may be sent the model's requests."""
+        """Whether the host serves outside evacuated zones, on weights that may have the model's requests."""
         instance = self.view.instances.get(state.identifier)
-        if instance is None or instance.phase is not Phase.SERVING:
+        if instance is None or instance.phase is not Phase.SERVING or self.view.evacuated(instance.zone):
             return False
         if not model or not instance.models:
             return True
--- a/hopsail/dataplane/plane.py
+++ b/hopsail/dataplane/plane.py
@@ -319,6 +319,10 @@
         """Whether a request that has not begun may still wait at a host that holds this revision."""
         return self.placement.may_wait(self.loop.now(), model, revision)
 
+    def is_evacuated(self, host: HostState) -> bool:
+        """Whether nothing new may be written to the host, as its zone is evacuated."""
+        return self.view.evacuated(host.zone)
+
     def consult(self, forwarding: Forwarding, then: Callable[..., None]) -> None:
         """Calls `then` with hosts and what registrars tell in time, or at once with nothing."""
         shortlist = self.placement.shortlist(
--- a/hopsail/dataplane/service_hosts.py
+++ b/hopsail/dataplane/service_hosts.py
@@ -1,6 +1,6 @@
 """The hosts of one service as this balancer sees them: states, lanes, health, which may be sent to now."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping
 
 from ..hosts.instance import Instance, Phase
 from ..routing.choice import ChoiceParameters, HostChooser, HostState
@@ -24,12 +24,16 @@
         self.has_models = False
         self.states: dict[str, HostState] = {}
         self.names: list[str] = []  # of those that are not draining
-        self.capacity = 0  # places of those
+        self.capacity = 0  # places of those, outside evacuated zones
         self.health = HostHealth()
         self.choosers = {lane: HostChooser(random, parameters) for lane in Lane}
 
-    def renew(self, live: list[Instance]) -> list[tuple[str, int]]:
-        """Takes over the instances that are not gone; the addresses of those that are."""
+    def renew(
+        self, live: list[Instance], evacuated: Callable[[str], bool] = lambda zone: False
+    ) -> list[tuple[str, int]]:
+        """Takes over the instances that are not gone; the addresses of those that are.
+
+        Hosts of evacuated zones stay on the rings, so that they are homes again afterwards."""
         present = {instance.identifier for instance in live}
         left = [name for name in self.states if name not in present]
         gone = [self.states.pop(name).address for name in left]
@@ -39,7 +43,7 @@
             self._take(instance)
         ready = {name: state for name, state in self.states.items() if not state.draining}
         self.names = list(ready)
-        self.capacity = sum(state.capacity for state in ready.values())
+        self.capacity = sum(state.capacity for state in ready.values() if not evacuated(state.zone))
         self.has_models = any(instance.models for instance in live)
         self._divide()
         return gone
--- a/hopsail/dataplane/view.py
+++ b/hopsail/dataplane/view.py
@@ -4,6 +4,7 @@
 
 from ..configuration.replicated_configuration import ReplicatedConfiguration
 from ..configuration.route_table import RouteTable
+from ..feed.evacuation import MAX_ZONES, NEVER_EVACUATED, Evacuation, decode_evacuation, may_have_ended
 from ..feed.store_status import StoreStatus, decode_store
 from ..feed.topics import Topic
 from ..hosts.instance import Instance, Phase, decode, merge
@@ -38,10 +39,12 @@
         self.loads: dict[str, SeenLoad] = {}  # by `Instance.load_key`
         self.kept = KeptIndex(MOST_KEPT, LEAST_KEPT)
         self.stores: dict[str, dict[str, StoreStatus]] = {}  # service -> feed -> what it tells
+        self.evacuations: dict[str, Evacuation] = {}  # by zone, the newest order told by any feed
         self.balancers: int | None = None
         self.unreadable = 0  # entries that were passed over
         self.on_configuration: Callable[[], None] = lambda: None
         self.on_instances: Callable[[], None] = lambda: None
+        self.on_evacuation_withdrawn: Callable[[str], None] = lambda zone: None
         self.on_target: Callable[[str, int], None] = lambda model, revision: None
 
     @property
@@ -78,6 +81,8 @@
             self._load(now, key, decode_load(value))
         elif topic == Topic.TARGET:
             self._target(now, key, int(value))
+        elif topic == Topic.EVACUATION:
+            return self._evacuation(key, decode_evacuation(value))
         elif topic == Topic.REQUIRED:
             self._named(key).require(int(value))
         elif topic == Topic.BALANCERS:
@@ -111,6 +116,22 @@
             self._note_gone(told.identifier)
         return known is None or _place_of(known) != _place_of(merged)
 
+    def _evacuation(self, zone: str, told: Evacuation) -> bool:
+        """Whether the zone's hosts may be sent requests has changed; a lower number is never taken."""
+        known = self.evacuations.get(zone, NEVER_EVACUATED)
+        if told.number <= known.number:
+            return False
+        if zone not in self.evacuations and len(self.evacuations) >= MAX_ZONES:
+            raise ValueError("too many zones")
+        self.evacuations[zone] = told
+        if may_have_ended(known, told):
+            self.on_evacuation_withdrawn(zone)
+        return told.in_force != known.in_force
+
+    def evacuated(self, zone: str) -> bool:
+        """Whether hosts of the zone are to get no new requests."""
+        return self.evacuations.get(zone, NEVER_EVACUATED).in_force
+
     def _note_gone(self, identifier: str) -> None:
         self.gone[identifier] = None
         while len(self.gone) > GONE_KEPT:
--- a/tests/test_dataplane_forward.py
+++ b/tests/test_dataplane_forward.py
@@ -237,6 +237,7 @@
         self.budget, self.allowed = Budget(), allowed
         self.in_time = True  # the process does not end before requests could
         self.superseded = set()  # revisions at whose hosts no request may wait
+        self.evacuated = set()  # hosts in evacuated zones
         self.hosts = [HostState(f"i-{number}", ("10.0.0.1", 8000 + number)) for number in range(hosts)]
         self.under_way, self.outcomes, self.refusals = [], [], []
         self.first_bytes = self.asked = 0
@@ -258,6 +259,9 @@
     def may_wait(self, model, revision):
         return revision not in self.superseded
 
+    def is_evacuated(self, host):
+        return host.identifier in self.evacuated
+
     def consult(self, forwarding, then):
         then()
 
