Bound what a host that warms up gets in one second, over all data planes

Cause: nothing in the data plane read the warm-up, and the join of two states of a host took the smaller time left, so a host that became cold again was never seen as such.

Each data plane has a fixed quota for each host, from its own name, the host's identifier and the highest number of data planes told lately. A host's warm-ups are numbered; the later one wins a join. Hosts that failed are held to the quota for a whole warm-up after they answer again. Without WarmupPerS in the configuration nothing changes.

--- a/hopsail/configuration/process.py
+++ b/hopsail/configuration/process.py
@@ -90,6 +90,8 @@
     retry_ratio: Number = field(metadata=_number("Bounds.RetryRatio", 0.2))
     retry_window_s: Number = field(metadata=_number("Bounds.RetryWindowS", 10))
     retry_slack: Number = field(metadata=_number("Bounds.RetrySlack", 58))
+    warmup_excess: Number = field(metadata=_number("Bounds.WarmupExcess", 1.5))
+    warmup_margin: Number = field(metadata=_number("Bounds.WarmupMargin", 5))
     recovery_s: Number = field(metadata=_number("Bounds.RecoveryS", 12))
     transit_ms: Number = field(metadata=_number("Bounds.TransitMs", 120))
     fence_checked: bool = field(metadata=_flag("Bounds.FenceChecked", True))
--- a/hopsail/configuration/types.py
+++ b/hopsail/configuration/types.py
@@ -64,6 +64,8 @@
     CacheTokens: NotRequired[float]
     LinkMbps: NotRequired[float]
     MaxInflight: NotRequired[float]
+    WarmupS: NotRequired[float]
+    WarmupPerS: NotRequired[float]
 
 
 class Limits(TypedDict):
--- a/hopsail/dataplane/attempt_records.py
+++ b/hopsail/dataplane/attempt_records.py
@@ -7,11 +7,12 @@
 from ..model import MS, SECOND
 from ..routing.durations import RecentDurations
 from ..routing.lanes import Lane, lane_of
-from ..routing.outcomes import Failure, HostHealth
+from ..routing.outcomes import Failure
 from .attempt import Attempt
 from .execution import Outcome, target_ms
 from .lane_agreement import LaneAgreement
 from .placement import Placement
+from .service_hosts import ServiceHosts
 from .work_directory import WorkDirectory
 
 SILENCE_TIME = SECOND  # that a client has to wait in vain before its leave tells of the host
@@ -46,7 +47,7 @@
         """A host's answer has begun."""
         now = self.now()
         attempt.first_at = now
-        self._health(forwarding).succeeded(now, attempt.host.identifier)
+        self._succeeded(forwarding, attempt)
         took_ms = (now - attempt.sent_at) / MS
         shows_speed = self.placement.rate.shows_speed(attempt.placed.reading, took_ms)
         self._reading_over(attempt, attempt.placed.is_whole and shows_speed)
@@ -54,6 +55,8 @@
     def over(self, forwarding, attempt: Attempt, outcome: Outcome | None) -> None:
         """An attempt has ended, or was abandoned (None)."""
         host = attempt.host
+        if attempt.placed.reservation is not None:
+            attempt.placed.reservation.release()
         host.in_flight -= 1
         host.in_flight_work = max(0.0, host.in_flight_work - attempt.placed.work) if host.in_flight else 0.0
         self.counters.add(f"attempts.{outcome.name.lower() if outcome else 'abandoned'}")
@@ -84,17 +87,30 @@
 
     def _judge(self, forwarding, attempt: Attempt, outcome: Outcome | None) -> None:
         """What the attempt tells of its host's health."""
-        now, health, name = self.now(), self._health(forwarding), attempt.host.identifier
+        now = self.now()
         if attempt.is_withdrawn:
             self.counters.add("attempts.withdrawn")
         elif attempt.is_replaced:
-            health.failed(now, name, Failure.REPLACED)
+            self._failed(forwarding, attempt, Failure.REPLACED)
         elif outcome in (Outcome.COMPLETE, Outcome.DECLINED):
-            health.succeeded(now, name)
+            self._succeeded(forwarding, attempt)
         elif outcome is Outcome.NOT_SENT or (outcome is Outcome.BROKEN and attempt.response is None):
-            health.failed(now, name, Failure.CONNECTION, attempt.sent_at)
+            self._failed(forwarding, attempt, Failure.CONNECTION)
         elif outcome is None and attempt.response is None and now - attempt.sent_at >= SILENCE_TIME:
-            health.failed(now, name, Failure.SILENCE, attempt.sent_at)
+            self._failed(forwarding, attempt, Failure.SILENCE)
+
+    def _failed(self, forwarding, attempt: Attempt, failure: Failure) -> None:
+        """A failure of the host; one that is paused for it may warm up when it comes back."""
+        now, service, name = self.now(), self._service(forwarding), attempt.host.identifier
+        sent = None if failure is Failure.REPLACED else attempt.sent_at
+        service.health.failed(now, name, failure, sent)
+        if service.health.penalty_until(now, name):
+            service.warmup.failed(now, name)
+
+    def _succeeded(self, forwarding, attempt: Attempt) -> None:
+        now, service = self.now(), self._service(forwarding)
+        service.health.succeeded(now, attempt.host.identifier)
+        service.warmup.answered(now, attempt.host.identifier)
 
-    def _health(self, forwarding) -> HostHealth:
-        return self.placement.services[forwarding.service].health
+    def _service(self, forwarding) -> ServiceHosts:
+        return self.placement.services[forwarding.service]
--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -153,7 +153,7 @@
         if connection is None:
             plane.loop.soon(attempt.failed, Failure.NOT_SENT)
         else:
-            connection.carry(partial(self._encoded, placed), attempt)
+            connection.carry(partial(self._encoded, attempt), attempt)
         plane.attempt_began(self, attempt)
 
     def _connection_to(self, address: tuple[str, int]) -> ClientConnection | None:
@@ -168,13 +168,18 @@
             connection.name_call(self.identifier)
         return connection
 
-    def _encoded(self, placed) -> bytes | None:
+    def _encoded(self, attempt: Attempt) -> bytes | None:
         """The request's bytes, made when they are written: the host is told the time that is left then.
 
-        None after the deadline: after a pause of the process, connections come up before its timers act."""
+        None after the deadline: after a pause of the process, connections come up before its timers act.
+        None as well when the host has begun to warm up since it was chosen, and has had its quota."""
         left_ns = self.deadline - self.plane.loop.now()
         if left_ns <= 0:
             return None
+        placed = attempt.placed
+        if placed.reservation is not None and not self.plane.may_write(placed):
+            self.plane.loop.soon(attempt.withdraw)
+            return None
         left = max(1, left_ns // MILLISECOND)
         headers = [
             (name, value) for name, value in end_to_end(self.request.headers) if name not in OWN_HEADERS
--- a/hopsail/dataplane/placement.py
+++ b/hopsail/dataplane/placement.py
@@ -11,12 +11,15 @@
 from typing import NamedTuple
 
 from ..configuration.process import ProcessSettings
+from ..configuration.route_table import RouteTable
+from ..configuration.types import Service
 from ..hosts.instance import Instance, Phase
 from ..prompts.salt import cache_salt
 from ..routing.choice import ChoiceParameters, HostState
 from ..routing.host_work import Backlog, ReadingRate
 from ..routing.lanes import Lane, lane_of
 from ..routing.recent_readers import LASTING_NS, part_key
+from ..routing.warmup import Reservation, SenderCount, WarmupRule, WarmupSends
 from ..weights.eligibility import Eligibility, EligibilityBounds, eligible, loaded_revision
 from .prompt import GENERATED_WEIGHT, Prompt
 from .service_hosts import ServiceHosts, UsableHosts
@@ -25,6 +28,7 @@
 from .work_directory import MOST_ASKED, Answer
 
 MILLISECOND = 1_000_000
+SECOND = 1_000_000_000
 MOST_PRIORITY = 9
 CANDIDATES = 4  # ring hosts that a long prompt is compared over; docs/studies/further.md weighs 2 to 8
 CHOICE_MECHANISMS = {  # the values of `ChoiceParameters` with which a mechanism does nothing
@@ -71,6 +75,7 @@
     is_whole: bool = False  # nothing of the prompt is known to be kept anywhere
     parts: tuple[str, ...] = ()  # keys of the shared parts that the host has from now on
     compared: tuple["ComparedHost", ...] = ()  # what the choice was made from
+    reservation: Reservation | None = None  # counts the request while the host warms up
 
 
 class ComparedHost(NamedTuple):
@@ -106,6 +111,13 @@
         self.sources = Sources(view, settings.zone, settings.zones)
         self.rate = ReadingRate()
         bounds = settings.bounds
+        self.node, self.warmup_excess, self.warmup_margin = (
+            settings.node_name,
+            bounds.warmup_excess,
+            bounds.warmup_margin,
+        )
+        self.senders = SenderCount()
+        self.rules_of: RouteTable | None = None  # the configuration that the rules of warm-ups are of
         self.bounds = EligibilityBounds(apply_one_ns=int(bounds.apply_one_ms * MILLISECOND))
         self.on_age_judged: Callable[[HostState], None] = lambda state: None
 
@@ -120,11 +132,50 @@
             service = self.services.get(name)
             if service is None:
                 service = self.services[name] = ServiceHosts(
-                    self.random, self.parameters.choice, self.parameters.lanes
+                    self.random,
+                    self.parameters.choice,
+                    self.parameters.lanes,
+                    WarmupSends(self.node, self.senders),
                 )
             gone += service.renew(live.get(name, []))
+        self._renew_rules()
         return gone
 
+    def _renew_rules(self) -> None:
+        """Takes the bounds of hosts that warm up from the configuration in force."""
+        self.rules_of = self.view.table
+        for name, service in self.services.items():
+            told = self.view.table.service(name) if self.view.table is not None else None
+            service.warmup.rule = self._warmup_rule(told)
+
+    def _warmup_rule(self, told: Service | None) -> WarmupRule | None:
+        per_s = told.get("WarmupPerS") if told is not None else None
+        if not per_s:
+            return None
+        allowance = per_s * self.warmup_excess + self.warmup_margin
+        return WarmupRule(allowance, int(told.get("WarmupS", 0) * SECOND))
+
+    def zone_returns(self, now: int, zone: str) -> None:
+        """The zone's hosts may be sent requests again, and may have begun to warm up shortly before."""
+        for service in self.services.values():
+            for state in service.states.values():
+                if state.zone == zone:
+                    service.warmup.suspect(now, state.identifier)
+
+    def may_write(self, now: int, placed: Placed) -> bool:
+        """Whether a request may be written to its host now; from then on it counts as sent."""
+        reservation = placed.reservation
+        return reservation is None or reservation.write(now, self.view.warm_at.get(placed.host.identifier, 0))
+
+    def warmup_figures(self) -> dict[str, int]:
+        """What was counted at hosts that may have been warming up."""
+        every = [service.warmup for service in self.services.values()]
+        return {
+            "warmup.sent": sum(one.sent_warming for one in every),
+            "warmup.passed_over": sum(one.passed_over for one in every),
+            "warmup.taken_back": sum(one.taken_back for one in every),
+        }
+
     def capacity(self, name: str) -> int:
         """Places of a service's hosts that are not draining."""
         service = self.services.get(name)
@@ -235,8 +286,16 @@
         return self._placed(now, name, service, state, prompt, wall, priority, usable)
 
     def _usable(self, service: ServiceHosts, now: int, prompt: Prompt, excluded, paused=False) -> UsableHosts:
+        self.senders.note(now, self.view.balancers)
+        if self.rules_of is not self.view.table:
+            self._renew_rules()
         return UsableHosts(
-            service, now, excluded, lambda state: self._judge(now, prompt.model, state), paused
+            service,
+            now,
+            excluded,
+            lambda state: self._judge(now, prompt.model, state),
+            paused,
+            self.view.warm_at,
         )
 
     def _choose(self, service: ServiceHosts, lane: Lane, now: int, key, usable, weight: float):
@@ -289,9 +348,10 @@
         self, now: int, name: str, service: ServiceHosts, state, prompt: Prompt, wall, priority, usable
     ) -> Placed:
         service.health.sent(now, state.identifier)
+        reservation = service.warmup.reserve(state.identifier)
         headers = [("priority", str(min(MOST_PRIORITY, priority)))]
         if prompt.model is None:
-            return Placed(state, None, prompt.size, headers)
+            return Placed(state, None, prompt.size, headers, reservation=reservation)
         salt = cache_salt(prompt.model, state.revision, wall)
         headers.append(("cache-salt", salt))
         if state.revision:
@@ -310,7 +370,16 @@
         reading = max(0, prompt.tokens - kept - (source.tokens if source is not None else 0))
         work = max(0, prompt.tokens - kept) + GENERATED_WEIGHT * prompt.generated
         parts = tuple(part_key(salt, part.identifier) for part in large_parts(prompt))
-        return Placed(state, state.revision, work, headers, reading, reading >= prompt.tokens, parts)
+        return Placed(
+            state,
+            state.revision,
+            work,
+            headers,
+            reading,
+            reading >= prompt.tokens,
+            parts,
+            reservation=reservation,
+        )
 
 
 def _wall(tenant: dict | None) -> str | None:
--- a/hopsail/dataplane/plane.py
+++ b/hopsail/dataplane/plane.py
@@ -173,6 +173,7 @@
             "dialed": self.pool.dialed,
             "reused": self.pool.reused,
             "feed.unreadable": self.view.unreadable,
+            **self.placement.warmup_figures(),
         }
 
     # What the control plane tells.
@@ -345,6 +346,10 @@
             answer,
         )
 
+    def may_write(self, placed: Placed) -> bool:
+        """Whether a request may be written to its host now."""
+        return self.placement.may_write(self.loop.now(), placed)
+
     def _left(self, follower: Follower) -> None:
         """A control process is not followed any more."""
         self.confirmed.forget(follower)
--- a/hopsail/dataplane/service_hosts.py
+++ b/hopsail/dataplane/service_hosts.py
@@ -1,11 +1,13 @@
 """The hosts of one service as this balancer sees them: states, lanes, health, which may be sent to now."""
 
 from collections.abc import Iterator, Mapping
+from types import MappingProxyType
 
 from ..hosts.instance import Instance, Phase
 from ..routing.choice import ChoiceParameters, HostChooser, HostState
 from ..routing.lanes import FIRST_SHARE, Lane, divide, undivided
 from ..routing.outcomes import HostHealth
+from ..routing.warmup import SenderCount, WarmupSends
 
 RELIEF_IN_FLIGHT = 3  # own short requests at one host, from which on hosts of the other lane help out
 RELIEF_FACTOR = 0.5  # how much less loaded the helping host must be
@@ -17,8 +19,15 @@
 
     Only hosts that run models are divided into lanes: the others read no prompts."""
 
-    def __init__(self, random, parameters: ChoiceParameters, lanes: bool = True):
+    def __init__(
+        self,
+        random,
+        parameters: ChoiceParameters,
+        lanes: bool = True,
+        warmup: WarmupSends | None = None,
+    ):
         self.random = random
+        self.warmup = warmup or WarmupSends("", SenderCount())
         self.lanes = lanes
         self.short_share = FIRST_SHARE
         self.has_models = False
@@ -35,6 +44,7 @@
         gone = [self.states.pop(name).address for name in left]
         for name in left:
             self.health.forget(name)
+            self.warmup.forget(name)
         for instance in live:
             self._take(instance)
         ready = {name: state for name, state in self.states.items() if not state.draining}
@@ -82,12 +92,21 @@
     """The hosts that may be sent one request, each judged when it is asked for and only once.
 
     `judge(state)` tells whether a host may be used as far as its phase and its weights are concerned. Hosts
-    that are paused for their health are left out unless `paused` is true. `values` and `len` are those of all
+    that are paused for their health are left out unless `paused` is true; those that warm up and have had
+    their quota are always left out, by the ends of warm-ups in `warm_at`. `values` and `len` are those of all
     hosts of the service: they serve for means."""
 
-    def __init__(self, service: ServiceHosts, now: int, excluded: set[str], judge, paused: bool = False):
+    def __init__(
+        self,
+        service: ServiceHosts,
+        now: int,
+        excluded: set[str],
+        judge,
+        paused: bool = False,
+        warm_at: Mapping[str, int] = MappingProxyType({}),
+    ):
         self.service, self.now, self.excluded, self.judge = service, now, excluded, judge
-        self.paused = paused
+        self.paused, self.warm_at = paused, warm_at
         self.judged: dict[str, HostState | None] = {}
 
     def get(self, name: str, default=None):
@@ -102,7 +121,9 @@
             return None
         if not self.paused and not self.service.health.may_send(self.now, name):
             return None
-        return state if self.judge(state) else None
+        if not self.judge(state):
+            return None
+        return state if self.service.warmup.may_send(self.now, name, self.warm_at.get(name, 0)) else None
 
     def __getitem__(self, name: str) -> HostState:
         state = self.get(name)
--- a/hopsail/dataplane/view.py
+++ b/hopsail/dataplane/view.py
@@ -7,6 +7,7 @@
 from ..feed.store_status import StoreStatus, decode_store
 from ..feed.topics import Topic
 from ..hosts.instance import Instance, Phase, decode, merge
+from ..model import MS
 from ..prompts.kept import KeptIndex
 from ..weights.eligibility import SeenLoad
 from ..weights.load import HostLoad, decode_load, merge_load
@@ -34,6 +35,7 @@
         self.instances: dict[str, Instance] = {}
         self.targets: dict[str, NamedRevisions] = {}  # by model
         self.told_instances: dict[str, bytes] = {}  # as last told, by whatever feed
+        self.warm_at: dict[str, int] = {}  # ns, until when hosts warm up, as told
         self.gone: dict[str, None] = {}  # instances that are gone, the oldest first
         self.loads: dict[str, SeenLoad] = {}  # by `Instance.load_key`
         self.kept = KeptIndex(MOST_KEPT, LEAST_KEPT)
@@ -73,7 +75,7 @@
         elif value is None:
             return False
         elif topic == Topic.INSTANCE:
-            return self._instance(key, value)
+            return self._instance(now, key, value)
         elif topic == Topic.LOAD:
             self._load(now, key, decode_load(value))
         elif topic == Topic.TARGET:
@@ -95,7 +97,7 @@
             self.table = self.configuration.table
             self.on_configuration()
 
-    def _instance(self, key: str, value: bytes) -> bool:
+    def _instance(self, now: int, key: str, value: bytes) -> bool:
         """Whether hosts come, go or change their phase; several feeds tell the same bytes."""
         if self.told_instances.get(key) == value:
             return False
@@ -106,17 +108,26 @@
         if merged == known:
             return False
         self.instances[told.identifier] = merged
+        self._note_warmup(now, known, merged)
         if merged.phase is Phase.REMOVED and told.identifier not in self.gone:
             self.kept.forget_host(told.identifier)
             self._note_gone(told.identifier)
         return known is None or _place_of(known) != _place_of(merged)
 
+    def _note_warmup(self, now: int, known: Instance | None, merged: Instance) -> None:
+        """A round of warming up that was not known has been told; the end of it stands from then on."""
+        is_new = known is None or known.warmup_round != merged.warmup_round
+        if is_new and merged.warmup_left_ms:
+            warm_at = now + merged.warmup_left_ms * MS
+            self.warm_at[merged.identifier] = max(warm_at, self.warm_at.get(merged.identifier, 0))
+
     def _note_gone(self, identifier: str) -> None:
         self.gone[identifier] = None
         while len(self.gone) > GONE_KEPT:
             oldest = next(iter(self.gone))
             instance = self.instances.pop(oldest)
             del self.gone[oldest]
+            self.warm_at.pop(oldest, None)
             for model in instance.models:
                 self.loads.pop(instance.load_key(model.name), None)
             self.told_instances.pop(oldest, None)
--- a/hopsail/hosts/instance.py
+++ b/hopsail/hosts/instance.py
@@ -39,7 +39,8 @@
 class Instance:
     """One incarnation of a host; `revision` is that of its software.
 
-    `warmup_left_ms` is how many milliseconds longer it stays slow after its start.
+    `warmup_left_ms` is how many milliseconds longer it stays slow. It warms up after its start, and may do so
+    again at any time: `warmup_round` is how many times it has been seen to begin anew.
     """
 
     identifier: str
@@ -51,6 +52,7 @@
     warmup_left_ms: int
     models: tuple[ModelRevision, ...]
     revision: str
+    warmup_round: int = 0
 
     def model_revision(self, model: str) -> int | None:
         """Return the revision of the weights loaded for `model`, None when the host does not run it."""
@@ -67,6 +69,10 @@
         """
         return self.identifier if len(self.models) <= 1 else f"{self.identifier} {model}"
 
+    def with_warmup(self, warmup_round: int, left_ms: int) -> "Instance":
+        """Return the instance with another state of its warm-up."""
+        return replace(self, warmup_round=warmup_round, warmup_left_ms=left_ms)
+
     def with_phase(self, phase: Phase) -> "Instance":
         """Return the instance moved to `phase`."""
         return replace(self, phase=phase)
@@ -94,6 +100,7 @@
         warmup_left_ms=_count(entry, "WarmupLeftMs"),
         models=_models(entry.get("Models", [])),
         revision=str(entry.get("Revision", "")),
+        warmup_round=_count(entry, "WarmupRound") if "WarmupRound" in entry else 0,
     )
 
 
@@ -114,7 +121,7 @@
 
 def encode(instance: Instance) -> bytes:
     """Return the instance as compact JSON with the names of the platform's list."""
-    entry = {
+    entry: dict[str, Any] = {
         "InstanceId": instance.identifier,
         "Service": instance.service,
         "Address": str(instance.address),
@@ -125,6 +132,8 @@
         "Models": [{"Name": model.name, "Revision": model.revision} for model in instance.models],
         "Revision": instance.revision,
     }
+    if instance.warmup_round:
+        entry["WarmupRound"] = instance.warmup_round
     return json.dumps(entry, separators=(",", ":")).encode()
 
 
@@ -144,8 +153,9 @@
 def merge(a: Instance, b: Instance) -> Instance:
     """Join two states of the same instance: commutative, associative and idempotent.
 
-    The later phase and the higher revision of each model win. Of a field that can't change within one
-    incarnation the higher value is taken, so that the result does not depend on the order.
+    The later phase, the higher revision of each model and the later round of warming up win; within one
+    round, the shorter time left. Of a field that can't change within one incarnation the higher value is taken,
+    so that the result does not depend on the order.
 
     Raises:
         InstanceError: the instances have different identifiers.
@@ -161,12 +171,19 @@
         zone=max(a.zone, b.zone),
         capacity=max(a.capacity, b.capacity),
         phase=max(a.phase, b.phase),
-        warmup_left_ms=min(a.warmup_left_ms, b.warmup_left_ms),
+        warmup_left_ms=_join_warmup_left(a, b),
         models=_join_models(a.models, b.models),
         revision=max(a.revision, b.revision),
+        warmup_round=max(a.warmup_round, b.warmup_round),
     )
 
 
+def _join_warmup_left(a: Instance, b: Instance) -> int:
+    if a.warmup_round == b.warmup_round:
+        return min(a.warmup_left_ms, b.warmup_left_ms)
+    return max(a, b, key=lambda one: one.warmup_round).warmup_left_ms
+
+
 def _join_models(a: tuple[ModelRevision, ...], b: tuple[ModelRevision, ...]) -> tuple[ModelRevision, ...]:
     if a == b:
         return a
--- a/hopsail/hosts/view.py
+++ b/hopsail/hosts/view.py
@@ -12,6 +12,8 @@
 TOMBSTONE_TTL_NS = 120_000_000_000
 MAX_LIST_LAG_NS = 1_600_000_000
 MAX_INSTANCES = 65_536
+NS_PER_MS = 1_000_000
+MIN_NEW_WARMUP_MS = 250  # with less left, a round is over before the news of it has arrived anywhere
 MIN_EMPTY_LISTINGS = 3
 MIN_MISSES_OF_ONE_PAGE = 1
 MIN_MISSES_OF_SEVERAL_PAGES = 2
@@ -20,7 +22,7 @@
 class _Entry:
     """An instance with what this process's own listings say about it."""
 
-    __slots__ = ("first_listed", "instance", "known_since", "misses", "removed_at")
+    __slots__ = ("first_listed", "instance", "known_since", "misses", "removed_at", "warm_at")
 
     def __init__(self, instance: Instance, now: int) -> None:
         self.instance = instance
@@ -28,6 +30,12 @@
         self.first_listed: int | None = None
         self.misses = 0
         self.removed_at: int | None = None
+        self.warm_at = now  # ns, when its warm-up ends as far as known
+        self.note_warmup(now)
+
+    def note_warmup(self, now: int) -> None:
+        """Take in that a round of warming up has been told now."""
+        self.warm_at = now + self.instance.warmup_left_ms * NS_PER_MS
 
     @property
     def is_removed(self) -> bool:
@@ -107,13 +115,29 @@
         return self._empty_listings < MIN_EMPTY_LISTINGS
 
     def _apply_listed(self, now: int, instance: Instance, changed: dict[str, Instance]) -> None:
-        entry = self._merge(now, instance, changed)
+        entry = self._merge(now, self._with_round(now, instance), changed)
         if entry is None:
             return
         entry.misses = 0
         if entry.first_listed is None:
             entry.first_listed = self._listings
 
+    def _with_round(self, now: int, listed: Instance) -> Instance:
+        """Return what was listed, with the round of warming up that it belongs to.
+
+        A round is new when it ends later than the known one could, by a list that lags. While the known round
+        lasts, a listing that tells of no warm-up is older than the round.
+        """
+        entry = self._entries.get(listed.identifier)
+        if entry is None:
+            return listed
+        known, left_ms = entry.instance, listed.warmup_left_ms
+        if left_ms >= MIN_NEW_WARMUP_MS and now + left_ms * NS_PER_MS > entry.warm_at + self._list_lag_ns:
+            return listed.with_warmup(known.warmup_round + 1, left_ms)
+        if not left_ms and now < entry.warm_at and known.warmup_left_ms >= MIN_NEW_WARMUP_MS:
+            left_ms = known.warmup_left_ms
+        return listed.with_warmup(known.warmup_round, left_ms)
+
     def _merge(self, now: int, instance: Instance, changed: dict[str, Instance]) -> _Entry | None:
         entry = self._entries.get(instance.identifier)
         if entry is None:
@@ -138,7 +162,10 @@
         if merged.service != entry.instance.service:
             self._unlink(entry)
             self._services.setdefault(merged.service, {})[merged.identifier] = entry
+        is_new_round = merged.warmup_round != entry.instance.warmup_round
         entry.instance = merged
+        if is_new_round:
+            entry.note_warmup(now)
         changed[merged.identifier] = merged
         if entry.is_removed and entry.removed_at is None:
             self._add_tombstone(now, entry)
@@ -204,6 +231,8 @@
     """Whether to notify others: of a falling warm-up alone, only when it has halved."""
     if old is merged or old == merged:
         return False
+    if merged.warmup_round != old.warmup_round:
+        return True
     if merged.warmup_left_ms * 2 <= old.warmup_left_ms and merged.warmup_left_ms != old.warmup_left_ms:
         return True
     return (old.phase, old.models, old.address, old.service, old.zone, old.capacity, old.revision) != (
