--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -172,11 +172,13 @@
         """The request's bytes, made when they are written: the host is told the time that is left then.
 
         None after the deadline: after a pause of the process, connections come up before its timers act.
-        None also when the host's zone is evacuated meanwhile: then another host is sought."""
+        None also when the host's zone is evacuated meanwhile, or when the host has begun to warm up and has
+        had its quota: then another host is sought."""
         placed, left_ns = attempt.placed, self.deadline - self.plane.loop.now()
         if left_ns <= 0:
             return None
-        if self.plane.is_evacuated(placed.host):
+        may_write = placed.reservation is None or self.plane.may_write(placed)
+        if self.plane.is_evacuated(placed.host) or not may_write:
             self.plane.loop.soon(attempt.withdraw)
             return None
         left = max(1, left_ns // MILLISECOND)
--- a/hopsail/dataplane/plane.py
+++ b/hopsail/dataplane/plane.py
@@ -67,6 +67,7 @@
         self.view.on_configuration = self._configuration_changed
         self.placement = Placement(settings, self.view, self.random, parameters)
         self.view.on_instances = self._instances_changed
+        self.view.on_evacuation_withdrawn = self._zone_returns
         self.view.on_target = self._target_named
         self.placement.on_age_judged = self._age_judged
         sockets = max(64, settings.fd_limit - FD_RESERVE)
@@ -173,6 +174,7 @@
             "dialed": self.pool.dialed,
             "reused": self.pool.reused,
             "feed.unreadable": self.view.unreadable,
+            **self.placement.warmup_figures(),
         }
 
     # What the control plane tells.
@@ -210,6 +212,9 @@
         for address in self.placement.renew():
             self.pool.forget(address)
 
+    def _zone_returns(self, zone: str) -> None:
+        self.placement.zone_returns(self.loop.now(), zone)
+
     def _target_named(self, model: str, revision: int) -> None:
         self.counters.add("targets.named")
         weights_log.info("model %s: revision %s named", model, revision)
@@ -349,6 +354,10 @@
             answer,
         )
 
+    def may_write(self, placed: Placed) -> bool:
+        """Whether a request may be written to its host now."""
+        return self.placement.may_write(self.loop.now(), placed)
+
     def _left(self, follower: Follower) -> None:
         """A control process is not followed any more."""
         self.confirmed.forget(follower)
