--- a/hopsail/dataplane/placement.py
+++ b/hopsail/dataplane/placement.py
@@ -111,11 +111,8 @@
         self.sources = Sources(view, settings.zone, settings.zones)
         self.rate = ReadingRate()
         bounds = settings.bounds
-        self.node, self.warmup_excess, self.warmup_margin = (
-            settings.node_name,
-            bounds.warmup_excess,
-            bounds.warmup_margin,
-        )
+        self.node = settings.node_name
+        self.warmup_excess, self.warmup_margin = bounds.warmup_excess, bounds.warmup_margin
         self.senders = SenderCount()
         self.rules_of: RouteTable | None = None  # the configuration that the rules of warm-ups are of
         self.bounds = EligibilityBounds(apply_one_ns=int(bounds.apply_one_ms * MILLISECOND))
@@ -138,11 +135,13 @@
                     WarmupSends(self.node, self.senders),
                 )
             gone += service.renew(live.get(name, []))
-        self._renew_rules()
+        self.rules_of = None
         return gone
 
     def _renew_rules(self) -> None:
         """Takes the bounds of hosts that warm up from the configuration in force."""
+        if self.rules_of is self.view.table:
+            return
         self.rules_of = self.view.table
         for name, service in self.services.items():
             told = self.view.table.service(name) if self.view.table is not None else None
@@ -157,6 +156,7 @@
 
     def zone_returns(self, now: int, zone: str) -> None:
         """The zone's hosts may be sent requests again, and may have begun to warm up shortly before."""
+        self._renew_rules()
         for service in self.services.values():
             for state in service.states.values():
                 if state.zone == zone:
@@ -287,8 +287,7 @@
 
     def _usable(self, service: ServiceHosts, now: int, prompt: Prompt, excluded, paused=False) -> UsableHosts:
         self.senders.note(now, self.view.balancers)
-        if self.rules_of is not self.view.table:
-            self._renew_rules()
+        self._renew_rules()
         return UsableHosts(
             service,
             now,
--- a/hopsail/hosts/instance.py
+++ b/hopsail/hosts/instance.py
@@ -154,7 +154,7 @@
     """Join two states of the same instance: commutative, associative and idempotent.
 
     The later phase, the higher revision of each model and the later round of warming up win; within one
-    round, the shorter time left. Of a field that can't change within one incarnation the higher value is taken,
+    round, the shorter time left. Of a field that can't change within one incarnation the higher value wins,
     so that the result does not depend on the order.
 
     Raises:
--- a/tests/hosts/test_host_instance.py
+++ b/tests/hosts/test_host_instance.py
@@ -100,6 +100,7 @@
         rng.randint(0, 3),
         models,
         rng.choice(["v1", "v2"]),
+        rng.randint(0, 2),
     )
 
 
@@ -113,6 +114,9 @@
         assert merge(merge(a, b), a) == merge(a, b)
         joined = merge(a, b)
         assert joined.phase == max(a.phase, b.phase)
+        assert joined.warmup_round == max(a.warmup_round, b.warmup_round)
+        last = [one.warmup_left_ms for one in (a, b) if one.warmup_round == joined.warmup_round]
+        assert joined.warmup_left_ms == min(last)
         for name, revision in a.models + b.models:
             assert joined.model_revision(name) >= revision
 
@@ -120,3 +124,11 @@
 def test_different_instances_are_not_merged():
     with pytest.raises(InstanceError):
         merge(instance("i-1"), instance("i-2"))
+
+
+def test_a_round_of_warming_up_is_encoded_only_when_there_has_been_one():
+    assert b"WarmupRound" not in encode(instance("i-1", warmup=500))
+    again = instance("i-1", warmup=500).with_warmup(2, 3000)
+    assert decode(encode(again)) == again
+    with pytest.raises(InstanceError, match="WarmupRound"):
+        parse_instance({**ENTRY, "WarmupRound": -1})
--- a/tests/hosts/test_host_view.py
+++ b/tests/hosts/test_host_view.py
@@ -150,3 +150,59 @@
     assert reported[:3] == [4000, 2000, 1000]
     assert reported[-1] == 0
     assert len(reported) <= 8
+
+
+def warmup(view):
+    """The round and the time left, as last published."""
+    known = view.get("i-1")
+    return known.warmup_round, known.warmup_left_ms
+
+
+def heard(view, now_ms, left):
+    return view.apply_listing(now_ms * MS, [instance("i-1", warmup=left)], 1)
+
+
+def test_a_host_that_becomes_cold_again_is_published():
+    view = HostView()
+    heard(view, 0, 0)
+    assert [one.warmup_left_ms for one in heard(view, 9000, 2800)] == [2800]
+    assert warmup(view) == (1, 2800)
+    heard(view, 12_000, 0)
+    assert warmup(view) == (1, 0)
+    heard(view, 20_000, 2600)
+    assert warmup(view) == (2, 2600)
+
+
+def test_a_host_that_becomes_cold_while_it_warms_up_begins_a_round():
+    view = HostView()
+    heard(view, 0, 3000)
+    heard(view, 700, 2300)
+    heard(view, 2500, 2900)
+    assert warmup(view) == (1, 2900)
+
+
+def test_a_lagging_list_neither_begins_nor_ends_a_round():
+    view = HostView()
+    heard(view, 0, 0)
+    heard(view, 9000, 2800)
+    assert not heard(view, 9700, 0)
+    heard(view, 11_800, 0)
+    for late in (100, 900, 1500):
+        heard(view, 11_800, late)
+    assert warmup(view) == (1, 0)
+
+
+def test_a_round_of_another_process_does_not_hide_a_later_one():
+    view = HostView()
+    heard(view, 0, 0)
+    heard(view, 9000, 2800)
+    view.apply_instance(9100 * MS, instance("i-1").with_warmup(3, 0))
+    assert warmup(view) == (3, 0)
+    heard(view, 9700, 2100)
+    assert warmup(view) == (4, 2100)
+
+
+def test_a_round_that_is_all_but_over_is_not_published():
+    view = HostView()
+    heard(view, 0, 0)
+    assert not heard(view, 9000, 249) and heard(view, 9000, 250)
--- a/tests/test_dataplane_forward.py
+++ b/tests/test_dataplane_forward.py
@@ -5,6 +5,7 @@
 import signal
 from collections import deque
 from itertools import product
+from random import Random
 
 import httptools
 import pytest
@@ -13,7 +14,9 @@
 from hopsail.dataplane.events import MOST_EVENT, EventError, EventSplitter
 from hopsail.dataplane.execution import Outcome
 from hopsail.dataplane.forward import MOST_DIALS, MOST_UNSENT, Forwarding, Refusal
-from hopsail.dataplane.placement import Placed
+from hopsail.dataplane.attempt import Attempt
+from hopsail.dataplane.attempt_records import AttemptRecords
+from hopsail.dataplane.placement import Placed, Placement
 from hopsail.dataplane.plane import DataPlane
 from hopsail.dataplane.view import FleetView
 from hopsail.configuration.items import split_items
@@ -23,6 +26,7 @@
 from hopsail.http.client_connection import ClientConnection
 from hopsail.http.message import Request
 from hopsail.http.server import Exchange
+from hopsail.net.counters import Counters
 from hopsail.routing.admission import Verdict
 from hopsail.routing.choice import HostState
 
@@ -242,6 +246,10 @@
         self.first_bytes = self.asked = 0
         self.ended, self.left = [], []
         self.verdict = Verdict.ADMIT
+        self.has_quota = True
+
+    def may_write(self, placed):
+        return self.has_quota
 
     def pick_service(self, route):
         return route["Service"]
@@ -1218,3 +1226,71 @@
     assert not view.ready
     feed(view, instances=[instance()])
     assert view.ready
+
+
+@pytest.mark.parametrize("kind", [MUTATING, STREAM])
+def test_a_host_that_began_to_warm_up_during_the_dial_is_not_flooded_by_what_waited(kind):
+    journey = Journey(kind, manners=["dialing"])
+    plane = journey.plane
+    journey.forwarding.attempt.placed = journey.forwarding.attempt.placed._replace(reservation=object())
+    plane.has_quota = False
+    journey.host().up()
+    journey.loop.settle()
+    assert not journey.host().sent and not journey.host().open
+    assert plane.outcomes == [Outcome.NOT_SENT] and plane.budget.spent == 0
+    assert journey.host(1).told("hopsail-target-instance") == "i-1"
+
+
+class Outcomes:
+    """Records of attempts at the hosts of a data plane that answers nothing by itself."""
+
+    def __init__(self):
+        view = FleetView()
+        settings = parse_settings("NodeName=n1\nZone=z1\nIp=127.0.0.1\nPortRange=9000,9010\n")
+        placement = Placement(settings, view, Random(1))
+        service = {"Name": "s", "WarmupPerS": 27, "WarmupS": 3}
+        items = split_items({"Revision": 1, "Routes": [], "Services": [service]})
+        changes = [Change(Topic.CONFIGURATION, key, value) for key, value in items.items()]
+        state = {(Topic.CONFIGURATION, key): value for key, value in items.items()}
+        host = Instance("i-0", "s", Address("10.0.0.1", 80), "z1", 4, Phase.SERVING, 0, (), "v1")
+        view.apply(0, "c1", state, [*changes, Change(Topic.INSTANCE, "i-0", encode(host))])
+        placement.renew()
+        self.now, self.placement = 1000 * SECOND, placement
+        self.records = AttemptRecords(lambda: self.now, placement, Counters("n1"))
+        self.journey = Journey(manners=["dialing"])
+
+    def begins(self):
+        placed = self.placement.place(self.now, "s", self.journey.forwarding.prompt, None, 0, set())
+        attempt = Attempt(self.journey.forwarding, "1", placed, self.now)
+        self.records.began(self.journey.forwarding, attempt)
+        return attempt
+
+    def over(self, outcome):
+        attempt = self.begins()
+        self.records.over(self.journey.forwarding, attempt, outcome)
+        self.now += SECOND
+        return attempt
+
+    def is_bounded(self):
+        return self.placement.services["s"].warmup.is_warming(self.now, "i-0", 0)
+
+
+@pytest.mark.parametrize("failure", [Outcome.NOT_SENT, Outcome.BROKEN])
+def test_a_host_that_failed_and_answers_again_is_not_flooded(failure):
+    fleet = Outcomes()
+    fleet.over(Outcome.COMPLETE)
+    assert not fleet.is_bounded()
+    probe = fleet.begins()
+    fleet.over(failure)
+    fleet.now += 4 * SECOND
+    fleet.records.first_byte(fleet.journey.forwarding, probe)
+    fleet.now += 4 * SECOND
+    assert fleet.is_bounded()
+    fleet.now += 2 * SECOND
+    assert not fleet.is_bounded()
+
+
+def test_the_quota_of_a_request_that_never_left_is_given_back():
+    fleet = Outcomes()
+    fleet.over(Outcome.NOT_SENT)
+    assert fleet.placement.services["s"].warmup._hosts["i-0"].pending == 0
--- a/tests/test_dataplane_placement.py
+++ b/tests/test_dataplane_placement.py
@@ -719,3 +719,85 @@
     placed = fleet.place(prompt(*LONG))
     assert placed.host.identifier == home and placed.reading == 3000
     assert told(placed, "kv-fetch") == STORE_ADDRESS
+
+
+# Hosts that warm up
+
+
+def bounded_fleet(senders=1, **service):
+    """One with so many data planes, whose configuration tells more of the service."""
+    fleet = Fleet(hosts=2)
+    told = CONFIGURATION | {"Revision": 2, "Services": [{"Name": "s"} | service]}
+    items = [Change(Topic.CONFIGURATION, key, value) for key, value in split_items(told).items()]
+    fleet.tell(*items, Change(Topic.BALANCERS, "count", str(senders).encode()))
+    return fleet
+
+
+def sent(fleet, number=60):
+    """Requests that each host was sent within a moment."""
+    names = []
+    for _ in range(number):
+        placed = fleet.place()
+        if placed is not None and fleet.placement.may_write(fleet.now, placed):
+            names.append(placed.host.identifier)
+    return {name: names.count(name) for name in names}
+
+
+BOUND = {"WarmupPerS": 27, "WarmupS": 3}
+QUOTA = (22, 23)  # the mean of quotas and, drawn by lot, one more
+
+
+def cold(identifier, warmup_round=1, left_ms=3000):
+    return instance(identifier).with_warmup(warmup_round, left_ms)
+
+
+def test_hosts_that_warm_up_are_not_flooded_by_a_data_plane():
+    fleet = bounded_fleet(**BOUND)
+    assert sum(sent(fleet).values()) == 60
+    fleet.now += 10 * SECOND
+    fleet.list(cold("i-0"), cold("i-1"))
+    counts = sent(fleet)
+    assert set(counts) == {"i-0", "i-1"} and set(counts.values()) <= set(QUOTA)
+    assert fleet.place() is None
+    assert fleet.placement.warmup_figures()["warmup.sent"] == sum(counts.values())
+    assert fleet.placement.warmup_figures()["warmup.passed_over"]
+
+
+def test_a_request_passes_over_a_home_that_warms_up_and_comes_back_to_it():
+    fleet = bounded_fleet(senders=10_000, **BOUND)
+    home = fleet.host()
+    fleet.list(cold(home))
+    assert fleet.host() not in (home, None)
+    fleet.now += 5 * SECOND
+    assert fleet.host() == home
+
+
+def test_hosts_paused_for_their_health_are_held_to_their_quota_too():
+    fleet = bounded_fleet(**BOUND)
+    fleet.list(cold("i-0"), cold("i-1"))
+    for name in ("i-0", "i-1"):
+        fleet.placement.services["s"].health.failed(fleet.now, name, Failure.CONNECTION)
+    assert set(sent(fleet).values()) <= set(QUOTA)
+
+
+@pytest.mark.parametrize("zone, bounded", [("z1", True), ("z2", False)])
+def test_hosts_of_a_zone_that_returns_are_not_flooded(zone, bounded):
+    fleet = bounded_fleet(**BOUND)
+    fleet.placement.zone_returns(fleet.now, zone)
+    assert (sum(sent(fleet).values()) < 60) is bounded
+
+
+def test_without_a_bound_in_the_configuration_cold_hosts_are_used_as_before():
+    fleet = bounded_fleet(WarmupS=3)
+    fleet.list(cold("i-0"), cold("i-1"))
+    fleet.placement.zone_returns(fleet.now, "z1")
+    assert sum(sent(fleet).values()) == 60 and fleet.place().reservation is None
+
+
+def test_a_bound_that_the_configuration_adds_or_takes_away_is_in_force_at_once():
+    fleet = bounded_fleet(**BOUND)
+    fleet.list(cold("i-0"), cold("i-1"))
+    assert sum(sent(fleet).values()) < 60
+    items = split_items(CONFIGURATION | {"Revision": 3, "Services": [{"Name": "s"}]})
+    fleet.tell(*[Change(Topic.CONFIGURATION, key, value) for key, value in items.items()])
+    assert sum(sent(fleet).values()) == 60
--- a/tests/test_dataplane_view.py
+++ b/tests/test_dataplane_view.py
@@ -10,6 +10,7 @@
 from hopsail.feed.journal import Change
 from hopsail.feed.topics import Topic
 from hopsail.hosts.instance import Address, Instance, ModelRevision, Phase, encode
+from hopsail.model import MS, SECOND
 from hopsail.weights.load import HostLoad, LoadPhase, encode_load
 
 
@@ -355,3 +356,22 @@
     assert not view.store_is_up("w") and view.store_is_up("another") and view.balancers == 9
     feed.tell(Change(Topic.STORE, "w", b"3 up"))
     assert view.store_is_up("w")
+
+
+def test_a_warm_up_ends_as_first_told_and_a_later_round_prolongs_it(view):
+    one, other = Feed(view, "c1"), Feed(view, "c2")
+    cold = instance(warmup=3000)
+    one.tell(*listed(cold), now=SECOND)
+    other.tell(*listed(cold), now=3 * SECOND)
+    other.tell(*listed(cold.with_warmup(0, 1400)), now=3 * SECOND)
+    assert view.warm_at == {"i-1": 4 * SECOND}
+    one.tell(*listed(cold.with_warmup(2, 2800)), now=9 * SECOND)
+    other.tell(*listed(cold.with_warmup(1, 3000)), now=10 * SECOND)
+    assert view.warm_at == {"i-1": 9 * SECOND + 2800 * MS}
+
+
+def test_the_warm_ups_of_hosts_that_are_gone_are_forgotten(view):
+    feed = Feed(view)
+    for number in range(GONE_KEPT + 1):
+        feed.tell(*listed(instance(f"i-{number}", Phase.REMOVED, warmup=5)))
+    assert len(view.warm_at) == GONE_KEPT
