--- a/hopsail/tallies/peers.py
+++ b/hopsail/tallies/peers.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable, Mapping
 from enum import Enum, auto
 
-from .messages import ExchangeCall, PushCall
+from .messages import ExchangeCall
 from .records import Positions, covers, to_positions
 from .types import PeerCall, PeerReply
 
@@ -42,6 +42,7 @@
         self.push_due = now
         self.push_limits: Positions = {}  # how much of other origins it gets
         self._calls: dict[int, tuple[PeerCall, int]] = {}  # with their time-outs
+        self._exchanges = 0  # of the calls
         self._former_lives: set[str] = set()
 
     def cut_off(self, now: int) -> bool:
@@ -59,17 +60,21 @@
         patience = RESTART_WAIT_NS if self.ending is Ending.REFUSED else CUT_OFF_NS
         return now - self.last_reply < patience
 
-    def calling(self, kind: type) -> bool:
-        """Whether a call with such a message is under way."""
-        return any(isinstance(call.message, kind) for call, _ in self._calls.values())
+    @property
+    def exchanging(self) -> bool:
+        """Whether an exchange is under way."""
+        return self._exchanges > 0
 
     def called(self, call: PeerCall, now: int) -> None:
         """A call to it begins."""
         self._calls[call.number] = (call, now + CALL_TIMEOUT_NS)
+        self._exchanges += isinstance(call.message, ExchangeCall)
 
     def ended(self, number: int) -> PeerCall | None:
         """The call with the number ends; None when it is none that is under way."""
         call, _ = self._calls.pop(number, (None, 0))
+        if call is not None:
+            self._exchanges -= isinstance(call.message, ExchangeCall)
         return call
 
     def overdue(self, now: int) -> list[int]:
@@ -106,7 +111,7 @@
 
     def pushable(self, now: int) -> bool:
         """Whether a push may begin: one at a time, and none to a peer that has not answered last."""
-        return self.ending is Ending.REPLY and self.push_due <= now and not self.calling(PushCall)
+        return self.ending is Ending.REPLY and self.push_due <= now and len(self._calls) == self._exchanges
 
     def shift(self, by: int) -> None:
         """This process stood still for so long: that is not the peer's silence."""
@@ -117,7 +122,7 @@
     def due(self, now: int) -> Iterable[int]:
         """The times at which something about it changes, ns."""
         yield from (time_out for _, time_out in self._calls.values())
-        if not self.calling(ExchangeCall):
+        if not self.exchanging:
             yield self.exchange_due
         if self.push_due > now:
             yield self.push_due
--- a/hopsail/tallies/replica.py
+++ b/hopsail/tallies/replica.py
@@ -128,7 +128,7 @@
         """Calls that are to be made now."""
         calls = []
         for peer in self._each_peer():
-            if peer.exchange_due <= self._now and not peer.calling(ExchangeCall):
+            if peer.exchange_due <= self._now and not peer.exchanging:
                 peer.exchange_due = self._now + EXCHANGE_INTERVAL_NS
                 calls.append(self._call(peer, ExchangeCall(known=from_positions(self._records.positions))))
             if peer.pushable(self._now) and peer.lacks(limits := self._push_limits(peer)):
--- /dev/null
+++ b/tests/tallies/test_tally_histories.py
@@ -0,0 +1,125 @@
+"""Random histories of tally replicas with faults, and that breaking any one guard is found by them."""
+
+import os
+
+import pytest
+from tallies_simulation import Shape, ViolationError, play, play_all
+
+from hopsail.tallies import acknowledgement, peers, records
+from hopsail.tallies.replica import TallyReplica
+from hopsail.tallies.types import AddOutcome
+
+HISTORIES = int(os.environ.get("TALLY_HISTORIES", "20"))  # of each shape; 10,000 by hand
+FIRST_SEED = int(os.environ.get("TALLY_FIRST_SEED", "1"))
+MOST_SEEDS = 60  # within which a broken guard has to be found
+
+SMALL = Shape(machines=3, disk_losses=1, fault_ns=4_000_000_000)
+SHAPES = {
+    "five, two lost": Shape(fault_ns=4_000_000_000),
+    "three, one lost": SMALL,
+    "three, two lost": SMALL._replace(disk_losses=2),
+    "two, one lost": SMALL._replace(machines=2),
+}
+
+
+@pytest.mark.parametrize("shape", SHAPES.values(), ids=SHAPES.keys())
+def test_histories_break_no_rule(shape):
+    counts = play_all(FIRST_SEED, HISTORIES, shape)
+    assert counts[AddOutcome.ACKNOWLEDGED] > counts[AddOutcome.UNKNOWN] > 0
+
+
+class OneDisk(TallyReplica):
+    def _needed(self):
+        return 1
+
+
+class NeverWaits(TallyReplica):
+    def _check_ready(self):
+        self._ready = True
+
+
+class TakesAddsBeyondReach(TallyReplica):
+    def _refuse(self, add, done):
+        self._records.append(self._origin, add)
+        super()._refuse(add, done)
+
+
+def counts_each_record(monkeypatch):
+    def count(self, add):
+        self._amounts.setdefault(add.tally, {})[add.identifier] = add.amount
+        self._totals[add.tally] = self.total(add.tally) + add.amount
+
+    monkeypatch.setattr(records.TallyFold, "count", count)
+
+
+def keeps_durable_positions_of_former_lives(monkeypatch):
+    answered = peers.Peer.answered
+
+    def keeping(self, now, reply):
+        before = dict(self.durable)
+        taken = answered(self, now, reply)
+        peers._raise_to(self.durable, before)
+        peers._raise_to(self.known, before)
+        return taken
+
+    monkeypatch.setattr(peers.Peer, "answered", keeping)
+
+
+def rejects_after_the_record_was_made(monkeypatch):
+    settle = acknowledgement.Acknowledgements.settle
+
+    def rejecting(self, now, sequence):
+        def other(done):
+            return lambda outcome: done(AddOutcome.REJECTED if outcome is AddOutcome.UNKNOWN else outcome)
+
+        self._waiting = [entry._replace(done=other(entry.done)) for entry in self._waiting]
+        settle(self, now, sequence)
+
+    monkeypatch.setattr(acknowledgement.Acknowledgements, "settle", rejecting)
+
+
+def counts_refusing_peers_as_cut_off(monkeypatch):
+    def cut_off(self, now):
+        return self.ending in (peers.Ending.SILENCE, peers.Ending.REFUSED)
+
+    monkeypatch.setattr(peers.Peer, "cut_off", cut_off)
+
+
+def takes_own_standstill_for_silence(monkeypatch):
+    monkeypatch.setattr(peers.Peer, "shift", lambda self, by: None)
+
+
+def found(shape, replica_type=TallyReplica):
+    for seed in range(MOST_SEEDS):
+        try:
+            play(seed, shape, replica_type)
+        except ViolationError:
+            return seed
+    return None
+
+
+FIVE = SHAPES["five, two lost"]
+
+
+@pytest.mark.parametrize("replica_type", [OneDisk, NeverWaits, TakesAddsBeyondReach])
+def test_replica_without_a_guard_is_found(replica_type):
+    assert found(FIVE, replica_type) is not None
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        counts_each_record,
+        keeps_durable_positions_of_former_lives,
+        rejects_after_the_record_was_made,
+        counts_refusing_peers_as_cut_off,
+        takes_own_standstill_for_silence,
+    ],
+)
+def test_broken_guard_is_found(monkeypatch, broken):
+    broken(monkeypatch)
+    assert found(FIVE) is not None
+
+
+def test_origins_that_come_again_are_found():
+    assert found(FIVE._replace(reused_origins=True)) is not None
--- a/tests/tallies_simulation.py
+++ b/tests/tallies_simulation.py
@@ -79,7 +79,7 @@
         self.machines = {f"m{number}": Machine(f"m{number}") for number in range(shape.machines)}
         self.blocked: set[tuple[str, str]] = set()
         self.lost_disks: set[str] = set()
-        self.calm_since = 0
+        self.smooth = False  # the network loses and delays nothing
         self.callers: list[Caller] = []
         self.owed: set[Add] = set()
         self.counts = dict.fromkeys(AddOutcome, 0)
@@ -203,10 +203,10 @@
 
     def _delay(self) -> int:
         usual = self.random.randint(400, 1500) * 1000
-        return usual if self.random.random() < 0.97 else self.random.randint(1, 400) * MS
+        return usual if self.smooth or self.random.random() < 0.97 else self.random.randint(1, 400) * MS
 
     def _carry(self, source: str, target: str, action: Callable[[], None]) -> None:
-        lost = self.random.random() < 0.01
+        lost = not self.smooth and self.random.random() < 0.01
         if not lost and (source, target) not in self.blocked:
             self.after(self._delay(), lambda: (source, target) not in self.blocked and action())
 
@@ -338,6 +338,11 @@
         amounts = recount({caller.add for caller in self.callers}, tally, min)
         return sum(amounts[name] for name in {add.identifier for add in acknowledged if add.tally == tally})
 
+    def judge_owed(self, totals: dict[str, int] | None, owed: set[Add]) -> None:
+        for tally, total in (totals or {}).items():
+            if total < self.least(owed, tally):
+                raise ViolationError(f"LOST or STALE: {tally} lacks what was acknowledged")
+
     def judge_quiet(self) -> None:
         """After `MERGE_NS` without faults: everyone has what is owed, the same, and takes adds."""
         owed = set(self.owed)
@@ -349,9 +354,7 @@
         if None in read:
             raise ViolationError("LOST: a machine can't tell its totals")
         for totals in read:
-            for tally, total in totals.items():
-                if total < self.least(owed, tally):
-                    raise ViolationError(f"LOST or STALE: {tally} lacks what was acknowledged")
+            self.judge_owed(totals, owed)
         if any(totals != read[0] for totals in read):
             raise ViolationError(f"the machines differ: {read}")
         if any(caller.outcome is None for caller in late):
@@ -459,6 +462,17 @@
                 self.simulation.wipe(machine)
             self._back(machine, self.random.randint(100, 1200))
 
+    def end_of_day(self) -> None:
+        """A power loss of all, and whoever can tell its totals afterwards tells all that is owed."""
+        self.repair()
+        self.simulation.smooth = True
+        self.blackout()
+        owed = set(self.simulation.owed)
+        for _ in range(60):
+            self.simulation.run_for(50 * MS)
+            for machine in self.simulation.machines.values():
+                self.simulation.judge_owed(self.simulation.read(machine), owed)
+
     def calm(self) -> None:
         """Without faults for a while, judged at its end."""
         self.repair()
@@ -514,8 +528,7 @@
         simulation.read(random.choice(list(simulation.machines.values())))
         simulation.run_for(random.randint(1, 100) * MS)
     if random.random() < 0.7:
-        faults.blackout()
-        simulation.run_for(3_000 * MS)
+        faults.end_of_day()
     faults.calm()
     return simulation
 
