Tallies: ask for the sync of records that a peer has fetched by itself

A record that a peer pulled by an exchange before the push came was known there in memory, and nothing told the origin of its sync before the next exchange: acknowledgements waited 250 ms. A push with an empty run asks for it; a test with a failing own disk found it.

--- a/hopsail/tallies/peers.py
+++ b/hopsail/tallies/peers.py
@@ -3,11 +3,11 @@
 A peer that is silent for some time is cut off. One that refuses connections is not: its process restarts.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from enum import Enum, auto
 
-from .messages import ExchangeCall
-from .records import Positions, covers, to_positions
+from .messages import ExchangeCall, OriginRun
+from .records import Positions, to_positions
 from .types import PeerCall, PeerReply
 
 CUT_OFF_NS = 1_000_000_000  # ns without a reply after which a silent peer is cut off
@@ -105,9 +105,9 @@
         if refused:
             self.silent_since, self.durable = now, {}
 
-    def lacks(self, limits: Mapping[str, int]) -> bool:
-        """Whether it lacks something up to these positions."""
-        return not covers(self.known, limits)
+    def took(self, runs: Iterable[OriginRun]) -> bool:
+        """Whether it holds something of these; else it may be full."""
+        return any(not run.adds or self.known.get(run.origin, 0) >= run.first_sequence for run in runs)
 
     def pushable(self, now: int) -> bool:
         """Whether a push may begin: one at a time, and none to a peer that has not answered last."""
--- a/hopsail/tallies/replica.py
+++ b/hopsail/tallies/replica.py
@@ -131,8 +131,7 @@
             if peer.exchange_due <= self._now and not peer.exchanging:
                 peer.exchange_due = self._now + EXCHANGE_INTERVAL_NS
                 calls.append(self._call(peer, ExchangeCall(known=from_positions(self._records.positions))))
-            if peer.pushable(self._now) and peer.lacks(limits := self._push_limits(peer)):
-                runs = self._records.runs_beyond(peer.known, MAX_MESSAGE_BYTES, limits)
+            if peer.pushable(self._now) and (runs := self._runs_for(peer)):
                 calls.append(self._call(peer, PushCall(runs=runs)))
         return calls
 
@@ -246,10 +245,17 @@
             origin=self._origin,
         )
 
-    def _push_limits(self, peer: Peer) -> Positions:
-        """Up to where the peer gets records: all own ones, others as far as it lacked them at an exchange."""
+    def _runs_for(self, peer: Peer) -> list[OriginRun]:
+        """What to push: all own records, others as far as the peer lacked them at an exchange.
+
+        An empty run asks for the sync of own records that the peer has fetched by an exchange.
+        """
         own = self._records.positions.get(self._origin, 0)
-        return {**peer.push_limits, self._origin: own}
+        limits = {**peer.push_limits, self._origin: own}
+        runs = self._records.runs_beyond(peer.known, MAX_MESSAGE_BYTES, limits)
+        if not runs and peer.durable.get(self._origin, 0) < own:
+            runs = [OriginRun(origin=self._origin, first_sequence=own + 1, adds=[])]
+        return runs
 
     def _call(self, peer: Peer, message: PushCall | ExchangeCall) -> PeerCall:
         self._last_call += 1
@@ -259,7 +265,7 @@
 
     def _take_reply(self, peer: Peer, call: PeerCall, reply: PeerReply) -> None:
         """Merges what came, and sees what the peer lacks."""
-        before = (peer.life, dict(peer.known))
+        life = peer.life
         merged = self._merge(reply.runs) if isinstance(reply, ExchangeReply) else 0
         if not peer.answered(self._now, reply):
             return
@@ -270,7 +276,7 @@
                 peer.complete = True
             elif merged:
                 peer.exchange_due = self._now
-        elif before == (peer.life, peer.known):  # it takes no more in
+        elif peer.life == life and not peer.took(call.message.runs):
             peer.push_due = self._now + EXCHANGE_INTERVAL_NS
 
     def _merge(self, runs: Iterable[OriginRun]) -> int:
