--- a/hopsail/configuration/codes.py
+++ b/hopsail/configuration/codes.py
@@ -72,6 +72,9 @@
     CONTROL_FORGOTTEN = 4012, 503, "it is not remembered any more whether so old a change was taken"
     CONTROL_SUPERSEDED = 4013, 503, "another order on the zone came first"
     CONTROL_UNKNOWN_ZONE = 4014, 404, "the settings name no such zone"
+    CONTROL_TALLY_REJECTED = 4021, 503, "too few disks can be reached, or there is no room: nothing was added"
+    CONTROL_TALLY_UNKNOWN = 4022, 504, "too few disks confirmed the add in time: it may count, now or later"
+    CONTROL_TALLY_NOT_READ = 4023, 503, "the process has just started and may lack what others hold"
 
 
 class ConfigurationError(HopsailError, ValueError):
--- a/hopsail/controlplane/operator.py
+++ b/hopsail/controlplane/operator.py
@@ -11,6 +11,7 @@
 from ..http.server import Exchange
 from .commands import Command, CommandKind, Result
 from .shards import CONFIGURATION_SHARD, shard_of_service
+from .tally_calls import TALLY_PREFIX, TallyCalls, TallyControl
 
 CONFIGURATION_PATH, VERSION_PATH = "/-/config", "/-/version-put"
 EVACUATIONS_PATH = "/-/evacuations/"  # and the zone
@@ -20,7 +21,7 @@
 MAX_PARSED_HERE_BYTES = 256 << 10  # a larger body is read by the leader alone, in steps
 
 
-class Control(Protocol):
+class Control(TallyControl, Protocol):
     """What carries the operator's calls out."""
 
     def submit(self, shard: int, command: Command, done: Callable[[Result | None], None]) -> None:
@@ -48,6 +49,7 @@
 
     def __init__(self, control: Control, counters):
         self.control, self.counters = control, counters
+        self._tally_calls = TallyCalls(control, counters)
 
     def handle(self, request: Request, exchange: Exchange) -> None:
         """One call."""
@@ -63,6 +65,8 @@
             self._name_revision(request, exchange)
         elif request.path.startswith(EVACUATIONS_PATH):
             self._order_evacuation(request, exchange)
+        elif request.path.startswith(TALLY_PREFIX):
+            self._tally_calls.handle(request, exchange)
         elif request.path in (CONFIGURATION_PATH, VERSION_PATH):
             self._answer(exchange, Result.rejection(ResultCode.CONTROL_NO_METHOD, request.method))
         else:
