--- a/hopsail/controlplane/evacuations.py
+++ b/hopsail/controlplane/evacuations.py
@@ -47,12 +47,15 @@
         self._orders[command.subject] = order
         return Result(OK, value=order.number)
 
-    def publish(self, journal: Journal) -> None:
-        """Feed what is newer than what the journal has."""
+    def publish(self, journal: Journal) -> list[str]:
+        """Feed what is newer than what the journal has; the zones whose orders are newly fed."""
+        newer = []
         for zone, order in self._orders.items():
             fed = journal.get(Topic.EVACUATION, zone)
             if fed is None or decode_evacuation(fed).number < order.number:
                 journal.set(Topic.EVACUATION, zone, order.value)
+                newer.append(zone)
+        return newer
 
 
 def is_superseded(result: Result | None) -> TypeGuard[Result]:
--- a/hopsail/controlplane/plane.py
+++ b/hopsail/controlplane/plane.py
@@ -43,6 +43,7 @@
 
 state_log = get_logger("state")
 configuration_log = get_logger("configuration")
+zones_log = get_logger("zones")
 
 DATA_PLANE_ROLE = "dataplane"
 MAX_BODY_BYTES = 6 << 20  # of an operator's call
@@ -217,7 +218,11 @@
                 known = self.journal.get(Topic.TARGET, model)
                 if known is None or int(known) < revision:
                     self.journal.set(Topic.TARGET, model, str(revision).encode())
-            shard.state.evacuations.publish(self.journal)
+            newly_fed = shard.state.evacuations.publish(self.journal)
+        for zone in newly_fed:
+            order = shard.state.evacuations.newest(zone)
+            verdict = "evacuated" if order.in_force else "not evacuated"
+            zones_log.info("zone %s %s, order %s", zone, verdict, order.number)
         self.rollouts.wake()
 
     def _configuration_fed(self, table: RouteTable) -> None:
