Test that many data planes do not flood hosts that warm up, by their placements alone

The simulated senders of test_warmup.py are cut in two as well: one half has the list's word, the other has only seen the hosts fail.

--- a/tests/test_dataplane_placement.py
+++ b/tests/test_dataplane_placement.py
@@ -1,5 +1,6 @@
 """Which host a request goes to, and what the host is told."""
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -56,10 +57,10 @@
 class Fleet:
     """A placement with the view that it follows."""
 
-    def __init__(self, hosts=6, seed=1, stores=False, **more):
+    def __init__(self, hosts=6, seed=1, stores=False, name="n1", **more):
         self.now = START
         self.view = FleetView()
-        self.placement = Placement(parse_settings(SETTINGS), self.view, Random(seed))
+        self.placement = Placement(parse_settings(SETTINGS + f"NodeName={name}\n"), self.view, Random(seed))
         self.state = {}
         services = CONFIGURATION["Services"] if stores else CONFIGURATION["Services"][:1]
         items = split_items(CONFIGURATION | {"Services": services})
@@ -724,9 +725,9 @@
 # Hosts that warm up
 
 
-def bounded_fleet(senders=1, **service):
+def bounded_fleet(senders=1, hosts=2, name="n1", **service):
     """One with so many data planes, whose configuration tells more of the service."""
-    fleet = Fleet(hosts=2)
+    fleet = Fleet(hosts, name=name)
     told = CONFIGURATION | {"Revision": 2, "Services": [{"Name": "s"} | service]}
     items = [Change(Topic.CONFIGURATION, key, value) for key, value in split_items(told).items()]
     fleet.tell(*items, Change(Topic.BALANCERS, "count", str(senders).encode()))
@@ -751,6 +752,16 @@
     return instance(identifier).with_warmup(warmup_round, left_ms)
 
 
+@pytest.mark.parametrize("number", [2, 9, 63])
+def test_hosts_that_warm_up_are_not_flooded_by_many_data_planes(number):
+    names = []
+    for at in range(number):
+        fleet = bounded_fleet(number, 0, f"node-{at}", **BOUND)
+        fleet.list(*[replace(instance(name), warmup_left_ms=3000) for name in ("i-0", "i-1")])
+        names += [name for _ in range(60) if (name := fleet.host()) is not None]
+    assert 0 < max(names.count(name) for name in ("i-0", "i-1")) <= 27 * 1.5 + 5
+
+
 def test_hosts_that_warm_up_are_not_flooded_by_a_data_plane():
     fleet = bounded_fleet(**BOUND)
     assert sum(sent(fleet).values()) == 60
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -1,6 +1,7 @@
 """What hosts that warm up get in one second: the sum over many senders, without any agreement of theirs."""
 
 from bisect import bisect_right
+from itertools import product
 from random import Random
 
 import pytest
@@ -57,28 +58,33 @@
 
 @pytest.mark.parametrize("number", FLEETS)
 def test_a_warming_host_is_not_flooded_by_many_senders_in_any_second(number):
-    """All senders prefer two idle hosts; one half, cut off, is told of fewer senders later on."""
+    """All senders prefer two hosts. One half is cut off: it is told of fewer senders, and of no warm-up, but
+    has seen the hosts fail."""
     draw = Random(number)
     senders = [sends(f"node-{at}", number) for at in range(number)]
     services = [hosts_of(one, 6) for one in senders]
     warm_at = {f"i-{at}": WARM_AT for at in range(2)}
+    for one, name in product(senders[: number // 2], warm_at):
+        one.failed(START - SECOND, name)
     arrived = {name: [] for name in warm_at}
     waiting = []  # reservations whose connection is on its way up
     for step in range(100):
         now = START + step * 40 * MS
         for one in senders[: number // 2]:
             one.senders.note(now, max(1, number // 2))
-        for _, name, reservation in [one for one in waiting if one[0] <= now]:
-            if reservation.write(now, WARM_AT):
+        for _, name, reservation, told_until in [one for one in waiting if one[0] <= now]:
+            if reservation.write(now, told_until):
                 arrived[name].append(now)
             else:
                 reservation.release()
         waiting = [one for one in waiting if one[0] > now]
         for at in draw.choices(range(number), weights=[1 / (1 + at) for at in range(number)], k=40):
-            usable = UsableHosts(services[at], now, set(), lambda state: True, warm_at=warm_at)
+            told = {} if at < number // 2 else warm_at
+            usable = UsableHosts(services[at], now, set(), lambda state: True, warm_at=told)
             name = next((f"i-{host}" for host in range(6) if usable.get(f"i-{host}") is not None), "none")
             if name in arrived:
-                waiting.append((now + draw.choice((0, 0, 900)) * MS, name, senders[at].reserve(name)))
+                up_at = now + draw.choice((0, 0, 900)) * MS
+                waiting.append((up_at, name, senders[at].reserve(name), told.get(name, 0)))
     for times in arrived.values():
         assert 0 < most_in_a_second(times) <= RULE.allowance
 
