--- a/tests/tallies_simulation.py
+++ b/tests/tallies_simulation.py
@@ -80,6 +80,7 @@
         self.machines = {f"m{number}": Machine(f"m{number}") for number in range(shape.machines)}
         self.blocked: set[tuple[str, str]] = set()
         self.lost_disks: set[str] = set()
+        self.resetting = False  # connections over a broken link are refused, not silent
         self.smooth = False  # the network loses and delays nothing
         self.callers: list[Caller] = []
         self.owed: set[Add] = set()
@@ -216,6 +217,10 @@
         target = self.machines.get(call.peer)
         if target is None:
             return
+        ways = {(machine.name, target.name), (target.name, machine.name)}
+        if self.resetting and ways & self.blocked:
+            self.after(MS, lambda: self._refused(machine, life, call.number))
+            return
         for _ in range(2 if self.random.random() < 0.02 else 1):
             self._carry(machine.name, target.name, lambda: self._arrive(machine, life, target, call))
 
@@ -241,11 +246,11 @@
         self.on(machine, life, lambda replica: replica.replied(self.now, number, reply, False))
 
     def _refuse(self, source: str, machine: Machine, life: int, number: int) -> None:
-        def refused() -> None:
-            machine.calls.pop(number, None)
-            self.on(machine, life, lambda replica: replica.replied(self.now, number, None, True))
+        self._carry(source, machine.name, lambda: self._refused(machine, life, number))
 
-        self._carry(source, machine.name, refused)
+    def _refused(self, machine: Machine, life: int, number: int) -> None:
+        machine.calls.pop(number, None)
+        self.on(machine, life, lambda replica: replica.replied(self.now, number, None, True))
 
     def block(self, pairs: set[tuple[str, str]]) -> None:
         self.blocked |= pairs
@@ -394,6 +399,7 @@
         pairs = {(a, b) for a in left for b in right}
         if self.random.random() < 0.7:
             pairs |= {(b, a) for a, b in pairs}
+        self.simulation.resetting = self.random.random() < 0.3
         self.simulation.block(pairs)
 
     def heal(self) -> None:
