--- a/tests/test_service_hosts.py
+++ b/tests/test_service_hosts.py
@@ -8,6 +8,7 @@
 from hopsail.routing.choice import ChoiceParameters
 from hopsail.routing.lanes import Lane
 from hopsail.routing.outcomes import Failure
+from hopsail.routing.warmup import WarmupRule
 
 NUMBER = 2000
 
@@ -96,3 +97,12 @@
     hosts.renew([replace(instance(index), models=()) for index in range(6)])
     hosts.set_division(0.25)
     assert [len(chooser.ring) for chooser in hosts.choosers.values()] == [6, 6]
+
+
+def test_what_was_sent_to_a_host_that_is_gone_is_forgotten():
+    hosts = service(2)
+    hosts.warmup.rule = WarmupRule(40.0, 1)
+    for name in ("i-0", "i-1"):
+        hosts.warmup.reserve(name)
+    hosts.renew([instance(1)])
+    assert set(hosts.warmup._hosts) == {"i-1"}
