--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -197,3 +197,10 @@
     send(one, START)
     one.forget("i-0")
     assert not one._hosts
+
+
+def test_requests_to_a_host_that_never_warms_up_are_not_kept_for_ever():
+    one = sends()
+    for at in range(2000):
+        assert send(one, START + at * 10 * MS, told_until=0)
+    assert len(one._hosts["i-0"].written) <= WINDOW_NS // (10 * MS) + 1
