--- a/hopsail/routing/warmup.py
+++ b/hopsail/routing/warmup.py
@@ -81,6 +81,10 @@
         self.suspected_until = 0
         self.has_failed = False  # and not answered since
 
+    def note_written(self, now: int) -> None:
+        self.sent(now)  # older ones are dropped, or they would gather at a host that never warms up
+        self.written.append(now)
+
     def sent(self, now: int) -> int:
         while self.written and self.written[0] <= now - WINDOW_NS:
             self.written.popleft()
@@ -105,7 +109,7 @@
         if not self._sends.may_write(now, self._name, told_until):
             return False
         self._settle()
-        self._host.written.append(now)
+        self._host.note_written(now)
         return True
 
     def release(self) -> None:
