Warm-up: counts of data planes are trusted only once they have settled

What callers would see: after a restart of all control processes these count the data planes up from one. A data plane that started with them believed the first counts, took a share of a much smaller fleet, and all together could send a warming host several times its allowance. Cause: a quantity divided by a count that is too low for a while (class: a bound for each sender that holds in sum only for the true number of senders). Change: no quota until ten seconds after the first count that a process is told; the count is looked at on each tick, so that traffic meets a settled one.

--- a/hopsail/dataplane/placement.py
+++ b/hopsail/dataplane/placement.py
@@ -154,6 +154,10 @@
         allowance = per_s * self.warmup_excess + self.warmup_margin
         return WarmupRule(allowance, int(told.get("WarmupS", 0) * SECOND))
 
+    def note_senders(self, now: int) -> None:
+        """Takes in how many data planes there are; to be called often, as counts settle only with time."""
+        self.senders.note(now, self.view.balancers)
+
     def zone_returns(self, now: int, zone: str) -> None:
         """The zone's hosts may be sent requests again, and may have begun to warm up shortly before."""
         self._renew_rules()
@@ -286,7 +290,7 @@
         return self._placed(now, name, service, state, prompt, wall, priority, usable)
 
     def _usable(self, service: ServiceHosts, now: int, prompt: Prompt, excluded, paused=False) -> UsableHosts:
-        self.senders.note(now, self.view.balancers)
+        self.note_senders(now)
         self._renew_rules()
         return UsableHosts(
             service,
--- a/hopsail/dataplane/plane.py
+++ b/hopsail/dataplane/plane.py
@@ -160,6 +160,7 @@
         self.after(TICK_MS, self._tick)
         self.controls.choose()
         self.confirmed.tick()
+        self.placement.note_senders(self.loop.now())
         for forwarding in list(self.in_flight):
             forwarding.withdraw_if_superseded()
         if self.lanes is not None:
--- a/hopsail/routing/warmup.py
+++ b/hopsail/routing/warmup.py
@@ -14,6 +14,7 @@
 
 WINDOW_NS = 1050 * MS  # one second, and the inaccuracy of clocks
 LIST_LAG_NS = 2 * SECOND  # by which the news that a host is warming up may be late
+COUNT_SETTLES_NS = 10 * SECOND  # from the first count that is told; those of a fleet that starts are too low
 SENDERS_KEPT_NS = 300 * SECOND  # for which a count of senders holds after a lower one has been told
 DEVIATIONS = 5.0  # standard deviations between the mean of the sum of quotas and the allowance
 HASH_BYTES = 8
@@ -53,21 +54,25 @@
     def __init__(self) -> None:
         """Start without a known number."""
         self._told: deque[tuple[int, int]] = deque()  # when and how many, the numbers falling
+        self._first_told_at: int | None = None  # ns
 
     def note(self, now: int, count: int | None) -> None:
         """Take in the number known at `now` (ns)."""
         if count is None:
             return
+        if self._first_told_at is None:
+            self._first_told_at = now
         while self._told and self._told[-1][1] <= count:
             self._told.pop()
         self._told.append((now, count))
         while self._told[0][0] < now - SENDERS_KEPT_NS:
             self._told.popleft()
 
-    @property
-    def highest(self) -> int | None:
-        """The highest number; None while none has been told."""
-        return self._told[0][1] if self._told else None
+    def highest(self, now: int) -> int | None:
+        """The highest number; None until counts have settled."""
+        if self._first_told_at is None or now - self._first_told_at < COUNT_SETTLES_NS:
+            return None
+        return self._told[0][1]
 
 
 class _Host:
@@ -152,7 +157,7 @@
             return True
         host = self._hosts.get(name)
         used = host.pending + host.sent(now) if host is not None else 0
-        if used < self._quota(name):
+        if used < self._quota(now, name):
             return True
         self.passed_over += 1
         return False
@@ -167,7 +172,7 @@
         """Whether a request that was reserved earlier may be written now."""
         if not self.is_warming(now, name, told_until):
             return True
-        if self._host(name).sent(now) < self._quota(name):
+        if self._host(name).sent(now) < self._quota(now, name):
             self.sent_warming += 1
             return True
         self.taken_back += 1
@@ -196,9 +201,9 @@
         """Drop the record of a host that is gone."""
         self._hosts.pop(name, None)
 
-    def _quota(self, name: str) -> int:
+    def _quota(self, now: int, name: str) -> int:
         rule = self.rule
-        return quota(rule.mean, self.senders.highest, self.sender, name) if rule is not None else 0
+        return quota(rule.mean, self.senders.highest(now), self.sender, name) if rule is not None else 0
 
     def _host(self, name: str) -> _Host:
         host = self._hosts.get(name)
--- a/tests/test_dataplane_placement.py
+++ b/tests/test_dataplane_placement.py
@@ -24,6 +24,7 @@
 from hopsail.routing.lanes import Lane
 from hopsail.routing.recent_readers import LASTING_NS
 from hopsail.routing.outcomes import Failure
+from hopsail.routing.warmup import COUNT_SETTLES_NS
 from hopsail.weights.load import HostLoad, LoadPhase, encode_load
 
 SETTINGS = "NodeName=n1\nZone=z1\nIp=127.0.0.1\nPortRange=9000,9010\nBounds.ApplyOneMs=8000\n"
@@ -731,6 +732,7 @@
     told = CONFIGURATION | {"Revision": 2, "Services": [{"Name": "s"} | service]}
     items = [Change(Topic.CONFIGURATION, key, value) for key, value in split_items(told).items()]
     fleet.tell(*items, Change(Topic.BALANCERS, "count", str(senders).encode()))
+    fleet.placement.note_senders(fleet.now - COUNT_SETTLES_NS)
     return fleet
 
 
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -11,6 +11,7 @@
 from hopsail.model import MS, SECOND
 from hopsail.routing.choice import ChoiceParameters
 from hopsail.routing.warmup import (
+    COUNT_SETTLES_NS,
     LIST_LAG_NS,
     SENDERS_KEPT_NS,
     WINDOW_NS,
@@ -28,7 +29,7 @@
 
 def sends(sender="n1", senders=2, rule=RULE):
     count = SenderCount()
-    count.note(START, senders)
+    count.note(START - COUNT_SETTLES_NS, senders)
     made = WarmupSends(sender, count)
     made.rule = rule
     return made
@@ -124,9 +125,21 @@
     count = SenderCount()
     for at, told in enumerate((63, 21, 20, None)):
         count.note(START + at * SECOND, told)
-    assert count.highest == 63
-    count.note(START + SENDERS_KEPT_NS + 2 * SECOND, 20)
-    assert count.highest == 20
+    assert count.highest(START + COUNT_SETTLES_NS) == 63
+    later = START + SENDERS_KEPT_NS + 2 * SECOND
+    count.note(later, 20)
+    assert count.highest(later) == 20
+
+
+def test_a_warming_host_is_not_flooded_by_a_fleet_that_has_just_started_and_is_told_too_few_senders():
+    fleet = [sends(f"node-{at}", None) for at in range(63)]
+    warm_at, settled = START + 60 * SECOND, START + COUNT_SETTLES_NS
+    for one in fleet:
+        one.senders.note(START, 3)
+    assert not any(send(one, settled - 1, told_until=warm_at) for one in fleet)
+    for one in fleet:
+        one.senders.note(settled - 1, 63)
+    assert 0 < sum(send(one, settled, told_until=warm_at) for one in fleet) <= 45
 
 
 def test_a_reservation_counts_until_a_window_after_its_late_write():
