Tallies: whoever refuses connections for 2 s counts as cut off; tests of the service

A peer that refuses counts so once it has not replied for longer than a start takes (RESTART_WAIT_NS, 2 s instead of 3). Calls of the channel end before the replica gives them up, as only the channel tells refusal from silence.

--- a/hopsail/controlplane/tallies.py
+++ b/hopsail/controlplane/tallies.py
@@ -31,6 +31,8 @@
 FOLDER = "tallies"
 ORIGIN_BYTES = 8  # random ones, so that no life of a process takes the origin of another
 MIN_TICK_NS = MILLISECOND
+# Before the replica gives a call up by itself, as the channel can tell whether the other side refuses.
+CHANNEL_TIMEOUT_NS = CALL_TIMEOUT_NS - 50 * MILLISECOND
 REPLIES = {PUSH: PushReply, EXCHANGE: ExchangeReply}
 # After these it is the channel that tells whether the other side refuses connections or is silent.
 CONNECTION_ERRORS = (CallTimeoutError, CallRefusedError, DisconnectedError)
@@ -180,7 +182,7 @@
             self.replica.replied(self.loop.now(), call.number, reply, refused)
             self._pump_soon()
 
-        channel.call(method, call.message, REPLIES[method], done, CALL_TIMEOUT_NS)
+        channel.call(method, call.message, REPLIES[method], done, CHANNEL_TIMEOUT_NS)
 
     def _receive_push(self, call: PushCall, respond: Respond, _peer: Peer) -> None:
         self.replica.receive_push(self.loop.now(), call, respond)
--- a/hopsail/tallies/peers.py
+++ b/hopsail/tallies/peers.py
@@ -1,8 +1,10 @@
 """What a replica knows of another one: what it holds, and whether it answers.
 
-A peer that is silent for some time is cut off. One that refuses connections is not: its process restarts.
+A peer that is silent for some time is cut off. One that refuses connections may have a process that
+restarts: it is cut off only when that lasts longer than a start takes.
 """
 
+import math
 from collections.abc import Iterable
 from enum import Enum, auto
 
@@ -11,7 +13,7 @@
 from .types import PeerCall, PeerReply
 
 CUT_OFF_NS = 1_000_000_000  # ns without a reply after which a silent peer is cut off
-RESTART_WAIT_NS = 3_000_000_000  # ns that a peer which refuses connections may take to start
+RESTART_WAIT_NS = 2_000_000_000  # ns that a peer which refuses connections may take to start
 EXCHANGE_INTERVAL_NS = 250_000_000  # ns between two exchanges with a peer
 CALL_TIMEOUT_NS = 500_000_000  # ns
 
@@ -47,7 +49,15 @@
 
     def cut_off(self, now: int) -> bool:
         """Whether it has to be taken for the other side of a partition."""
-        return self.ending is Ending.SILENCE and now - self.silent_since >= CUT_OFF_NS
+        return self._cut_off_at() <= now
+
+    def _cut_off_at(self) -> float:
+        """When it counts as cut off if no call to it has another end than the last one, ns."""
+        if self.ending is Ending.SILENCE:
+            return min(self.silent_since + CUT_OFF_NS, self.last_reply + RESTART_WAIT_NS)
+        if self.ending is Ending.REFUSED:
+            return self.last_reply + RESTART_WAIT_NS
+        return math.inf
 
     def reachable(self, now: int) -> bool:
         """Whether the next push may well arrive."""
@@ -126,8 +136,8 @@
             yield self.exchange_due
         if self.push_due > now:
             yield self.push_due
-        if self.ending is Ending.SILENCE and not self.cut_off(now):
-            yield self.silent_since + CUT_OFF_NS
+        if now < (cut_off_at := self._cut_off_at()) < math.inf:
+            yield int(cut_off_at)
 
 
 def _raise_to(positions: Positions, others: Positions) -> None:
--- /dev/null
+++ b/tests/test_controlplane_tallies.py
@@ -0,0 +1,185 @@
+"""Tallies of whole control processes on loopback addresses, each with its loop and its disk."""
+
+import json
+
+import pytest
+from test_controlplane_processes import DOOR, SECOND, make_cluster, put  # noqa: F401
+
+from hopsail.controlplane.tally_disk import TallyDisk
+from hopsail.http.client import HttpClient
+from hopsail.net.loop import Loop
+from hopsail.replication.errors import StorageError
+from hopsail.tallies.types import Add, AddOutcome, TallyWrite
+
+
+def add(cluster, number, identifier, amount=1):
+    """Adds as callers do, who send again what has not been acknowledged."""
+    for _ in range(20):
+        told = []
+        cluster.planes[number].add_to_tally(Add("t", identifier, amount), told.append)
+        if cluster.until(lambda told=told: told)[0] is AddOutcome.ACKNOWLEDGED:
+            return
+    raise AssertionError("not acknowledged")
+
+
+def read(cluster, number, total):
+    cluster.until(lambda: cluster.planes[number].tally_total("t") == total)
+
+
+def cut_off(cluster, number):
+    """It hears nothing of the others any more."""
+    cluster.frozen |= set(cluster.planes) - {number}
+
+
+def test_adds_at_each_process_are_read_at_all(make_cluster):  # noqa: F811
+    cluster = make_cluster()
+    for number in cluster.planes:
+        add(cluster, number, f"i-{number}", number)
+        add(cluster, number, "twice", 10)
+    for number in cluster.planes:
+        read(cluster, number, 16)
+
+
+def test_an_add_survives_the_end_of_all_processes_and_one_disk(make_cluster):  # noqa: F811
+    cluster = make_cluster()
+    add(cluster, 1, "i", 5)
+    for number in (1, 2, 3):
+        cluster.kill(number, wipe=number == 1)
+    for number in (1, 2, 3):
+        cluster.start(number)
+        assert cluster.planes[number].tally_total("t") is None  # before it has heard of others
+    for number in (1, 2, 3):
+        read(cluster, number, 5)
+
+
+def test_a_process_alone_on_its_side_of_a_partition_goes_on(make_cluster):  # noqa: F811
+    cluster = make_cluster()
+    add(cluster, 1, "before", 1)
+    cut_off(cluster, 1)
+    plane = cluster.planes[1]
+    cluster.until(lambda: plane.tallies.replica.figures()["cut_off"] == 2)
+    add(cluster, 1, "alone", 2)
+    assert plane.tally_total("t") == 3
+    cluster.frozen.clear()
+    read(cluster, 3, 3)
+
+
+def test_a_stalled_disk_of_tallies_costs_neither_adds_nor_leadership(make_cluster, monkeypatch):  # noqa: F811
+    cluster = make_cluster()
+    leader = cluster.settled()
+    monkeypatch.setattr(cluster.planes[leader].tallies.disk, "write", lambda write: None)
+    add(cluster, leader, "i")
+    assert cluster.submit(leader, put(0, 4)).status == 200 and cluster.leader() == leader
+
+
+def test_a_full_disk_of_tallies_is_tried_again(make_cluster, monkeypatch):  # noqa: F811
+    cluster = make_cluster()
+    tallies = cluster.planes[1].tallies
+    whole = tallies.disk.storage.write
+
+    def full(batch):
+        raise StorageError("no room")
+
+    monkeypatch.setattr(tallies.disk.storage, "write", full)
+    add(cluster, 1, "i")  # on the disks of the others
+    cluster.until(lambda: tallies.counters.counts["tallies.disk_failures"] >= 2)
+    monkeypatch.setattr(tallies.disk.storage, "write", whole)
+    cluster.until(lambda: tallies.disk.storage.load("tallies") is not None)
+
+
+def test_an_add_that_comes_with_the_signal_to_end_is_answered(make_cluster):  # noqa: F811
+    cluster = make_cluster()
+    cluster.settled()
+    caller, answers = HttpClient(Loop()), []
+    body = json.dumps({"InstanceId": "i", "Actor": 4}).encode()
+    caller.call((cluster.ip(1), DOOR), "POST", "/-/tallies/t", [], body, 3 * SECOND, answers.append)
+    for _ in range(3):
+        caller.loop.round(0.001)  # sent, and not read yet
+    plane = cluster.planes[1]
+    plane.terminate()
+
+    def answered():
+        caller.loop.round(0.001)
+        return answers
+
+    try:
+        cluster.until(answered)
+        assert (answers[0].status, answers[0].body) == (200, b"{}")
+        cluster.until(lambda: not plane.loop.running)
+    finally:
+        caller.loop.close()
+    cluster.kill(1)
+    read(cluster, 2, 4)
+
+
+# The disk alone
+
+
+class Done:
+    def __init__(self):
+        self.written_serials, self.failed_serials = [], []
+
+    def written(self, serial):
+        self.written_serials.append(serial)
+
+    def write_failed(self, serial):
+        self.failed_serials.append(serial)
+
+
+@pytest.fixture
+def loop():
+    loop = Loop()
+    yield loop
+    loop.close()
+
+
+def opened(loop, folder):
+    done = Done()
+    return TallyDisk(loop, str(folder), lambda: done), done
+
+
+def write(loop, disk, done, serial, data, replaces_all=False):
+    before = len(done.written_serials) + len(done.failed_serials)
+    disk.write(TallyWrite(serial, data, replaces_all))
+    while len(done.written_serials) + len(done.failed_serials) == before:
+        loop.round(0.001)
+
+
+def test_writes_are_read_in_order_and_from_the_last_that_replaces_all(loop, tmp_path):
+    disk, done = opened(loop, tmp_path)
+    for serial, data in enumerate([b"a", b"b", b"c", b"d"], 1):
+        write(loop, disk, done, serial, data, replaces_all=data == b"c")
+    disk.close()
+    disk, done = opened(loop, tmp_path)
+    assert disk.stored == [b"c", b"d"]
+    write(loop, disk, done, 1, b"e")  # serials begin anew in each life
+    disk.close()
+    disk, _ = opened(loop, tmp_path)
+    assert disk.stored == [b"c", b"d", b"e"] and not disk.storage.corrupt
+    disk.close()
+
+
+def test_a_write_that_failed_is_replaced_by_the_next(loop, tmp_path, monkeypatch):
+    disk, done = opened(loop, tmp_path)
+    write(loop, disk, done, 1, b"a")
+    with monkeypatch.context() as patch:
+        patch.setattr(disk.storage, "write", lambda batch: 1 / 0)
+        write(loop, disk, done, 2, b"lost")
+    write(loop, disk, done, 3, b"b")
+    assert (done.written_serials, done.failed_serials) == ([1, 3], [2])
+    disk.close()
+    disk, _ = opened(loop, tmp_path)
+    assert disk.stored == [b"a", b"b"]
+    disk.close()
+
+
+def test_a_torn_last_write_is_left_out(loop, tmp_path):
+    disk, done = opened(loop, tmp_path)
+    for serial, data in ((1, b"a"), (2, b"torn" * 100)):
+        write(loop, disk, done, serial, data)
+    disk.close()
+    (file,) = tmp_path.glob("*.dat")
+    file.write_bytes(file.read_bytes()[:-50])
+    disk, _ = opened(loop, tmp_path)
+    assert disk.stored == [b"a"] and disk.storage.torn_records == 1 and not disk.storage.corrupt
+    disk.close()
