--- a/tests/tallies_simulation.py
+++ b/tests/tallies_simulation.py
@@ -60,9 +60,10 @@
 class Caller:
     """An application's add, tried at one machine after the other."""
 
-    def __init__(self, add: Add, machine: str) -> None:
+    def __init__(self, add: Add, machine: str, most_attempts: int) -> None:
         self.add = add
         self.machine = machine
+        self.most_attempts = most_attempts
         self.attempts = 0
         self.open_attempts: set[int] = set()  # those after which the add may count
         self.outcome: AddOutcome | None = None
@@ -79,6 +80,7 @@
         self.machines = {f"m{number}": Machine(f"m{number}") for number in range(shape.machines)}
         self.blocked: set[tuple[str, str]] = set()
         self.lost_disks: set[str] = set()
+        self.resetting = False  # connections over a broken link are refused, not silent
         self.smooth = False  # the network loses and delays nothing
         self.callers: list[Caller] = []
         self.owed: set[Add] = set()
@@ -215,6 +217,10 @@
         target = self.machines.get(call.peer)
         if target is None:
             return
+        ways = {(machine.name, target.name), (target.name, machine.name)}
+        if self.resetting and ways & self.blocked:
+            self.after(MS, lambda: self._refused(machine, life, call.number))
+            return
         for _ in range(2 if self.random.random() < 0.02 else 1):
             self._carry(machine.name, target.name, lambda: self._arrive(machine, life, target, call))
 
@@ -240,11 +246,11 @@
         self.on(machine, life, lambda replica: replica.replied(self.now, number, reply, False))
 
     def _refuse(self, source: str, machine: Machine, life: int, number: int) -> None:
-        def refused() -> None:
-            machine.calls.pop(number, None)
-            self.on(machine, life, lambda replica: replica.replied(self.now, number, None, True))
+        self._carry(source, machine.name, lambda: self._refused(machine, life, number))
 
-        self._carry(source, machine.name, refused)
+    def _refused(self, machine: Machine, life: int, number: int) -> None:
+        machine.calls.pop(number, None)
+        self.on(machine, life, lambda replica: replica.replied(self.now, number, None, True))
 
     def block(self, pairs: set[tuple[str, str]]) -> None:
         self.blocked |= pairs
@@ -272,8 +278,8 @@
 
     # Callers.
 
-    def call(self, add: Add, machine: str) -> Caller:
-        caller = Caller(add, machine)
+    def call(self, add: Add, machine: str, most_attempts: int = ATTEMPTS) -> Caller:
+        caller = Caller(add, machine, most_attempts)
         self.callers.append(caller)
         self._attempt(caller)
         return caller
@@ -312,7 +318,7 @@
 
     def _turn(self, caller: Caller, attempt: int) -> None:
         """Turns to another machine, with the same identifier."""
-        if caller.outcome is None and caller.attempts == attempt < ATTEMPTS:
+        if caller.outcome is None and caller.attempts == attempt < caller.most_attempts:
             caller.machine = self.random.choice(sorted(self.machines))
             self._attempt(caller)
 
@@ -393,6 +399,7 @@
         pairs = {(a, b) for a in left for b in right}
         if self.random.random() < 0.7:
             pairs |= {(b, a) for a, b in pairs}
+        self.simulation.resetting = self.random.random() < 0.3
         self.simulation.block(pairs)
 
     def heal(self) -> None:
@@ -453,10 +460,11 @@
         if machine.replica is not None:
             machine.replica.compact()
 
-    def blackout(self) -> None:
+    def blackout(self, most_likely: Machine | None = None) -> None:
         """All lose power at once, and as many disks as are to be borne are gone."""
         machines = list(self.simulation.machines.values())
         self.random.shuffle(machines)
+        machines.sort(key=lambda machine: machine is not most_likely)
         for machine in machines:
             self.simulation.stop(machine)
         for machine in machines:
@@ -468,10 +476,15 @@
         """A power loss of all, and whoever can tell its totals afterwards tells all that is owed."""
         self.repair()
         self.simulation.smooth = True
+        called = self._some()
+        for machine in self.simulation.machines.values():
+            machine.disk_slow = machine is not called and self.random.random() < 0.5
         for _ in range(10):
-            self.simulation.call(_some_add(self.simulation), self._some().name)
+            self.simulation.call(_some_add(self.simulation), called.name)
             self.simulation.run_for(self.random.randint(1, 4) * MS)
-        self.blackout()
+        self.blackout(called)
+        for machine in self.simulation.machines.values():
+            machine.disk_slow = False
         owed = set(self.simulation.owed)
         for _ in range(30):
             self.simulation.run_for(50 * MS)
@@ -530,7 +543,8 @@
         if simulation.now >= next_fault:
             faults.strike()
             next_fault = simulation.now + random.randint(100, 1500) * MS
-        simulation.call(_some_add(simulation), random.choice(sorted(simulation.machines)))
+        name = random.choice(sorted(simulation.machines))
+        simulation.call(_some_add(simulation), name, random.randint(1, ATTEMPTS))
         simulation.read(random.choice(list(simulation.machines.values())))
         simulation.run_for(random.randint(1, 100) * MS)
     if random.random() < 0.7:
