--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -469,6 +469,18 @@
         assert outcomes.all == [Inner(name="x"), CallTimeoutError]
         assert other.all == [DisconnectedError]
         assert not channel.connected and channel.counts.silent_peers == 1
+        assert not channel.refusing
+
+    def test_a_side_that_refuses_connections_is_told_from_a_silent_one(self, loop, server, channel, outcomes):
+        channel.call("echo", Inner(), Inner, outcomes, SECOND)
+        loop.until(lambda: outcomes.all)
+        assert not channel.refusing
+        server.close()
+        loop.until(lambda: not channel.connected)
+        assert channel.refusing
+        channel.call("echo", Inner(), Inner, outcomes, SECOND)
+        loop.until(lambda: len(outcomes.all) == 2)
+        assert channel.refusing
 
     def test_no_reply_in_time_leaves_a_connection_that_brings_others(self, loop, server, channel, outcomes):
         held = []
