--- a/tests/test_controlplane_processes.py
+++ b/tests/test_controlplane_processes.py
@@ -457,3 +457,11 @@
     cluster.until(lambda: len(cluster.planes[4].membership.alive("controlplane")) == 4)
     assert cluster.read(4) == 1
     assert cluster.submit(4, put(1, 2)).status == 200
+
+
+def test_a_process_that_has_just_started_tells_no_number_of_data_planes(make_cluster):
+    """It knows of itself alone, and data planes would take the whole fleet's budgets for their own part."""
+    cluster = make_cluster()
+    cluster.kill(1)
+    cluster.start(1)
+    assert cluster.planes[1].journal.get(Topic.BALANCERS, "count") is None
--- a/tests/test_dataplane_forward.py
+++ b/tests/test_dataplane_forward.py
@@ -1298,3 +1298,13 @@
     fleet = Outcomes()
     fleet.over(Outcome.NOT_SENT)
     assert fleet.placement.services["s"].warmup._hosts["i-0"].pending == 0
+
+
+def test_a_control_process_that_counts_anew_does_not_enlarge_this_ones_part_of_the_retries(plane):
+    """One that has just started counts up from 1: its number must not give each data plane the whole slack."""
+    told = []
+    plane.budget.may_retry = lambda now, service, balancers: told.append(balancers)
+    for source, number in (("c1", b"63"), ("c2", b"1")):
+        plane.view.apply(plane.loop.now(), source, {}, [Change(Topic.BALANCERS, "count", number)])
+    plane.may_retry(plane.loop.now(), "s")
+    assert told == [63]
