Retries, gates and warm-up: share by the highest count of data planes, and tell none before members have joined

A control process counts data planes up from 1 after its start and told that number at once, so that each data plane that heard it took the whole slack of retries for itself.

--- a/hopsail/controlplane/plane.py
+++ b/hopsail/controlplane/plane.py
@@ -13,7 +13,7 @@
 from ..http.client import HttpClient
 from ..http.message import Request
 from ..http.server import Exchange, HttpServer, ServerLimits
-from ..process import FLEET, Program
+from ..process import FLEET, MILLISECOND, Program
 from ..rpc.channel import Channel
 from ..rpc.server import RpcServer
 from ..tallies.types import Add, AddDone
@@ -52,6 +52,7 @@
 MAX_FEED_ENTRIES = 2_000_000  # of the feed
 TICK_MS = 20
 SLOW_TICK_MS = 500
+COUNT_SETTLE_MS = 4000  # after a start, in which members join: a count before that is no upper bound
 VOTERS_TICK_MS = 100
 
 
@@ -173,8 +174,14 @@
         self.replicas.compact()
         self.tallies.compact()
         self.feeds.follow_others()
-        count = self.membership.count_upper_bound(DATA_PLANE_ROLE, self.loop.now())
-        self.journal.set(Topic.BALANCERS, "count", str(count).encode())
+        self._tell_count()
+
+    def _tell_count(self) -> None:
+        """Tells how many data planes there are, once members have had the time to join: an upper bound."""
+        now = self.loop.now()
+        if self.membership.joined and now - self.started_at >= COUNT_SETTLE_MS * MILLISECOND:
+            count = self.membership.count_upper_bound(DATA_PLANE_ROLE, now)
+            self.journal.set(Topic.BALANCERS, "count", str(count).encode())
 
     def _voters_tick(self) -> None:
         self.after(VOTERS_TICK_MS, self._voters_tick)
--- a/hopsail/dataplane/placement.py
+++ b/hopsail/dataplane/placement.py
@@ -19,7 +19,7 @@
 from ..routing.host_work import Backlog, ReadingRate
 from ..routing.lanes import Lane, lane_of
 from ..routing.recent_readers import LASTING_NS, part_key
-from ..routing.warmup import Reservation, SenderCount, WarmupRule, WarmupSends
+from ..routing.warmup import Reservation, WarmupRule, WarmupSends
 from ..weights.eligibility import Eligibility, EligibilityBounds, eligible, loaded_revision
 from .prompt import GENERATED_WEIGHT, Prompt
 from .service_hosts import ServiceHosts, UsableHosts
@@ -113,7 +113,7 @@
         bounds = settings.bounds
         self.node = settings.node_name
         self.warmup_excess, self.warmup_margin = bounds.warmup_excess, bounds.warmup_margin
-        self.senders = SenderCount()
+        self.senders = view.senders
         self.rules_of: RouteTable | None = None  # the configuration that the rules of warm-ups are of
         self.bounds = EligibilityBounds(apply_one_ns=int(bounds.apply_one_ms * MILLISECOND))
         self.on_age_judged: Callable[[HostState], None] = lambda state: None
@@ -167,6 +167,11 @@
         reservation = placed.reservation
         return reservation is None or reservation.write(now, self.view.warm_at.get(placed.host.identifier, 0))
 
+    def count_senders(self, now: int) -> int | None:
+        """At least as many as there are data planes; None while that is not known."""
+        self.senders.note(now, self.view.balancers)
+        return self.senders.highest
+
     def warmup_figures(self) -> dict[str, int]:
         """What was counted at hosts that may have been warming up."""
         every = [service.warmup for service in self.services.values()]
@@ -286,7 +291,7 @@
         return self._placed(now, name, service, state, prompt, wall, priority, usable)
 
     def _usable(self, service: ServiceHosts, now: int, prompt: Prompt, excluded, paused=False) -> UsableHosts:
-        self.senders.note(now, self.view.balancers)
+        self.count_senders(now)
         self._renew_rules()
         return UsableHosts(
             service,
--- a/hopsail/dataplane/plane.py
+++ b/hopsail/dataplane/plane.py
@@ -77,7 +77,7 @@
         self.budget = RetryBudget(
             bounds.retry_ratio, bounds.retry_slack, int(bounds.retry_window_s * 1000 * MILLISECOND)
         )
-        self.gates = Gates(self.loop, self.placement.capacity, lambda: self.view.balancers)
+        self.gates = Gates(self.loop, self.placement.capacity, self._data_planes)
         self.in_flight: dict[Forwarding, None] = {}
         self.channels: dict[tuple[str, int], Channel] = {}
         max_age_ns = contact_time(bounds)
@@ -363,9 +363,13 @@
         self.confirmed.forget(follower)
         self.view.forget_source(str(follower.channel.address))
 
+    def _data_planes(self) -> int | None:
+        """At least as many as share the fleet's budgets; None while that is not known."""
+        return self.placement.count_senders(self.loop.now())
+
     def may_retry(self, now: int, service: str) -> bool:
         """Whether the fleet's budget has room for one more arrival."""
-        allowed = self.budget.may_retry(now, service, self.view.balancers)
+        allowed = self.budget.may_retry(now, service, self._data_planes())
         self.counters.add("retries" if allowed else "retries.refused")
         return allowed
 
--- a/hopsail/dataplane/view.py
+++ b/hopsail/dataplane/view.py
@@ -10,6 +10,7 @@
 from ..hosts.instance import Instance, Phase, decode, merge
 from ..model import MS
 from ..prompts.kept import KeptIndex
+from ..routing.warmup import SenderCount
 from ..weights.eligibility import SeenLoad
 from ..weights.load import HostLoad, decode_load, merge_load
 from ..weights.named_revisions import RETENTION_NS, NamedRevisions
@@ -42,7 +43,8 @@
         self.kept = KeptIndex(MOST_KEPT, LEAST_KEPT)
         self.stores: dict[str, dict[str, StoreStatus]] = {}  # service -> feed -> what it tells
         self.evacuations: dict[str, Evacuation] = {}  # by zone, the newest order told by any feed
-        self.balancers: int | None = None
+        self.balancers: int | None = None  # as last told, by whatever feed
+        self.senders = SenderCount()
         self.unreadable = 0  # entries that were passed over
         self.on_configuration: Callable[[], None] = lambda: None
         self.on_instances: Callable[[], None] = lambda: None
@@ -89,6 +91,7 @@
             self._named(key).require(int(value))
         elif topic == Topic.BALANCERS:
             self.balancers = int(value)
+            self.senders.note(now, self.balancers)
         return False
 
     def _configuration(self, source: str, state: dict, changes) -> None:
--- a/tests/test_dataplane_forward.py
+++ b/tests/test_dataplane_forward.py
@@ -1301,7 +1301,7 @@
 
 
 def test_a_control_process_that_counts_anew_does_not_enlarge_this_ones_part_of_the_retries(plane):
-    """One that has just started counts up from 1: its number must not give each data plane the whole slack."""
+    """One that has just started counts up from 1: its number must not give each the whole slack."""
     told = []
     plane.budget.may_retry = lambda now, service, balancers: told.append(balancers)
     for source, number in (("c1", b"63"), ("c2", b"1")):
