--- a/tests/hosts/test_host_view.py
+++ b/tests/hosts/test_host_view.py
@@ -6,6 +6,7 @@
 
 from hopsail.hosts.instance import (
     Phase,
+    merge,
 )
 from hopsail.hosts.view import HostView
 
@@ -206,3 +207,19 @@
     view = HostView()
     heard(view, 0, 0)
     assert not heard(view, 9000, 249) and heard(view, 9000, 250)
+
+
+def test_a_warm_up_is_known_as_new_to_those_who_outlived_the_process_that_lists_it():
+    """All control processes have restarted; data planes know the host as warm, after two rounds."""
+    before = HostView()
+    heard(before, 0, 0)
+    for start in (9000, 20_000):
+        heard(before, start, 2800)
+        heard(before, start + 5000, 0)
+    after = HostView(first_round=100)
+    for at, left in ((0, 2800), (9000, 2600)):
+        heard(after, at, left)
+        known = merge(before.get("i-1"), after.get("i-1"))
+        assert known.warmup_left_ms == left
+        before.apply_instance(30_000 * MS, known)
+        heard(after, at + 5000, 0)
