Hosts: number rounds of warming up above those of earlier processes

A control process whose hosts' list was empty told the first warm-up that it saw as round 0, or 1 for the next, and data planes that knew as high a round joined it to the end of that one: the host was never bounded.

--- a/hopsail/controlplane/platform_list.py
+++ b/hopsail/controlplane/platform_list.py
@@ -1,6 +1,7 @@
 """Reads the platform's list of hosts when it is this process's turn; keeps the view of hosts in the feed."""
 
 from random import Random
+from time import time
 
 from ..configuration.process import ProcessSettings
 from ..feed.journal import Journal
@@ -26,7 +27,7 @@
         self.loop, self.journal, self.http, self.counters = loop, journal, http, counters
         self.address, self.node = settings.platform, settings.node_name
         self.is_reader = is_reader
-        self.view = HostView()
+        self.view = HostView(first_round=int(time()))  # rounds are seconds apart
         self.listing_reader = ListingReader()
         rules = ListingRules(rate_per_s=settings.platform_rate)
         self.schedule = ListingSchedule(max(3, len(settings.seeds)), Random(settings.node_name), rules)
--- a/hopsail/hosts/view.py
+++ b/hopsail/hosts/view.py
@@ -54,11 +54,16 @@
         tombstone_ttl_ns: int = TOMBSTONE_TTL_NS,
         list_lag_ns: int = MAX_LIST_LAG_NS,
         max_instances: int = MAX_INSTANCES,
+        first_round: int = 0,
     ) -> None:
-        """Create an empty view of at most `max_instances` instances, tombstones included."""
+        """Create an empty view of at most `max_instances` instances, tombstones included.
+
+        Rounds of warming up are numbered from `first_round`: above those that earlier processes have told.
+        """
         self._tombstone_ttl_ns = tombstone_ttl_ns
         self._list_lag_ns = list_lag_ns
         self._max_instances = max_instances
+        self._first_round = first_round
         self._entries: dict[str, _Entry] = {}
         self._services: dict[str, dict[str, _Entry]] = {}
         self._tombstones: dict[str, int] = {}
@@ -130,10 +135,11 @@
         """
         entry = self._entries.get(listed.identifier)
         if entry is None:
-            return listed
+            is_warm = not listed.warmup_left_ms
+            return listed if is_warm else listed.with_warmup(self._first_round, listed.warmup_left_ms)
         known, left_ms = entry.instance, listed.warmup_left_ms
         if left_ms >= MIN_NEW_WARMUP_MS and now + left_ms * NS_PER_MS > entry.warm_at + self._list_lag_ns:
-            return listed.with_warmup(known.warmup_round + 1, left_ms)
+            return listed.with_warmup(max(known.warmup_round, self._first_round) + 1, left_ms)
         if not left_ms and now < entry.warm_at and known.warmup_left_ms >= MIN_NEW_WARMUP_MS:
             left_ms = known.warmup_left_ms
         return listed.with_warmup(known.warmup_round, left_ms)
