--- a/hopsail/controlplane/plane.py
+++ b/hopsail/controlplane/plane.py
@@ -173,8 +173,13 @@
         self.replicas.compact()
         self.tallies.compact()
         self.feeds.follow_others()
-        count = self.membership.count_upper_bound(DATA_PLANE_ROLE, self.loop.now())
-        self.journal.set(Topic.BALANCERS, "count", str(count).encode())
+        self._tell_count()
+
+    def _tell_count(self) -> None:
+        """Tells how many data planes there are, once another member's view is known."""
+        if self.membership.joined:
+            count = self.membership.count_upper_bound(DATA_PLANE_ROLE, self.loop.now())
+            self.journal.set(Topic.BALANCERS, "count", str(count).encode())
 
     def _voters_tick(self) -> None:
         self.after(VOTERS_TICK_MS, self._voters_tick)
--- a/hopsail/routing/warmup.py
+++ b/hopsail/routing/warmup.py
@@ -68,11 +68,16 @@
         while self._told[0][0] < now - SENDERS_KEPT_NS:
             self._told.popleft()
 
-    def highest(self, now: int) -> int | None:
-        """The highest number; None until counts have settled."""
+    @property
+    def highest(self) -> int | None:
+        """The highest number; None while none has been told."""
+        return self._told[0][1] if self._told else None
+
+    def settled(self, now: int) -> int | None:
+        """The highest number; None until a fleet that has just started is counted whole."""
         if self._first_told_at is None or now - self._first_told_at < COUNT_SETTLES_NS:
             return None
-        return self._told[0][1]
+        return self.highest
 
 
 class _Host:
@@ -203,7 +208,7 @@
 
     def _quota(self, now: int, name: str) -> int:
         rule = self.rule
-        return quota(rule.mean, self.senders.highest(now), self.sender, name) if rule is not None else 0
+        return quota(rule.mean, self.senders.settled(now), self.sender, name) if rule is not None else 0
 
     def _host(self, name: str) -> _Host:
         host = self._hosts.get(name)
--- a/tests/test_dataplane_placement.py
+++ b/tests/test_dataplane_placement.py
@@ -731,8 +731,9 @@
     fleet = Fleet(hosts, name=name)
     told = CONFIGURATION | {"Revision": 2, "Services": [{"Name": "s"} | service]}
     items = [Change(Topic.CONFIGURATION, key, value) for key, value in split_items(told).items()]
+    fleet.now -= COUNT_SETTLES_NS
     fleet.tell(*items, Change(Topic.BALANCERS, "count", str(senders).encode()))
-    fleet.placement.note_senders(fleet.now - COUNT_SETTLES_NS)
+    fleet.now += COUNT_SETTLES_NS
     return fleet
 
 
--- a/tests/test_warmup.py
+++ b/tests/test_warmup.py
@@ -125,10 +125,10 @@
     count = SenderCount()
     for at, told in enumerate((63, 21, 20, None)):
         count.note(START + at * SECOND, told)
-    assert count.highest(START + COUNT_SETTLES_NS) == 63
+    assert count.highest == count.settled(START + COUNT_SETTLES_NS) == 63
     later = START + SENDERS_KEPT_NS + 2 * SECOND
     count.note(later, 20)
-    assert count.highest(later) == 20
+    assert count.highest == 20
 
 
 def test_a_warming_host_is_not_flooded_by_a_fleet_that_has_just_started_and_is_told_too_few_senders():
