--- a/tests/test_controlplane_processes.py
+++ b/tests/test_controlplane_processes.py
@@ -465,3 +465,11 @@
     cluster.kill(1)
     cluster.start(1)
     assert cluster.planes[1].journal.get(Topic.BALANCERS, "count") is None
+
+
+def test_a_machine_that_lost_its_disk_tells_no_total_while_it_may_know_of_seeds_only(make_cluster):
+    cluster = make_cluster()
+    cluster.kill(1, wipe=True)
+    tallies = cluster.start(1).tallies
+    tallies.replica._ready = True  # it has all that the seeds have
+    assert tallies.total("t") is None
