--- a/hopsail/controlplane/tallies.py
+++ b/hopsail/controlplane/tallies.py
@@ -31,6 +31,7 @@
 FOLDER = "tallies"
 ORIGIN_BYTES = 8  # random ones, so that no life of a process takes the origin of another
 MIN_TICK_NS = MILLISECOND
+JOIN_WAIT_NS = 2000 * MILLISECOND  # after a start, in which members become known that are no seeds
 REPLIES = {PUSH: PushReply, EXCHANGE: ExchangeReply}
 # After these it is the channel that tells whether the other side refuses connections or is silent.
 CONNECTION_ERRORS = (CallTimeoutError, CallRefusedError, DisconnectedError)
@@ -58,7 +59,10 @@
         """Reads what is stored, and takes part at once; StartError when it can't be read."""
         self.process, self.loop, self.counters = process, process.loop, process.counters
         self.disk = self._opened()
-        self.replica = self._made(bootstrapping and not self.disk.stored)
+        is_first = bootstrapping and not self.disk.stored
+        self.replica = self._made(is_first)
+        # At first only seeds are known, and an add may be on the disk of none of them.
+        self._reads_from = self.loop.now() + (0 if is_first else JOIN_WAIT_NS)
         self._timer: Timer | None = None
         self._is_pump_due = self._is_complete = False
         self._cut_off = 0
@@ -103,8 +107,9 @@
     def total(self, tally: str) -> int | None:
         """The tally's total; None while this process may lack what others hold."""
         total = self.replica.total(self.loop.now(), tally)
-        if total is None:
+        if total is None or self.loop.now() < self._reads_from:
             self.counters.add("tallies.reads_refused")
+            return None
         return total
 
     # Time.
