--- a/tests/test_dataplane_placement.py
+++ b/tests/test_dataplane_placement.py
@@ -812,3 +812,25 @@
     items = split_items(CONFIGURATION | {"Revision": 3, "Services": [{"Name": "s"}]})
     fleet.tell(*[Change(Topic.CONFIGURATION, key, value) for key, value in items.items()])
     assert sum(sent(fleet).values()) == 60
+
+
+def test_hosts_that_are_told_with_the_return_of_their_zone_are_not_flooded():
+    """As of a data plane that has just started: no host and no configuration is known yet."""
+    fleet = bounded_fleet(hosts=0, **BOUND)
+    fleet.placement.zone_returns(fleet.now, "z1")
+    fleet.list(instance("i-0"), instance("i-1"))
+    assert sum(sent(fleet).values()) < 60
+
+
+def test_a_host_that_failed_long_ago_is_not_flooded_before_its_first_answer():
+    fleet = bounded_fleet(senders=63, **BOUND)
+    warmup = fleet.placement.services["s"].warmup
+    fleet.place()  # the rules are taken over
+    for name in ("i-0", "i-1"):
+        warmup.failed(fleet.now, name)
+    fleet.now += 60 * SECOND
+    assert sum(sent(fleet).values()) <= 2
+    for name in ("i-0", "i-1"):
+        warmup.answered(fleet.now, name)
+    fleet.now += 60 * SECOND
+    assert sum(sent(fleet).values()) == 60
