--- a/hopsail/dataplane/placement.py
+++ b/hopsail/dataplane/placement.py
@@ -114,6 +114,7 @@
         self.node = settings.node_name
         self.warmup_excess, self.warmup_margin = bounds.warmup_excess, bounds.warmup_margin
         self.senders = view.senders
+        self.returned: dict[str, int] = {}  # zone -> ns, when its hosts might be sent requests again
         self.rules_of: RouteTable | None = None  # the configuration that the rules of warm-ups are of
         self.bounds = EligibilityBounds(apply_one_ns=int(bounds.apply_one_ms * MILLISECOND))
         self.on_age_judged: Callable[[HostState], None] = lambda state: None
@@ -146,6 +147,9 @@
         for name, service in self.services.items():
             told = self.view.table.service(name) if self.view.table is not None else None
             service.warmup.rule = self._warmup_rule(told)
+            for state in service.states.values():
+                if state.zone in self.returned:
+                    service.warmup.suspect(self.returned[state.zone], state.identifier)
 
     def _warmup_rule(self, told: Service | None) -> WarmupRule | None:
         per_s = told.get("WarmupPerS") if told is not None else None
@@ -156,11 +160,8 @@
 
     def zone_returns(self, now: int, zone: str) -> None:
         """The zone's hosts may be sent requests again, and may have begun to warm up shortly before."""
-        self._renew_rules()
-        for service in self.services.values():
-            for state in service.states.values():
-                if state.zone == zone:
-                    service.warmup.suspect(now, state.identifier)
+        self.returned[zone] = now
+        self.rules_of = None
 
     def may_write(self, now: int, placed: Placed) -> bool:
         """Whether a request may be written to its host now; from then on it counts as sent."""
--- a/hopsail/routing/warmup.py
+++ b/hopsail/routing/warmup.py
@@ -16,6 +16,7 @@
 LIST_LAG_NS = 2 * SECOND  # by which the news that a host is warming up may be late
 SENDERS_KEPT_NS = 300 * SECOND  # for which a count of senders holds after a lower one has been told
 DEVIATIONS = 5.0  # standard deviations between the mean of the sum of quotas and the allowance
+PROBES = 1  # requests in one window to a host that has failed, until it answers
 HASH_BYTES = 8
 
 
@@ -148,11 +149,12 @@
 
     def may_send(self, now: int, name: str, told_until: int) -> bool:
         """Whether one more request to the host may be reserved."""
-        if not self.is_warming(now, name, told_until):
-            return True
         host = self._hosts.get(name)
+        is_warming = self.is_warming(now, name, told_until)
+        if not is_warming and (host is None or not host.has_failed):
+            return True
         used = host.pending + host.sent(now) if host is not None else 0
-        if used < self._quota(name):
+        if used < (self._quota(name) if is_warming else PROBES):
             return True
         self.passed_over += 1
         return False
