--- a/hopsail/controlplane/tallies.py
+++ b/hopsail/controlplane/tallies.py
@@ -68,6 +68,7 @@
         self._timer: Timer | None = None
         self._is_pump_due = self._is_complete = False
         self._cut_off = 0
+        self._peers: frozenset[str] | None = None
         if self.disk.is_wasteful:
             self.replica.compact()
         self.update_peers()
@@ -119,9 +120,11 @@
     def update_peers(self) -> None:
         """Takes over who the other control processes are, and tells of what has changed among them."""
         peers = frozenset(self.process.known_controls()) - {self.process.identity}
-        self.replica.set_peers(self.loop.now(), peers)
+        if peers != self._peers:
+            self._peers = peers
+            self.replica.set_peers(self.loop.now(), peers)
+            self._pump_soon()
         self._tell_changes()
-        self._pump_soon()
 
     def compact(self) -> None:
         """Has the state written anew when much of what is on the disk repeats itself."""
