--- a/tests/test_own_days.py
+++ b/tests/test_own_days.py
@@ -39,8 +39,20 @@
     ("bad_config", ""),
     ("revoke", ""),
     ("garble", "extra early unframed"),
+    ("zone_cut", "drop"),
+    ("zone_cut", "reset"),
+    ("bridge_cut", ""),
+    ("one_way", ""),
+    ("one_way", "all"),
+    ("zone_loss", ""),
+    ("cold_return", ""),
+    ("cold_return", "dark"),
+    ("evacuate", ""),
+    ("evacuate", "warm"),
 ]
 HUNDREDS = 300
+LONG_CUT = 20  # s
+MERGE_S = 3  # in which tallies of two sides become one
 
 
 def entries(path):
@@ -147,3 +159,84 @@
         )
 
     assert any(map(turned, FILES))
+
+
+def ends(one):
+    return one["at"] + one.get("for_s", 5)
+
+
+def within(instant, one):
+    return one["at"] <= instant < ends(one)
+
+
+def day(path):
+    return tomllib.loads(path.read_text())
+
+
+def test_some_day_asks_for_an_evacuation_and_withdraws_it_with_a_leader_cut_off_and_answers_lost():
+    def troubled(path, instant):
+        cuts, lost = chosen(path, "core_cut", "leader"), chosen(path, "ack_lost")
+        return all(any(within(instant, one) for one in kind) for kind in (cuts, lost))
+
+    def both(path):
+        return any(
+            troubled(path, one["at"]) and troubled(path, ends(one)) for one in chosen(path, "evacuate")
+        )
+
+    assert any(map(both, FILES))
+
+
+def test_some_day_loses_its_oldest_disks_while_an_evacuation_is_in_force():
+    def in_force(path):
+        last = [one for one in chosen(path, "evacuate") if ends(one) > day(path).get("length_s", ends(one))]
+        return last and day(path)["closing"].get("how") == "oldest"
+
+    assert any(map(in_force, FILES))
+
+
+def test_some_day_loses_disks_in_a_long_cut_of_a_zone_and_changes_at_its_healing():
+    def both(path):
+        return any(
+            cut["for_s"] >= LONG_CUT
+            and any(within(one["at"], cut) for one in chosen(path, "after_ack_wipe"))
+            and any(0 <= one["at"] - ends(cut) <= 1 for one in chosen(path, "config_change"))
+            for cut in chosen(path, "zone_cut")
+        )
+
+    assert any(map(both, FILES))
+
+
+def test_some_day_restarts_and_wipes_a_machine_in_the_cut_of_its_zone():
+    def both(path):
+        return any(
+            all(
+                any(within(one["at"], cut) and one.get("zone") == cut["zone"] for one in chosen(path, kind))
+                for kind in ("node_kill", "after_ack_wipe")
+            )
+            for cut in chosen(path, "zone_cut")
+            if "zone" in cut
+        )
+
+    assert any(map(both, FILES))
+
+
+def test_some_day_heals_halves_shortly_before_disks_are_lost():
+    def late(path):
+        return any(
+            0 < day(path).get("length_s", 0) - ends(cut) <= MERGE_S and cut["for_s"] >= LONG_CUT
+            for cut in chosen(path, "core_cut", "split")
+            if day(path)["closing"]["kind"] == "wipe_after_ack"
+        )
+
+    assert any(map(late, FILES))
+
+
+def test_some_day_loses_a_disk_just_after_a_zone():
+    def both(path):
+        return any(
+            0 <= wipe["at"] - ends(loss) <= 1
+            for loss in chosen(path, "zone_loss")
+            for wipe in chosen(path, "after_ack_wipe")
+        )
+
+    assert any(map(both, FILES))
