Simulation: power lost everywhere right after an order, with disks

The control simulation took down the control processes only, and only after a change of the configuration was acknowledged; test_controlplane_cluster.py wiped one of three after a PUT. Patches, named revisions, two disks of five, data planes, machines that are cut off or replaced at that moment were left to chance or not played.

New step AllDown: at the next acknowledgement of a configuration, a patch or a named revision all machines lose power, data planes too, and as many disks go as the budget has left; operators read all along, and all is read back at the end. Three short schedules: alone (three machines with one loss, five with two), with one cut off, with one being replaced; the random profile "power" draws it too. A named revision now counts as acknowledged when the answer leaves the process, as changes do, not when it arrives: the check is stricter by what is lost on the way.

--- a/tests/simulation/draw.py
+++ b/tests/simulation/draw.py
@@ -39,7 +39,16 @@
 }
 PROFILES = {
     "usual": KINDS,
-    "power": {"changes": 10, "kill": 3, "core_down": 10, "disks": 6, "disk": 1, "tamper": 1},
+    "power": {
+        "changes": 10,
+        "name": 2,
+        "kill": 3,
+        "core_down": 6,
+        "all_down": 6,
+        "disks": 6,
+        "disk": 1,
+        "tamper": 1,
+    },
     "leaders": {
         "changes": 10,
         "read": 3,
@@ -124,6 +133,33 @@
     return Schedule(seed, WorldRules(), (steps.SlowDisks(0, 150, 20_000), strike, steps.Changes(200)))
 
 
+def draw_all_down(seed: int) -> Schedule:
+    """Power is lost everywhere right after an order, with as many disks as may be, while operators read."""
+    random, order = Random(f"all down/{seed}"), tuple(steps.Order)[seed % len(steps.Order)]
+    losses = random.choice((1, 2))
+    down = steps.AllDown(600, order, _wiped(random, losses), random.choice((50, 300, 1000, 2500)))
+    ordered = steps.NameWeights(700, random.randrange(2)) if order is steps.Order.REVISION else None
+    ordered = ordered or steps.Changes(700, copies=random.choice((1, 2)), patch=order is steps.Order.PATCH)
+    slow = steps.SlowDisks(500, random.choice((5, 50, 150)), 20_000)
+    return Schedule(seed, WorldRules(losses), (slow, down, ordered, steps.KeepReading(700, 150, 6000)))
+
+
+def draw_all_down_apart(seed: int) -> Schedule:
+    """The same of five, while one is cut off: it lacks the order, and one disk of the others is lost."""
+    random = Random(f"all down apart/{seed}")
+    down = draw_all_down(seed)
+    cut = steps.CutOff(100, random.choice((-1, random.randrange(5))), "core", True, True, 8000)
+    return replace(down, rules=WorldRules(2), steps=(cut, *down.steps))
+
+
+def draw_all_down_replaced(seed: int) -> Schedule:
+    """The same of five, while one is replaced: the one that comes and the one that goes do not count yet."""
+    random = Random(f"all down replaced/{seed}")
+    down = draw_all_down(seed)
+    replaced = steps.Replace(random.randint(0, 600), random.randrange(5), random.random() < 0.5, 400)
+    return replace(down, rules=WorldRules(2), steps=(replaced, *down.steps))
+
+
 def draw_strike_apart(seed: int) -> Schedule:
     """The same, while two do not reach each other: not all can tell each other that they have restarted."""
     strike = draw_strike(seed)
@@ -345,6 +381,17 @@
     return steps.CoreDown(at, power, wiped, random.choice((100, 500, 2000)), random.random() < 0.6)
 
 
+def _wiped(random: Random, losses: int) -> tuple[int, ...]:
+    """As many seats, or the leader of the configuration's part and one less."""
+    seats = random.sample(range(2 * losses + 1), losses)
+    return (-1, *seats[1:]) if random.random() < LEADER_SHARE else tuple(seats)
+
+
+def _all_down(random: Random, at: int) -> steps.Step:
+    order, lasts = random.choice(tuple(steps.Order)), random.choice((100, 500, 2000))
+    return steps.AllDown(at, order, _wiped(random, random.choice((1, 2))), lasts)
+
+
 _DRAWN = {
     "changes": _changes,
     "resend": lambda random, at: steps.Resend(at, random.choice((0, 0, 0, 1, 3))),
@@ -369,6 +416,7 @@
     ),
     "replace": _replace,
     "core_down": _core_down,
+    "all_down": _all_down,
     "edge": lambda random, at: steps.RestartEdge(at, random.randrange(2), random.choice((50, 500, 2000))),
     "list": lambda random, at: steps.TroubleList(at, random.choice(LIST_TROUBLES), _lasts(random)),
     "host": lambda random, at: steps.LeaveHost(
--- a/tests/simulation/invariants.py
+++ b/tests/simulation/invariants.py
@@ -4,8 +4,10 @@
 process after each thing that it has done."""
 
 import json
+from collections.abc import Callable
 from enum import Enum
 from inspect import signature
+from typing import NamedTuple
 
 from hopsail.controlplane.commands import Command, CommandKind, Result
 from hopsail.controlplane.configuration_state import ConfigurationState
@@ -15,6 +17,7 @@
 
 from .clock import MILLISECOND, SECOND
 from .running import running
+from .steps import Order
 
 LEASE = 3 * SECOND
 UNFREEZE = 300 * MILLISECOND
@@ -81,6 +84,13 @@
         super().__init__(*bound.args[1:], **bound.kwargs)
 
 
+class _Waiting(NamedTuple):
+    """What is done as soon as an order of these kinds is acknowledged."""
+
+    orders: tuple[Order, ...]
+    act: Callable[[], None]
+
+
 class Checker:
     """Raises Violation as soon as an invariant does not hold."""
 
@@ -103,7 +113,7 @@
         self.named: dict[str, int] = {}  # model -> revision acknowledged
         self.violation: Violation | None = None  # the first one
         self.faults: list[str] = []
-        self.on_confirmed: list = []  # what is done at the next acknowledgement
+        self.on_confirmed: list[_Waiting] = []  # what is done at the next acknowledgement
         self.read_bodies: dict[int, bytes] = {}
         self.figures = {"orders": 0, "reads": 0, "votes": 0, "ready": 0}
 
@@ -172,6 +182,9 @@
 
     def answered(self, exchange, status: int) -> None:
         """A process answers an operator."""
+        naming = getattr(exchange, "naming", None)
+        if naming is not None and status == 200:
+            self._name_confirmed(naming.model, naming.revision)
         change = getattr(exchange, "change", None)
         if change is None:
             return
@@ -195,18 +208,28 @@
         if change.data not in self.taken:
             self.fail(Invariant.KEPT, f"{change} is confirmed and was not applied")
         confirmed.append(change)
-        waiting, self.on_confirmed = self.on_confirmed, []
-        for act in waiting:
-            act()
+        self._act_on(Order.PATCH if change.patch else Order.CONFIGURATION)
         if change.revision > self.newest:
             self.newest = change.revision
             self.acknowledged.append((self.world.clock.now, change.revision))
 
-    def name_confirmed(self, model: str, revision: int) -> None:
+    def when_confirmed(self, orders: tuple[Order, ...], act: Callable[[], None]) -> None:
+        """Has something done as soon as the next order of these kinds is acknowledged."""
+        self.on_confirmed.append(_Waiting(orders, act))
+
+    def _act_on(self, order: Order) -> None:
+        due = [waiting for waiting in self.on_confirmed if order in waiting.orders]
+        self.on_confirmed = [waiting for waiting in self.on_confirmed if waiting not in due]
+        for waiting in due:
+            waiting.act()
+
+    def _name_confirmed(self, model: str, revision: int) -> None:
         """A version of weights was acknowledged."""
         if (model, revision) not in self.naming_parts:
             self.fail(Invariant.KEPT, f"{model} {revision} is confirmed and was not applied")
-        self.named[model] = max(revision, self.named.get(model, 0))
+        if revision > self.named.get(model, 0):
+            self.named[model] = revision
+            self._act_on(Order.REVISION)
 
     def read(self, revision: int, must_have: int, where: str, body: bytes) -> None:
         """An operator has read a configuration; what is read of a revision is the same everywhere."""
--- a/tests/simulation/mutations.py
+++ b/tests/simulation/mutations.py
@@ -23,6 +23,8 @@
 from hopsail.rpc.errors import DisconnectedError
 
 from .draw import (
+    draw_all_down,
+    draw_all_down_apart,
     draw_election,
     draw_hand_over,
     draw_link,
@@ -259,6 +261,14 @@
         Invariant.SAME_LOG,
         draw_strike,
     ),
+    Mutation(
+        "acknowledges before sync, power lost everywhere",
+        Replica,
+        "_acknowledged_index",
+        _acknowledges_before_sync,
+        Invariant.SAME_LOG,
+        draw_all_down,
+    ),
     Mutation(
         "sends before sync",
         Replica,
@@ -284,6 +294,14 @@
         Invariant.SAME_LOG,
         draw_strike_apart,
     ),
+    Mutation(
+        "votes for short logs, power lost everywhere",
+        Replica,
+        "_is_up_to_date",
+        _votes_for_short_logs,
+        Invariant.SAME_LOG,
+        draw_all_down_apart,
+    ),
     Mutation(
         "elects with a half",
         Members,
--- a/tests/simulation/operators.py
+++ b/tests/simulation/operators.py
@@ -12,6 +12,7 @@
 from .invariants import Invariant
 from .machines import CONTROL_PORT
 from .outside import MODELS, SERVICES
+from .steps import Order
 
 HOST = "10.7.0.1"
 SILENCE = SECOND
@@ -83,6 +84,13 @@
                 self._send(change)
         return made
 
+    def order(self, order: Order) -> None:
+        """Sends a new order of a kind."""
+        if order is Order.REVISION:
+            self.name(MODELS[0])
+        else:
+            self.change(patch=order is Order.PATCH)
+
     def _made(self, base: int, patch: bool) -> Change:
         self._mark += 1
         tenants = [{"Name": f"t-{self._mark}", "ApiKeys": [f"k-{self._mark}"]}]
@@ -165,18 +173,18 @@
                 return
             if status == 200:
                 naming.done = True
-                self.world.checker.name_confirmed(naming.model, naming.revision)
             else:
                 self._later(naming, lambda: self._send_name(naming))
 
         body = json.dumps({"Model": naming.model, "Revision": naming.revision}).encode()
-        self._call(self.random.choice(self.world.listed_core()), "POST", VERSION_PATH, None, body, answered)
+        machine = self.random.choice(self.world.listed_core())
+        self._call(machine, "POST", VERSION_PATH, None, body, answered, naming=naming)
 
     def _later(self, sent, act) -> None:
         self.world.clock.at(self.world.clock.now + sent.pause, act)
         sent.pause = min(2 * sent.pause, LONGEST_PAUSE)
 
-    def _call(self, machine, method, path, base, body, told, change=None) -> None:
+    def _call(self, machine, method, path, base, body, told, change=None, naming=None) -> None:
         over: list[bool] = []
 
         def finish(status: int | None, answer: bytes) -> None:
@@ -191,7 +199,7 @@
                 finish(status, answer)
 
         exchange = SimulatedExchange(machine, HOST, arrived)
-        exchange.change = change
+        exchange.change, exchange.naming = change, naming
         exchange.lost = lambda: finish(None, b"")
 
         def reach() -> None:
--- a/tests/simulation/play.py
+++ b/tests/simulation/play.py
@@ -161,6 +161,16 @@
     _now_or_after_ack(step, world, strike)
 
 
+@play_step.register
+def _(step: steps.AllDown, world: World) -> None:
+    def strike() -> None:
+        chosen = dict.fromkeys(world.seat_of(who) for who in step.wiped)
+        whole = [seat for seat in chosen if not world.is_lost(seat)]
+        world.all_down(whole[: max(0, world.rules.losses - world.machines_lost())], step.lasts)
+
+    world.when_acknowledged(strike, step.after)
+
+
 @play_step.register
 def _(step: steps.RestartEdge, world: World) -> None:
     world.restart_edge(step.edge, step.lasts)
--- a/tests/simulation/steps.py
+++ b/tests/simulation/steps.py
@@ -5,6 +5,15 @@
 shard N at that moment. A step that would lose more machines than may be lost at once does nothing."""
 
 from dataclasses import dataclass
+from enum import Enum
+
+
+class Order(Enum):
+    """What an operator may be told was taken."""
+
+    CONFIGURATION = "configuration"
+    PATCH = "patch"
+    REVISION = "revision"  # of a model's weights
 
 
 @dataclass(frozen=True)
@@ -184,6 +193,17 @@
     after_ack: bool = False
 
 
+@dataclass(frozen=True)
+class AllDown(Step):
+    """Power is lost everywhere, of data planes too, as soon as the next order of a kind is acknowledged.
+
+    `wiped`: seats, as in `who`, whose disks are lost then, as many as the budget has left."""
+
+    after: Order
+    wiped: tuple[int, ...]
+    lasts: int
+
+
 @dataclass(frozen=True)
 class RestartEdge(Step):
     """A data plane ends, and begins anew after a while."""
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -13,6 +13,7 @@
 from .network import CALM, Cut, Network
 from .operators import HOST as OPERATOR, Operators
 from .outside import PLATFORM, Outside
+from .steps import Order
 
 SYNC = 4 * SECOND  # for which a machine counts as lost after it is back
 GRACE = 8 * SECOND  # after SIGTERM
@@ -341,9 +342,10 @@
         machine.disk.set(machine.disk.condition, delay * MILLISECOND)
         self.after(lasts, lambda: machine.disk.set(machine.disk.condition, USUAL_DELAY))
 
-    def when_acknowledged(self, act) -> None:
-        """Has something done as soon as the next change is acknowledged."""
-        self.checker.on_confirmed.append(lambda: self.clock.at(self.clock.now, act))
+    def when_acknowledged(self, act, *orders: Order) -> None:
+        """Has something done as soon as the next order is acknowledged, of these kinds, or any change."""
+        kinds = orders or (Order.CONFIGURATION, Order.PATCH)
+        self.checker.when_confirmed(kinds, lambda: self.clock.at(self.clock.now, act))
 
     def trouble_disk(self, seat: Seat, condition: str, delay: int, lasts: int) -> None:
         """A machine's disk is not what it should be."""
@@ -430,6 +432,13 @@
         for seat in self.seats:
             self.kill(seat, power, seat in wiped, lasts)
 
+    def all_down(self, wiped: list[Seat], lasts: int) -> None:
+        """All machines lose power at once."""
+        self.core_down(True, wiped, lasts)
+        for machine in self.edges:
+            machine.kill(power=True)
+            self.after(lasts + self.random.randint(0, 300), machine.start)
+
     def restart_edge(self, number: int, lasts: int) -> None:
         """A data plane ends, and begins anew later."""
         machine = self.edges[number % len(self.edges)]
@@ -455,8 +464,8 @@
 
     def check_end(self) -> None:
         """All is healed: everybody catches up in time, and what was acknowledged is read back everywhere."""
-        if self.checker.on_confirmed:
-            self.operators.change()
+        for order in dict.fromkeys(waiting.orders[0] for waiting in self.checker.on_confirmed):
+            self.operators.order(order)
             self.run(SECOND)
         self.run_until(self._faults_are_over, FAULTS_END_WITHIN)
         self.heal()
--- a/tests/test_control_simulation.py
+++ b/tests/test_control_simulation.py
@@ -8,6 +8,9 @@
 from simulation import steps
 from simulation.draw import (
     draw,
+    draw_all_down,
+    draw_all_down_apart,
+    draw_all_down_replaced,
     draw_halves,
     draw_leaver,
     draw_return,
@@ -44,6 +47,9 @@
 SHORT = (
     draw_strike,
     draw_strike_apart,
+    draw_all_down,
+    draw_all_down_apart,
+    draw_all_down_replaced,
     draw_election,
     draw_thaw,
     draw_link,
