--- a/tests/tallies/test_tally_replica.py
+++ b/tests/tallies/test_tally_replica.py
@@ -4,7 +4,7 @@
 from tallies_simulation import MS, Shape, Simulation
 
 from hopsail.tallies.errors import TallyError
-from hopsail.tallies.messages import AddRecord, ExchangeReply, OriginRun, Position, PushReply
+from hopsail.tallies.messages import ExchangeReply, Position, PushReply
 from hopsail.tallies.replica import TallyConfig, TallyReplica
 from hopsail.tallies.types import Add, AddOutcome
 
@@ -151,21 +151,3 @@
 def test_unreadable_stored_bytes_raise():
     with pytest.raises(TallyError):
         TallyReplica(TallyConfig("a", 0), "a/1", 0, [b"\x0f\x00"], bootstrapping=False)
-
-
-def test_no_total_is_told_while_only_seeds_are_known():
-    """A machine has lost its disk; the seeds that it knows lack an add that a member not yet known has."""
-    config = TallyConfig("c1", 2)
-    replica = TallyReplica(config, "c1/b", 0, [], bootstrapping=False)
-    replica.set_peers(0, frozenset({"c2"}))
-    (call,) = replica.take_calls()
-    replica.replied(MS, call.number, ExchangeReply(runs=[], known=[], durable=[], origin="c2/a"), False)
-    assert replica.total(2 * MS, "t") is None
-    replica.set_peers(1000 * MS, frozenset({"c2", "c4"}))
-    run = OriginRun(origin="c4/a", first_sequence=1, adds=[AddRecord(tally="t", identifier="x", amount=4)])
-    for call in replica.take_calls():
-        held = {"c2": [], "c4": [run]}[call.peer]
-        known = [Position(origin=one.origin, sequence=1) for one in held]
-        reply = ExchangeReply(runs=held, known=known, durable=known, origin=f"{call.peer}/a")
-        replica.replied(1001 * MS, call.number, reply, False)
-    assert replica.total(5000 * MS, "t") == 4
