An attempt not written to an evacuated host uses none of its warm-up quota

Cause: the merge of the two checks asked for the quota first, and what may be written counts as sent from then on, so a request that was then kept from an evacuated host still used up its quota for a second. Change: evacuation is looked at first.

--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -21,7 +21,7 @@
     told_at_deadline,
     told_at_end,
 )
-from .placement import Shortlist
+from .placement import Placed, Shortlist
 from .prompt import Prompt, read_prompt
 from .work_directory import Answer
 
@@ -177,8 +177,7 @@
         placed, left_ns = attempt.placed, self.deadline - self.plane.loop.now()
         if left_ns <= 0:
             return None
-        may_write = placed.reservation is None or self.plane.may_write(placed)
-        if self.plane.is_evacuated(placed.host) or not may_write:
+        if self.plane.is_evacuated(placed.host) or not self._has_quota(placed):
             self.plane.loop.soon(attempt.withdraw)
             return None
         left = max(1, left_ns // MILLISECOND)
@@ -195,6 +194,10 @@
         headers += placed.headers
         return encode_request(self.request.method, self.request.target, headers, self.request.body)
 
+    def _has_quota(self, placed: Placed) -> bool:
+        """Whether the host's warm-up leaves room; if so, the request counts as sent from now on."""
+        return placed.reservation is None or self.plane.may_write(placed)
+
     def attempt_ended(self, attempt: Attempt, outcome: Outcome) -> None:
         """The attempt's connection has told how it ended."""
         if attempt is not self.attempt:
--- a/tests/test_dataplane_evacuation.py
+++ b/tests/test_dataplane_evacuation.py
@@ -174,6 +174,17 @@
     assert journey.over() == 200 and journey.plane.budget.spent == 0
 
 
+def test_an_attempt_that_is_not_written_to_an_evacuated_host_uses_none_of_its_warm_up_quota():
+    journey = Journey(manners=["waits"])
+    attempt, asked = journey.forwarding.attempt, []
+    attempt.placed = attempt.placed._replace(reservation=object())
+    journey.plane.may_write = lambda placed: asked.append(placed) or True
+    journey.plane.evacuated.add("i-0")
+    journey.host(0).up()
+    journey.loop.settle()
+    assert not asked and not journey.host(0).sent
+
+
 def test_an_attempt_that_waits_is_refused_when_no_other_host_is_there():
     journey = Journey(hosts=1, manners=["waits"])
     journey.plane.evacuated.add("i-0")
