Read again: one way to answer operators' calls in JSON, one check of text

Cause: tally calls had written again how an answer is counted and sent, its Retry-After and the check of text; urandom was imported twice over; a constant of model.py stood in placement.py again; each change of the configuration looked at every host for returned zones though there were none. Change: controlplane/json_answers.py serves both; the loop runs only when a zone has returned.

--- a/hopsail/controlplane/operator.py
+++ b/hopsail/controlplane/operator.py
@@ -10,14 +10,13 @@
 from ..http.message import Request, whole_number
 from ..http.server import Exchange
 from .commands import Command, CommandKind, Result
+from .json_answers import JSON_TYPE, is_text, respond_json
 from .shards import CONFIGURATION_SHARD, shard_of_service
 from .tally_calls import TALLY_PREFIX, TallyCalls, TallyControl
 
 CONFIGURATION_PATH, VERSION_PATH = "/-/config", "/-/version-put"
 EVACUATIONS_PATH = "/-/evacuations/"  # and the zone
 EVACUATION_KINDS = {"POST": CommandKind.EVACUATE_ZONE, "DELETE": CommandKind.WITHDRAW_EVACUATION}
-JSON_TYPE = ("content-type", "application/json")
-UNAVAILABLE_RETRY_AFTER = "0.1"  # s
 MAX_PARSED_HERE_BYTES = 256 << 10  # a larger body is read by the leader alone, in steps
 
 
@@ -94,7 +93,7 @@
         except (ValueError, KeyError, TypeError, RecursionError):
             self._answer(exchange, Result.rejection(ResultCode.CONTROL_UNREADABLE, "body"))
             return
-        if not _is_name(model) or type(revision) is not int or revision < 1:
+        if not is_text(model) or type(revision) is not int or revision < 1:
             self._answer(exchange, Result.rejection(ResultCode.CONTROL_UNREADABLE, "Revision"))
             return
         command = Command(CommandKind.NAME_REVISION, 0, model, revision, "", b"")
@@ -124,11 +123,7 @@
     def _answer(self, exchange: Exchange, result: Result | None) -> None:
         if result is None:
             result = Result.rejection(ResultCode.CONTROL_NO_QUORUM, "")
-        self.counters.add(f"operator.answers.{result.status}")
-        headers = [JSON_TYPE]
-        if result.status == 503:
-            headers.append(("retry-after", UNAVAILABLE_RETRY_AFTER))
-        exchange.respond(result.status, _body(result), headers)
+        respond_json(exchange, self.counters, result.status, _body(result))
 
 
 def _base_revision(request: Request) -> int:
@@ -139,15 +134,6 @@
     return base
 
 
-def _is_name(value: object) -> bool:
-    """Whether it is text that the feed can carry: no half of a surrogate pair."""
-    return (
-        type(value) is str
-        and value != ""
-        and not any("\ud800" <= character <= "\udfff" for character in value)
-    )
-
-
 def _body(result: Result) -> bytes:
     if result.status == 200:
         return json.dumps({"Revision": result.value}).encode()
--- a/hopsail/controlplane/tallies.py
+++ b/hopsail/controlplane/tallies.py
@@ -6,7 +6,6 @@
 
 import os
 from collections.abc import Iterable
-from os import urandom
 from typing import Protocol
 
 from ..configuration.process import ProcessSettings
@@ -82,7 +81,7 @@
 
     def _made(self, bootstrapping: bool) -> TallyReplica:
         identity = self.process.identity
-        origin = f"{identity}/{urandom(ORIGIN_BYTES).hex()}"
+        origin = f"{identity}/{os.urandom(ORIGIN_BYTES).hex()}"
         config = TallyConfig(identity, self.process.settings.machine_losses)
         stored, self.disk.stored = self.disk.stored, []
         try:
--- a/hopsail/controlplane/tally_calls.py
+++ b/hopsail/controlplane/tally_calls.py
@@ -10,12 +10,11 @@
 from ..net.counters import Counters
 from ..tallies.types import Add, AddDone, AddOutcome
 from .commands import Result
+from .json_answers import is_text, respond_json
 
 TALLY_PREFIX = "/-/tallies/"
 MAX_NAME_CHARACTERS = 256
 AMOUNT_BOUND = 1 << 53  # beyond it, readers of JSON lose digits
-JSON_TYPE = ("content-type", "application/json")
-UNAVAILABLE_RETRY_AFTER = "0.1"  # s
 
 OUTCOMES = {
     AddOutcome.REJECTED: ResultCode.CONTROL_TALLY_REJECTED,
@@ -78,11 +77,7 @@
         self._respond(exchange, result.status, {"Error": {"Code": result.code, "Item": result.item}})
 
     def _respond(self, exchange: Exchange, status: int, body: dict[str, object]) -> None:
-        self.counters.add(f"operator.answers.{status}")
-        headers = [JSON_TYPE]
-        if status == 503:
-            headers.append(("retry-after", UNAVAILABLE_RETRY_AFTER))
-        exchange.respond(status, json.dumps(body).encode(), headers)
+        respond_json(exchange, self.counters, status, json.dumps(body).encode())
 
 
 def _tally_of(request: Request) -> str:
@@ -111,7 +106,5 @@
 
 
 def _is_name(value: object) -> bool:
-    """Whether it is text of a fair length, without half of a surrogate pair."""
-    if type(value) is not str or not 1 <= len(value) <= MAX_NAME_CHARACTERS:
-        return False
-    return not any("\ud800" <= character <= "\udfff" for character in value)
+    """Whether it is text of a fair length."""
+    return is_text(value) and len(value) <= MAX_NAME_CHARACTERS
--- a/hopsail/dataplane/placement.py
+++ b/hopsail/dataplane/placement.py
@@ -14,6 +14,7 @@
 from ..configuration.route_table import RouteTable
 from ..configuration.types import Service
 from ..hosts.instance import Instance, Phase
+from ..model import SECOND
 from ..prompts.salt import cache_salt
 from ..routing.choice import ChoiceParameters, HostState
 from ..routing.host_work import Backlog, ReadingRate
@@ -28,7 +29,6 @@
 from .work_directory import MOST_ASKED, Answer
 
 MILLISECOND = 1_000_000
-SECOND = 1_000_000_000
 MOST_PRIORITY = 9
 CANDIDATES = 4  # ring hosts that a long prompt is compared over; docs/studies/further.md weighs 2 to 8
 CHOICE_MECHANISMS = {  # the values of `ChoiceParameters` with which a mechanism does nothing
@@ -147,9 +147,13 @@
         for name, service in self.services.items():
             told = self.view.table.service(name) if self.view.table is not None else None
             service.warmup.rule = self._warmup_rule(told)
-            for state in service.states.values():
-                if state.zone in self.returned:
-                    service.warmup.suspect(self.returned[state.zone], state.identifier)
+            if self.returned:
+                self._suspect_returned(service)
+
+    def _suspect_returned(self, service: ServiceHosts) -> None:
+        for state in service.states.values():
+            if state.zone in self.returned:
+                service.warmup.suspect(self.returned[state.zone], state.identifier)
 
     def _warmup_rule(self, told: Service | None) -> WarmupRule | None:
         per_s = told.get("WarmupPerS") if told is not None else None
