Requests that are over are freed at once: no cycle outlives request, answer or attempt

Cause: a Forwarding and its Exchange (on_gone), its latest attempt and the one whose answer is passed on (Attempt.owner) refer to each other, and nothing undid that at the end. Bodies waited for the cyclic collector, which counts objects: some 690 requests.

Change: an exchange forgets its callback and its connection the exchange, however it ends; an attempt forgets its owner after its last report; a closed connection to a host forgets a request that it never wrote. Reference counts then free a request where it ends, whatever the collector does.

--- a/hopsail/dataplane/attempt.py
+++ b/hopsail/dataplane/attempt.py
@@ -20,10 +20,13 @@
 
 
 class Attempt:
-    """A listener of one connection's answer."""
+    """A listener of one connection's answer.
+
+    Its owner, which has a reference to it, is reported to until the attempt ends and not kept after that."""
 
     def __init__(self, owner: Owner, identifier: str, placed: Placed, sent_at: int):
-        self.owner, self.identifier, self.placed, self.sent_at = owner, identifier, placed, sent_at
+        self._owner: Owner | None = owner
+        self.identifier, self.placed, self.sent_at = identifier, placed, sent_at
         self.host = placed.host
         self.connection: ClientConnection | None = None
         self.response: ResponseHead | None = None
@@ -56,12 +59,12 @@
             return False  # a surplus answer to an earlier request
         self.response = head
         if not self.declined:
-            self.owner.answer_began(self, head)
+            self._owner.answer_began(self, head)
         return True
 
     def body(self, data: bytes) -> None:
         if not self.declined:
-            self.owner.answer_data(self, data)
+            self._owner.answer_data(self, data)
 
     def complete(self) -> None:
         self._end(outcome_of(True, self.response, whole=True))
@@ -73,7 +76,7 @@
     def abandon(self) -> None:
         """Gives the attempt up; closing its connection tells the host."""
         if not self.ended:
-            self.ended = True
+            self._take_owner()
             if self.connection is not None:
                 self.connection.abandon()
 
@@ -93,5 +96,10 @@
 
     def _end(self, outcome: Outcome) -> None:
         if not self.ended:
-            self.ended = True
-            self.owner.attempt_ended(self, outcome)
+            self._take_owner().attempt_ended(self, outcome)
+
+    def _take_owner(self) -> Owner:
+        """Marks the attempt as ended; who is reported to for the last time."""
+        self.ended = True
+        owner, self._owner = self._owner, None
+        return owner
--- a/hopsail/http/client_connection.py
+++ b/hopsail/http/client_connection.py
@@ -204,4 +204,5 @@
 
     def released(self):
         self.timer.cancel()
+        self.request = None  # it may be one that was never written
         self.pool.gone(self)
--- a/hopsail/http/exchange.py
+++ b/hopsail/http/exchange.py
@@ -25,7 +25,8 @@
 
     def write(self, data: bytes) -> None: ...
 
-    def exchange_ended(self, exchange: "Exchange") -> None: ...
+    def exchange_ended(self, exchange: "Exchange") -> None:
+        """The exchange is over: nothing of it may be kept, its request's body least of all."""
 
     def reset(self) -> None: ...
 
@@ -97,17 +98,17 @@
     def abort(self) -> None:
         """Cuts the answer off so that it can't look complete."""
         if not self.ended and not self.gone:
-            self.ended = True
             if self.sized and self.close_after:
                 self.connection.reset()  # its end is told by the connection's alone
             else:
                 self.connection.close()
+            self._end()
 
     def close_connection(self) -> None:
         """Ends the connection in order, with no answer."""
         if not self.ended and not self.gone:
-            self.ended = True
             self.connection.close()
+            self._end()
 
     def _closing(self) -> Headers:
         wanted = self.close_after or not self.request.keep_alive or self.connection.server.draining
@@ -116,11 +117,14 @@
 
     def _end(self) -> None:
         self.ended = True
+        self._gone_callback = None  # whoever asked for it holds this exchange: no cycle outlives the answer
         self.connection.exchange_ended(self)
 
     def client_gone(self) -> None:
         """The connection has ended under this exchange."""
         if not self.ended and not self.gone:
             self.gone = True
-            if self._gone_callback is not None:
-                self._gone_callback()
+            self.connection.drained = None
+            callback, self._gone_callback = self._gone_callback, None
+            if callback is not None:
+                callback()
--- a/hopsail/http/server_connection.py
+++ b/hopsail/http/server_connection.py
@@ -98,8 +98,10 @@
                     exchange.abort()
 
     def exchange_ended(self, exchange: Exchange):
-        """The answer is whole: the next request is dealt with, or the connection closed."""
+        """The answer is over: the next request is dealt with, or the connection closed."""
         self.exchange, self.drained = None, None
+        if not self.open:
+            return
         if exchange.close_after:
             self.waiting.clear()
             self._finish()
@@ -234,8 +236,9 @@
             self.drained()
 
     def ended(self):
-        if self.exchange is not None:
-            self.exchange.client_gone()
+        exchange, self.exchange = self.exchange, None
+        if exchange is not None:
+            exchange.client_gone()
 
     def reset(self):
         """Ends the connection with a reset."""
--- a/tests/test_dataplane_forward.py
+++ b/tests/test_dataplane_forward.py
@@ -160,7 +160,7 @@
     def close(self):
         if self.open:
             self.open = False
-            self.pool.connections.pop(self, None)
+            self.released()
 
     def up(self):
         self.dialing = False
@@ -220,6 +220,9 @@
     def rest(self, connection):
         self.rested.append(connection)
 
+    def gone(self, connection):
+        self.connections.pop(connection, None)
+
 
 class Budget:
     def __init__(self):
