A head that comes in pieces has HeaderWaitMs in all, not anew with each piece

Found while reading what a connection keeps. Cause: the timer's callback was compared by identity with a bound method, which is a new object each time, so each piece of a head began the wait anew: a client could hold a connection with a byte from time to time. The test there was passed by the time that its own wait takes (500 ms of real time); it stays, and one with a clock that stands still is added: it failed before (no 408 1,100 ms after the first byte, limit 1,000), passes now.

--- a/hopsail/http/server_connection.py
+++ b/hopsail/http/server_connection.py
@@ -44,6 +44,7 @@
         self.parser = RequestParser(server.limits, self.waiting, self._let_continue, loop.now)
         self.drained: Callable[[], None] | None = None
         self.timer = None
+        self.head_awaited = False  # the timer is that of a half-read head
         self.lingering = False
         self.linger_until: int | None = None  # ns, once the answer is out and the sending side is shut
         self.refusal: int | None = None  # status for what can't be read; it follows the answers still due
@@ -128,17 +129,18 @@
         if self.parser.reading and self.parser.head_read:
             self._wait(limits.idle_timeout_ms, self._slow)  # anew with each piece of a body
         elif self.parser.reading:
-            if self.timer is None or self.timer_kind is not self._slow:
+            if not self.head_awaited:
                 self._wait(limits.header_wait_ms, self._slow)
+                self.head_awaited = True
         else:
             self._wait(limits.idle_timeout_ms, self._idle)
 
     def _wait(self, milliseconds: int, act):
         self._stop_timer()
-        self.timer_kind = act
         self.timer = self.loop.at(self.loop.now() + milliseconds * MILLISECOND, act)
 
     def _stop_timer(self):
+        self.head_awaited = False
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -406,6 +406,21 @@
     assert not service.exchanges and service.refused == [408]
 
 
+def test_a_head_that_comes_in_pieces_has_no_more_time_than_one(runner):
+    """Guards against clients that hold a connection for good with a byte of a head from time to time."""
+    runner.stand_still()
+    service = Service(runner, echo, header_wait_ms=1000)
+    client = service.client(b"GET /a HTTP/1.1\r\n")
+    for _ in range(3):
+        runner.settle()
+        runner.forward(300 * MILLISECOND)
+        client.send(b"X: y\r\n")
+    assert client.quiet() == b""
+    runner.forward(200 * MILLISECOND)
+    assert client.quiet().startswith(b"HTTP/1.1 408 ")
+    assert not service.exchanges and service.refused == [408]
+
+
 def test_a_body_that_comes_slowly_but_steadily_is_taken(runner):
     service = Service(runner, echo, header_wait_ms=1000, idle_timeout_ms=5000)
     client = service.client(post("/a", b"hello")[:-5])
