A connection that is over gives back at once what it carried: bodies, requests, answers

Callers would see: data planes killed for their memory when clients leave in the middle of long bodies.

A closed connection was in a cycle with its parser and kept half-read bodies, requests that waited, unsent bytes, until the cyclic collector ran, which counts objects and not bytes.

Change: a stream drops its unsent bytes when it is closed, a client's connection its waiting requests and its parser, one to a host its parser; what came behind a last answer is dropped when that answer ends.

--- a/hopsail/http/client_connection.py
+++ b/hopsail/http/client_connection.py
@@ -124,15 +124,16 @@
         self.headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self):
+        if self.listener is None:
+            return  # nobody wants the rest: the connection was closed by what came before
         self.head_read = True
         self.status = self.parser.get_status_code()
         if self.status < 200:
             return
         names = {name for name, _ in self.headers}
         self.until_close = not names & {"content-length", "transfer-encoding"}
-        if self.listener is not None:
-            head = ResponseHead(self.status, self.headers, self.parser.should_keep_alive())
-            self.skipping = not self.listener.head(head)
+        head = ResponseHead(self.status, self.headers, self.parser.should_keep_alive())
+        self.skipping = not self.listener.head(head)
         if self.bodiless and not self.skipping:
             self.whole = self.until_close = True  # the parser expects a body: it can't go on from here
 
@@ -141,6 +142,8 @@
             self.listener.body(body)
 
     def on_message_complete(self):
+        if self.listener is None:
+            return
         if self.status < 200 or self.skipping:
             self.headers, self.skipping, self.until_close = [], False, False
             return
@@ -205,4 +208,5 @@
     def released(self):
         self.timer.cancel()
         self.request = None  # it may be one that was never written
+        self.parser = None  # it has a reference to this connection
         self.pool.gone(self)
--- a/hopsail/http/request_parser.py
+++ b/hopsail/http/request_parser.py
@@ -49,6 +49,12 @@
         self.reading = self.head_read = self.expecting = False
         self.unended = 0  # bytes of whole reads without any of a body: httptools keeps what has no end
 
+    def close(self) -> None:
+        """Keeps nothing, and nobody is called any more; nothing may be fed after it."""
+        self.clear()
+        self._parser = None  # httptools' parser has a reference to this one
+        self._notify_head_read = _ignore_head
+
     def feed(self, data: bytes) -> None:
         """Raises RequestError at the first message that is refused; nothing more may be fed then."""
         self._has_advanced = False
@@ -140,6 +146,10 @@
             raise RequestError(HEAD_TOO_LARGE)
 
 
+def _ignore_head() -> None:
+    """Nobody waits for heads."""
+
+
 def _refused_status(error: Exception) -> int:
     """The status for a message that was refused while it was read; 400 if it can't be parsed."""
     cause = error.__context__
--- a/hopsail/http/server_connection.py
+++ b/hopsail/http/server_connection.py
@@ -105,6 +105,7 @@
             return
         if exchange.close_after:
             self.waiting.clear()
+            self.parser.clear()  # nobody will be handed what has come behind it
             self._finish()
             return
         if self.waiting:
@@ -250,4 +251,6 @@
 
     def released(self):
         self._stop_timer()
+        self.waiting.clear()
+        self.parser.close()
         self.server.connections.pop(self, None)
--- a/hopsail/net/stream.py
+++ b/hopsail/net/stream.py
@@ -139,6 +139,7 @@
             if self._events():
                 self.loop.unwatch(self.sock)
             self.sock.close()
+            self.unsent = bytearray()  # nobody takes it any more
             self.released()
 
 
