--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -1,6 +1,8 @@
 """Lines of the router fleet's programs: their form, and the bound of each topic."""
 
+import gc
 import io
+import weakref
 
 import pytest
 
@@ -20,6 +22,28 @@
     assert written(stream) == ["hopsail: state: 100 % of it"]
 
 
+class Held:
+    """Something that a caller has in a local variable."""
+
+
+@pytest.mark.parametrize("level", ["info", "warning", "error"])
+def test_a_line_keeps_nothing_of_those_who_called_for_it(level):
+    """Guards against requests and configurations kept for good by a line logged while they were in hand."""
+    sink = PicologgingSink(io.StringIO())
+
+    def handle():
+        held = Held()
+        log_line()
+        return weakref.ref(held)
+
+    def log_line():
+        getattr(sink, level)("%s", "in hand", extra={"topic": "state"})
+
+    reference = handle()
+    gc.collect()
+    assert reference() is None
+
+
 def test_a_topic_is_bounded_and_tells_what_was_left_out(monkeypatch):
     stream, seconds = io.StringIO(), [7.0]
     monkeypatch.setattr("hopsail.net.topic_limiter.monotonic", lambda: seconds[0])
