--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -6,6 +6,7 @@
 
 import gc
 import socket
+import sys
 import weakref
 from functools import partial
 
@@ -318,6 +319,15 @@
     freed(runner, connection)
 
 
+def test_a_request_that_its_host_has_taken_is_not_kept_by_the_connection_as_well(runner):
+    """Guards against each body kept twice, by its request and by the connection that carried it."""
+    host = Host(runner)
+    call, _ = carried(runner, host, b"x" * 8 * LONG)
+    peer = host.accepted()
+    runner.until(lambda: len(peer.quiet()) > 8 * LONG)
+    assert sys.getsizeof(call.connection.unsent) < LONG / 100 and call.connection.request is None
+
+
 # One-shot calls
 
 
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -11,18 +11,25 @@
 from test_dataplane_forward import (
     EVENTS_HEAD,
     IDEMPOTENT,
+    MILLISECOND,
     MUTATING,
     RESUMABLE,
     SECOND,
     STREAM,
+    ClientSide,
     Journey,
     answer,
     chunk,
     declined,
     events,
+    headers_of,
 )
+from test_dataplane_stopping import stage  # noqa: F401  (a fixture)
 
 from hopsail.dataplane.forward import MOST_DIALS
+from hopsail.http.message import Request
+from hopsail.http.server import Exchange
+from hopsail.net.loop import Loop
 
 DEADLINE = 4 * SECOND  # of a journey's route
 
@@ -193,3 +200,124 @@
     del journey.forwarding, journey.exchange
     assert sys.getrefcount(body) == references
     assert forwarding() is None and exchange() is None
+
+
+# The real data plane: what stands at gates, is counted at hosts, or never becomes a request under way
+
+
+def has_no_route(scene, body):
+    return ask(scene, body, "/none/x")
+
+
+def has_two_identifiers(scene, body):
+    return ask(scene, body, headers=[("hopsail-attempt-id", "0000000000000000")])
+
+
+def finds_no_configuration(scene, body):
+    scene.plane.view.table = None
+    return ask(scene, body)
+
+
+def is_answered_by_its_host(scene, body):
+    client = ask(scene, body)
+    scene.pool.made[-1].says(answer())
+    return client
+
+
+def waits_and_its_client_leaves(scene, body):
+    take_all_places(scene)
+    client = ask(scene, body)
+    client.exchange.client_gone()
+    return client
+
+
+def waits_for_too_long(scene, body):
+    take_all_places(scene)
+    client = ask(scene, body)
+    scene.loop.forward(DEADLINE // 2)
+    return client
+
+
+def finds_no_room_to_wait(scene, body):
+    take_all_places(scene)
+    while not ask(scene, b"").complete:
+        """Until the queue is full."""
+    return ask(scene, body)
+
+
+def waits_and_gets_a_place_as_its_client_leaves(scene, body):
+    first = take_all_places(scene)
+    client = ask(scene, body)
+    first.exchange.client_gone()  # its place is on its way to the one that waits
+    client.exchange.client_gone()
+    return client
+
+
+def waits_until_the_process_ends(scene, body):
+    take_all_places(scene)
+    client = ask(scene, body)
+    scene.terminate()
+    scene.loop.forward(DEADLINE)
+    return client
+
+
+def take_all_places(scene):
+    """Requests that have all places; the first one's client."""
+    scene.plane.view.balancers = 3
+    return [ask(scene, b"") for _ in range(scene.plane.gates.places("s"))][0]
+
+
+def ask(scene, body, target="/mutating/x", headers=()):
+    client = ClientSide(scene.loop)
+    client.server = scene.front
+    request = Request("POST", target, [*headers_of(key=None), *headers], body)
+    client.exchange = Exchange(client, request)
+    scene.plane.handle(request, client.exchange)
+    scene.loop.settle()
+    return client
+
+
+PLANE_ENDS = [
+    has_no_route,
+    has_two_identifiers,
+    finds_no_configuration,
+    is_answered_by_its_host,
+    waits_and_its_client_leaves,
+    waits_for_too_long,
+    finds_no_room_to_wait,
+    waits_and_gets_a_place_as_its_client_leaves,
+    waits_until_the_process_ends,
+]
+
+
+@pytest.mark.parametrize("ends", PLANE_ENDS)
+def test_a_data_plane_holds_nothing_of_a_request_that_is_over(stage, ends):  # noqa: F811
+    """Guards against bodies kept by gates, by counts of what is under way, or by timers."""
+    body = b"x" * 100_000
+    references = sys.getrefcount(body)
+    client = ends(stage, body)
+    stage.loop.forward(20 * MILLISECOND)
+    assert client.exchange.ended or client.exchange.gone
+    exchange = weakref.ref(client.exchange)
+    del client.exchange
+    assert exchange() is None and sys.getrefcount(body) == references
+
+
+# Timers
+
+
+def test_a_timer_that_is_called_off_holds_nothing_until_its_time():
+    """Guards against requests kept by deadlines that are called off, until these would have come."""
+
+    class Deadline:
+        def late(self):
+            """Never called."""
+
+    loop = Loop()
+    deadline = Deadline()
+    timer = loop.at(loop.now() + 3600 * SECOND, deadline.late)
+    reference = weakref.ref(deadline)
+    timer.cancel()
+    del deadline
+    assert reference() is None
+    loop.close()
