--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,7 @@
 """Fixtures that several test files share."""
 
+import gc
+
 import pytest
 
 from hopsail.load.scripted import Rig
@@ -25,3 +27,12 @@
     yield things
     for thing in things:
         thing.close()
+
+
+@pytest.fixture
+def collector_off():
+    """The cyclic collector is off: what outlives its last use is kept by a reference or a cycle."""
+    gc.collect()
+    gc.disable()
+    yield
+    gc.enable()
--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -24,12 +24,7 @@
 ROUNDS = 50  # of the loop, after which what is still there is kept
 
 
-@pytest.fixture(autouse=True)
-def collector_off():
-    gc.collect()
-    gc.disable()
-    yield
-    gc.enable()
+pytestmark = pytest.mark.usefixtures("collector_off")
 
 
 @pytest.fixture
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -3,7 +3,6 @@
 The collector is off in these tests: an object that is still there is kept by a reference or a cycle. Guards
 against the fault of docs/incidents/review-1-bodies-kept.md, data planes killed for their memory."""
 
-import gc
 import sys
 import weakref
 
@@ -34,12 +33,7 @@
 DEADLINE = 4 * SECOND  # of a journey's route
 
 
-@pytest.fixture(autouse=True)
-def collector_off():
-    gc.collect()
-    gc.disable()
-    yield
-    gc.enable()
+pytestmark = pytest.mark.usefixtures("collector_off")
 
 
 # How a request ends: its settings, and what happens to it.
