--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -168,10 +168,39 @@
     service = Service(runner, lambda asked, exchange: echo(asked, exchange))
     end = ends(runner, service)
     connection = the_only(service.server.connections)
+    parser = weakref.ref(connection().parser)
     service.exchanges.clear()
     end()
     del end
     freed(runner, connection)
+    freed(runner, parser)
+
+
+def test_requests_that_wait_go_with_their_client_though_the_one_before_them_goes_on(runner):
+    """Guards against bodies kept by a request whose client has gone, for as long as that request takes."""
+    service = Service(runner)
+    client = service.client(post() + post(body=b"y" * 10_000) * 3)
+    exchange = service.exchange()
+    runner.until(lambda: len(exchange.connection.waiting) == 3)
+    client.close()
+    runner.until(lambda: exchange.gone)
+    assert not exchange.connection.waiting
+
+
+def test_an_answer_that_is_over_is_not_kept_by_its_connection(runner):
+    """Guards against requests kept by a client that keeps its connection and asks for nothing more."""
+    service, done = Service(runner), Done([])
+    client = service.client(post())
+    exchange = service.exchange()
+    exchange.on_gone(done.take)
+    exchange.on_drained(done.drained)
+    exchange.respond(200, b"hello")
+    client.receives(b"hello")
+    references = weakref.ref(exchange), weakref.ref(done)
+    service.exchanges.clear()
+    del exchange, done
+    assert [reference() for reference in references] == [None, None]
+    assert service.server.connections
 
 
 def test_what_a_client_sent_behind_its_last_request_is_not_kept_while_it_reads_the_answer(runner):
@@ -344,10 +373,13 @@
 
 
 class Done:
-    """Who waits for the answer to a one-shot call."""
+    """Who waits for the answer to a call, or for its end."""
 
     def __init__(self, came):
         self.came = came
 
-    def take(self, response):
+    def take(self, response=None):
         self.came.append(response)
+
+    def drained(self):
+        """The client has taken all that was written."""
