--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -395,6 +395,7 @@
 
 
 def test_a_head_that_is_slow_gets_408(runner):
+    runner.stand_still()
     service = Service(runner, echo, header_wait_ms=1000)
     client = service.client(b"GET /a HTTP/1.1\r\nHo")
     assert client.quiet() == b""
