--- a/tests/test_connection_memory.py
+++ b/tests/test_connection_memory.py
@@ -165,7 +165,7 @@
 @pytest.mark.parametrize("ends", CLIENT_ENDS)
 def test_a_clients_connection_that_is_over_is_freed(runner, ends):
     """Guards against half-read bodies and waiting requests of clients that have left, kept in memory."""
-    service = Service(runner, lambda asked, exchange: echo(asked, exchange))
+    service = Service(runner, echo)
     end = ends(runner, service)
     connection = the_only(service.server.connections)
     parser = weakref.ref(connection().parser)
@@ -242,10 +242,9 @@
 
 
 def is_refused(runner, host):
-    host.pool.forget(host.address)
     host.address = gone_address()
     call, connection = carried(runner, host, b"x" * LONG)
-    runner.until(lambda: call.end is not None)
+    host.ended(call)
     return call, connection
 
 
@@ -258,7 +257,7 @@
     host.address = sock.getsockname()
     call, connection = carried(runner, host, b"x" * LONG)
     runner.forward(CONNECT_TIME)
-    runner.until(lambda: call.end is not None)
+    host.ended(call)
     return call, connection
 
 
@@ -272,28 +271,28 @@
 def host_ends_it_amid_the_request(runner, host):
     call, connection = carried(runner, host, b"x" * 8 * LONG)
     host.accepted().receives(b"POST").close()
-    runner.until(lambda: call.end is not None)
+    host.ended(call)
     return call, connection
 
 
 def host_answers_nonsense(runner, host):
     call, connection = carried(runner, host)
     host.accepted().receives(b"\r\n\r\n").send(b"nonsense\r\n\r\n")
-    runner.until(lambda: call.end is not None)
+    host.ended(call)
     return call, connection
 
 
 def host_answers_and_closes(runner, host):
     call, connection = carried(runner, host)
     host.accepted().receives(b"\r\n\r\n").send(TO_CLOSE).close()
-    runner.until(lambda: call.end is not None)
+    host.ended(call)
     return call, connection
 
 
 def host_closes_it_when_idle(runner, host):
     call, connection = carried(runner, host)
     peer = host.accepted().receives(b"\r\n\r\n").send(SIZED)
-    runner.until(lambda: call.end is not None)
+    host.ended(call)
     peer.close()
     return call, connection
 
@@ -301,7 +300,7 @@
 def its_address_is_forgotten(runner, host):
     call, connection = carried(runner, host)
     host.accepted().receives(b"\r\n\r\n").send(SIZED)
-    runner.until(lambda: call.end is not None)
+    host.ended(call)
     host.pool.forget(host.address)
     return call, connection
 
