Data plane: counts what told the end of hosts' answers

Change: the connection tells its listener what ended the answer (AnswerEnd); the data plane counts it under attempts.end.length, attempts.end.last_chunk and attempts.end.close. The framing of an answer is read off its head in one place (ResponseHead.framing). No decision changes.

--- a/hopsail/dataplane/attempt.py
+++ b/hopsail/dataplane/attempt.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from ..http.client_connection import ClientConnection, Failure
+from ..http.client_connection import AnswerEnd, ClientConnection, Failure
 from ..http.message import ResponseHead
 from .work_directory import Told
 from .placement import Placed
@@ -30,6 +30,7 @@
         self.host = placed.host
         self.connection: ClientConnection | None = None
         self.response: ResponseHead | None = None
+        self.answer_end: AnswerEnd | None = None  # of an answer whose end was told
         self.told: Told | None = None  # what the host's registrar was told of it
         self.first_at: int | None = None  # ns, when its answer began
         self.is_withdrawn = False
@@ -66,7 +67,8 @@
         if not self.declined:
             self._owner.answer_data(self, data)
 
-    def complete(self) -> None:
+    def complete(self, end: AnswerEnd) -> None:
+        self.answer_end = end
         self._end(outcome_of(True, self.response, whole=True))
 
     def failed(self, failure: Failure) -> None:
--- a/hopsail/dataplane/attempt_records.py
+++ b/hopsail/dataplane/attempt_records.py
@@ -60,6 +60,8 @@
         host.in_flight -= 1
         host.in_flight_work = max(0.0, host.in_flight_work - attempt.placed.work) if host.in_flight else 0.0
         self.counters.add(f"attempts.{outcome.name.lower() if outcome else 'abandoned'}")
+        if attempt.answer_end is not None:
+            self.counters.add(f"attempts.end.{attempt.answer_end.value}")
         self._reading_over(attempt, False)
         if attempt.written:
             size = int(forwarding.prompt.size)
--- a/hopsail/http/client.py
+++ b/hopsail/http/client.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from .client_connection import MILLISECOND, ClientConnection, Failure
+from .client_connection import MILLISECOND, AnswerEnd, ClientConnection, Failure
 from .message import Headers, Response, ResponseHead, encode_request
 from .pool import ConnectionPool
 
@@ -30,7 +30,7 @@
         if len(self.data) > MOST_BODY:
             self.give_up()
 
-    def complete(self):
+    def complete(self, end: AnswerEnd):
         head = self.response_head
         self._end(Response(head.status, head.headers, bytes(self.data)))
 
--- a/hopsail/http/client_connection.py
+++ b/hopsail/http/client_connection.py
@@ -7,7 +7,7 @@
 import httptools
 
 from ..net.stream import Stream
-from .message import ResponseHead
+from .message import Framing, ResponseHead
 from .sockets import reset_at_close
 
 MILLISECOND = 1_000_000
@@ -24,6 +24,14 @@
     TIMED_OUT = "no answer in time"
 
 
+class AnswerEnd(Enum):
+    """What told the end of an answer."""
+
+    LENGTH = "length"  # its stated length has come, or no body follows its head
+    LAST_CHUNK = "last_chunk"
+    CLOSE = "close"  # its connection ended in order, as that of a process that crashes may
+
+
 class Listener(Protocol):
     """Who a streamed call reports to. After `complete` or `failed` nothing more comes."""
 
@@ -32,7 +40,7 @@
 
     def body(self, data: bytes) -> None: ...
 
-    def complete(self) -> None: ...
+    def complete(self, end: AnswerEnd) -> None: ...
 
     def failed(self, failure: Failure) -> None: ...
 
@@ -75,7 +83,7 @@
         self.written_at, self.until_close = None, False
         self.parser = httptools.HttpResponseParser(self)
         self.status, self.headers, self.head_bytes = 0, [], 0
-        self.whole = self.skipping = self.keep_alive = self.head_read = False
+        self.whole = self.skipping = self.keep_alive = self.head_read = self.chunked = False
         if not self.dialing:
             self._write_request()
 
@@ -130,9 +138,9 @@
         self.status = self.parser.get_status_code()
         if self.status < 200:
             return
-        names = {name for name, _ in self.headers}
-        self.until_close = not names & {"content-length", "transfer-encoding"}
         head = ResponseHead(self.status, self.headers, self.parser.should_keep_alive())
+        self.until_close = head.framing is Framing.CONNECTION
+        self.chunked = head.framing is Framing.CHUNKS
         self.skipping = not self.listener.head(head)
         if self.bodiless and not self.skipping:
             self.whole = self.until_close = True  # the parser expects a body: it can't go on from here
@@ -168,8 +176,9 @@
 
     def _complete(self):
         listener, self.listener = self.listener, None
+        end = AnswerEnd.LAST_CHUNK if self.chunked and not self.bodiless else AnswerEnd.LENGTH
         clean = self.parser is not None and self.keep_alive and not self.until_close and self.carries_more
-        listener.complete()
+        listener.complete(end)
         if clean and self.open and not self.unsent:
             self.pool.rest(self)
         else:
@@ -181,7 +190,7 @@
             return
         if self.finished and self.until_close and not self.skipping:
             self.listener = None
-            listener.complete()
+            listener.complete(AnswerEnd.CLOSE)
             return
         self._report(Failure.BROKEN if self.request_taken else Failure.NOT_SENT)
 
--- a/hopsail/http/message.py
+++ b/hopsail/http/message.py
@@ -1,5 +1,6 @@
 """Typed HTTP messages and their encoding (RFC 9110, RFC 9112)."""
 
+from enum import Enum, auto
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -55,6 +56,14 @@
         return self.target.partition("?")[0]
 
 
+class Framing(Enum):
+    """How an answer's head says that its body's end is told (RFC 9112, section 6.3)."""
+
+    LENGTH = auto()
+    CHUNKS = auto()
+    CONNECTION = auto()  # by the end of the connection alone
+
+
 class ResponseHead(NamedTuple):
     """Status line and headers of an answer."""
 
@@ -65,6 +74,12 @@
     def header(self, name: str) -> str | None:
         return header_of(self.headers, name)
 
+    @property
+    def framing(self) -> Framing:
+        if self.header("transfer-encoding") is not None:
+            return Framing.CHUNKS
+        return Framing.CONNECTION if self.header("content-length") is None else Framing.LENGTH
+
 
 class Response(NamedTuple):
     """An answer that has been read whole."""
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -7,7 +7,7 @@
 
 from hopsail.http import server as server_module
 from hopsail.http.client import HttpClient
-from hopsail.http.client_connection import CONNECT_TIME, MILLISECOND, Failure
+from hopsail.http.client_connection import CONNECT_TIME, MILLISECOND, AnswerEnd, Failure
 from hopsail.http.message import Request, encode_request, end_to_end, header_of
 from hopsail.http.pool import IDLE_TIME, ConnectionPool
 from hopsail.http.server import HttpServer, Rejection, ServerLimits
@@ -960,9 +960,9 @@
         assert self.end is None
         self.data += data
 
-    def complete(self):
+    def complete(self, end):
         assert self.end is None
-        self.end = "complete"
+        self.end, self.answer_end = "complete", end
 
     def failed(self, failure):
         assert self.end is None
@@ -1060,6 +1060,26 @@
         assert host.ended(call) == "complete" and call.data == b"hello"
 
 
+@pytest.mark.parametrize(
+    ("method", "answer", "closes", "end"),
+    [
+        ("GET", SIZED, False, AnswerEnd.LENGTH),
+        ("GET", OK.replace(b"200 OK", b"204 No Content") + b"\r\n", False, AnswerEnd.LENGTH),
+        ("HEAD", OK + b"Transfer-Encoding: chunked\r\n\r\n", False, AnswerEnd.LENGTH),
+        ("GET", CHUNKED, False, AnswerEnd.LAST_CHUNK),
+        ("GET", TO_CLOSE, True, AnswerEnd.CLOSE),
+    ],
+    ids=["length", "no body by its status", "no body to HEAD", "chunks", "close"],
+)
+def test_it_is_told_what_ended_an_answer(runner, method, answer, closes, end):
+    host = Host(runner)
+    call, peer = host.call(method=method)
+    peer.send(answer)
+    if closes:
+        peer.close()
+    assert host.ended(call) == "complete" and call.answer_end is end
+
+
 def test_an_answer_without_length_ends_with_the_connection(runner):
     host = Host(runner)
     call, peer = host.call()
