A stream without a length whose host crashed within an event is not complete

Cause: an answer without a length was taken as whole whenever its connection ended in order, as the system also ends those of a process that was killed. Half an event that was kept back was passed on as the rest; on routes that may not be resumed it had been passed on already.

Evidence: an observer on a connection of its own reads an end and no reset; the attempt counts as complete with attempts.end.close; the half event comes at the crash, not when it was written; with chunks the same crash is a broken attempt.

Change: completeness.py alone decides whether an answer is whole, by what told its end. A stream of events that ends by its connection is whole right after an event, not before its first one and not within one; its bytes are followed and not kept, on all routes, at each host. Counter attempts.unfinished.

Why it works: an event ends with a blank line, so half of one proves that the host broke off; what isn't whole is a broken attempt like any other.

--- a/hopsail/dataplane/attempt.py
+++ b/hopsail/dataplane/attempt.py
@@ -4,9 +4,10 @@
 
 from ..http.client_connection import AnswerEnd, ClientConnection, Failure
 from ..http.message import ResponseHead
-from .work_directory import Told
-from .placement import Placed
+from .completeness import AnswerProgress
 from .execution import ATTEMPT_ID, Outcome, declines, is_replaced, outcome_of
+from .placement import Placed
+from .work_directory import Told
 
 
 class Owner(Protocol):
@@ -30,6 +31,7 @@
         self.host = placed.host
         self.connection: ClientConnection | None = None
         self.response: ResponseHead | None = None
+        self.progress: AnswerProgress | None = None  # of that answer
         self.answer_end: AnswerEnd | None = None  # of an answer whose end was told
         self.told: Told | None = None  # what the host's registrar was told of it
         self.first_at: int | None = None  # ns, when its answer began
@@ -58,18 +60,19 @@
             return False
         if told not in (self.identifier, None):
             return False  # a surplus answer to an earlier request
-        self.response = head
+        self.response, self.progress = head, AnswerProgress(head)
         if not self.declined:
             self._owner.answer_began(self, head)
         return True
 
     def body(self, data: bytes) -> None:
+        self.progress.came(data)
         if not self.declined:
             self._owner.answer_data(self, data)
 
     def complete(self, end: AnswerEnd) -> None:
         self.answer_end = end
-        self._end(outcome_of(True, self.response, whole=True))
+        self._end(outcome_of(True, self.response, whole=self.progress.is_whole(end)))
 
     def failed(self, failure: Failure) -> None:
         written = failure is not Failure.NOT_SENT
--- a/hopsail/dataplane/attempt_records.py
+++ b/hopsail/dataplane/attempt_records.py
@@ -60,8 +60,7 @@
         host.in_flight -= 1
         host.in_flight_work = max(0.0, host.in_flight_work - attempt.placed.work) if host.in_flight else 0.0
         self.counters.add(f"attempts.{outcome.name.lower() if outcome else 'abandoned'}")
-        if attempt.answer_end is not None:
-            self.counters.add(f"attempts.end.{attempt.answer_end.value}")
+        self._count_end(attempt, outcome)
         self._reading_over(attempt, False)
         if attempt.written:
             size = int(forwarding.prompt.size)
@@ -69,6 +68,14 @@
             self._answer_over(forwarding, attempt)
         self._judge(forwarding, attempt, outcome)
 
+    def _count_end(self, attempt: Attempt, outcome: Outcome | None) -> None:
+        if attempt.answer_end is None:
+            return
+        if outcome is Outcome.BROKEN:
+            self.counters.add("attempts.unfinished")
+        else:
+            self.counters.add(f"attempts.end.{attempt.answer_end.value}")
+
     def _reading_over(self, attempt: Attempt, is_sample: bool) -> None:
         """The host has read the attempt's prompt, or will not."""
         if attempt.told is not None:
--- a/hopsail/dataplane/events.py
+++ b/hopsail/dataplane/events.py
@@ -41,11 +41,50 @@
         return events
 
     def end(self) -> list[Event]:
-        """What is left when the stream has ended: an event without its blank line."""
+        """What is left of a stream that is whole: comments, or an event without its blank line."""
         rest, self.rest = self.rest, b""
         return [Event(rest, _identifier(rest))] if rest else []
 
 
+class EventBoundary:
+    """Follows a stream's bytes and tells whether it stands right after an event; keeps none of them.
+
+    Lines end with a line feed, a carriage return or both. Comments alone are no event."""
+
+    def __init__(self):
+        self._has_events = False
+        self._is_within_event = False  # a line of one has ended, and not yet its blank line
+        self._line = b""  # the first byte of the line that has not ended
+        self._is_after_return = False  # a line feed that follows belongs to the line before
+
+    @property
+    def is_after_event(self) -> bool:
+        """Whether an event has ended, and nothing but whole comments and blank lines came after it."""
+        return self._has_events and not self._is_within_event and not self._line
+
+    def feed(self, data: bytes) -> None:
+        """Takes the next bytes."""
+        if self._is_after_return and data.startswith(b"\n"):
+            data = data[1:]
+            self._is_after_return = False
+        if not data:
+            return
+        self._is_after_return = data.endswith(b"\r")
+        for line in (self._line + data).splitlines(keepends=True):
+            if line.endswith((b"\n", b"\r")):
+                self._line = b""
+                self._line_ended(line.rstrip(b"\r\n"))
+            else:
+                self._line = line[:1]
+
+    def _line_ended(self, line: bytes) -> None:
+        if not line:
+            self._has_events |= self._is_within_event
+            self._is_within_event = False
+        elif not line.startswith(b":"):
+            self._is_within_event = True
+
+
 def _end_of_event(buffer: bytes) -> int:
     """Where the first event ends in the buffer, 0 when it has not ended yet."""
     ends = [at + len(mark) for mark in _ENDS if (at := buffer.find(mark)) >= 0]
--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -8,6 +8,7 @@
 from ..http.server import Exchange
 from ..routing.admission import Verdict
 from .attempt import Attempt
+from .completeness import is_event_stream
 from .events import Event, EventError, EventSplitter
 from .execution import (
     ATTEMPT_ID,
@@ -29,7 +30,6 @@
 MOST_UNSENT = 256 << 10  # bytes that a client has not taken before its host is held up
 MOST_DIALS = 6  # hosts that could not be reached for one request, before it is refused
 LAST_EVENT_ID = "last-event-id"
-EVENT_STREAM = "text/event-stream"
 # Set by the system alone, whatever a client sends there.
 OWN_HEADERS = frozenset(
     "hopsail-target-instance hopsail-tenant hopsail-deadline-ms expect-version cache-salt kv-fetch kv-save "
@@ -256,7 +256,7 @@
         """A host's answer has begun, and the host does not decline."""
         if attempt is not self.attempt or not passes(head):
             return
-        is_events = head.status == 200 and (head.header("content-type") or "").startswith(EVENT_STREAM)
+        is_events = head.status == 200 and is_event_stream(head)
         if self.exchange.started and not is_events:
             return  # it can't go on where the first host's events ended
         self.plane.first_byte(self, attempt)
