An answer without a length that is closed when its host's time is over is not complete

Callers saw: after a pause of a data plane, or within the last millisecond before its deadline, an answer without a length that its host had to end for want of time, as a complete one.

Cause: the same as that of the stream that broke off within an event: a close in order was taken as a whole answer's end. A host ends its work at the Hopsail-Deadline-Ms that it is told; its close then proves nothing. Sockets' events come before timers after a pause, and hosts are told whole milliseconds, so the request's own timer does not always come first.

Change: an attempt knows until when its host may be at work; a close at or after that is no proof (completeness.py). A length or last chunk still is.

Why it works: what the host could not finish in time is cut, as at the request's own deadline.

Shown with stand-ins for sockets, not with a host's process.

--- a/hopsail/dataplane/attempt.py
+++ b/hopsail/dataplane/attempt.py
@@ -34,6 +34,7 @@
         self.progress: AnswerProgress | None = None  # of that answer
         self.answer_end: AnswerEnd | None = None  # of an answer whose end was told
         self.told: Told | None = None  # what the host's registrar was told of it
+        self.work_until: int | None = None  # ns, when the time that the host was given is over
         self.first_at: int | None = None  # ns, when its answer began
         self.is_withdrawn = False
         self.ended = False
@@ -43,6 +44,13 @@
         """Whether bytes of the request may have reached the host."""
         return self.connection is not None and self.connection.request_taken > 0
 
+    @property
+    def has_time(self) -> bool:
+        """Whether the host may still be at work, by the time that it was given."""
+        if self.work_until is None or self.connection is None:
+            return True
+        return self.connection.loop.now() < self.work_until
+
     @property
     def declined(self) -> bool:
         """Whether the host's answer states that the request was not run."""
@@ -72,7 +80,7 @@
 
     def complete(self, end: AnswerEnd) -> None:
         self.answer_end = end
-        self._end(outcome_of(True, self.response, whole=self.progress.is_whole(end)))
+        self._end(outcome_of(True, self.response, whole=self.progress.is_whole(end, self.has_time)))
 
     def failed(self, failure: Failure) -> None:
         written = failure is not Failure.NOT_SENT
--- a/hopsail/dataplane/completeness.py
+++ b/hopsail/dataplane/completeness.py
@@ -29,11 +29,14 @@
         if self._boundary is not None:
             self._boundary.feed(data)
 
-    def is_whole(self, end: AnswerEnd) -> bool:
+    def is_whole(self, end: AnswerEnd, has_time: bool) -> bool:
         """Whether all of the answer has come, now that this has told its end.
 
-        A stream that is closed before its first event, or within one, was broken off. Other answers do not
-        show where they end: a close in order is taken at its word."""
-        if end is not AnswerEnd.CLOSE or self._boundary is None:
+        `has_time`: the time that the host was given is not over. Once it is, the host ends its work, so its
+        close tells nothing. A stream that is closed before its first event, or within one, was broken off.
+        Other answers do not show where they end: a close in order is taken at its word."""
+        if end is not AnswerEnd.CLOSE:
             return True
-        return self._boundary.is_after_event
+        if not has_time:
+            return False
+        return self._boundary is None or self._boundary.is_after_event
--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -181,6 +181,7 @@
             self.plane.loop.soon(attempt.withdraw)
             return None
         left = max(1, left_ns // MILLISECOND)
+        attempt.work_until = self.plane.loop.now() + left * MILLISECOND
         headers = [
             (name, value) for name, value in end_to_end(self.request.headers) if name not in OWN_HEADERS
         ]
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -258,3 +258,42 @@
     assert sum(len(value) for value in vars(boundary).values() if isinstance(value, bytes)) <= 1
     boundary.feed(b"\n\n")
     assert boundary.is_after_event
+
+
+# The time that a host was given
+
+
+PLAIN_HEAD = NO_LENGTH.replace(b"text/event-stream", b"text/plain")
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("head", [NO_LENGTH, PLAIN_HEAD], ids=["events", "no stream"])
+def test_an_answer_that_its_host_may_have_ended_for_want_of_time_is_not_complete(kind, head):
+    """Issue 87: a host ends its work when its time is over, whole or not; a close then proves nothing."""
+    journey = Journey(KINDS[kind])
+    journey.host().says(head + HAD)
+    journey.loop.time += 4 * SECOND  # a pause of the process: sockets' events come before its timers
+    journey.host().ends(in_order=True)
+    assert journey.over() == "cut" and journey.sent == 1
+
+
+@pytest.mark.parametrize("end", PROOFS)
+@pytest.mark.parametrize("kind", KINDS)
+def test_an_answer_whose_host_said_that_it_is_whole_needs_no_time(kind, end):
+    journey = Journey(KINDS[kind])
+    journey.loop.time += 4 * SECOND
+    end(journey.host(), HAD)
+    assert journey.over() == 200 and bytes(journey.client.body) == HAD
+
+
+@pytest.mark.parametrize(("after", "is_whole"), [(3_999_400_000, True), (3_999_500_000, False)])
+def test_the_time_of_a_host_ends_with_the_last_millisecond_that_it_was_told(after, is_whole):
+    journey = Journey(STREAM, manners=["silent"])
+    begins = journey.loop.now()
+    journey.loop.forward(900_500_000)  # ns
+    journey.host().up()
+    assert journey.host().told("hopsail-deadline-ms") == "3099"
+    journey.host().says(NO_LENGTH + HAD)
+    journey.loop.time = begins + after
+    journey.host().ends(in_order=True)
+    assert journey.over() == (200 if is_whole else "cut")
