A stream of events is known by its media type in any case

Callers saw: a stream whose host writes its Content-Type in capitals was cut where another host could have gone on with it, and one without a length that broke off within an event would be ended as complete.

Cause: the header's text was compared with text/event-stream letter by letter; media types have no case (RFC 9110, 8.3.1).

Change: the media type alone is read, in small letters, without its parameters, in one place (completeness.py).

Tests: one of three cases failed before (capitals; the two with parameters passed), none after.

--- a/hopsail/dataplane/completeness.py
+++ b/hopsail/dataplane/completeness.py
@@ -12,8 +12,9 @@
 
 
 def is_event_stream(head: ResponseHead) -> bool:
-    """Whether an answer's media type is that of a stream of events."""
-    return (head.header("content-type") or "").startswith(EVENT_STREAM)
+    """Whether an answer's media type is that of a stream of events; types have no case (RFC 9110, 8.3.1)."""
+    media_type, _, _ = (head.header("content-type") or "").partition(";")
+    return media_type.strip().lower() == EVENT_STREAM
 
 
 class AnswerProgress:
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -221,6 +221,16 @@
     assert journey.over() == "cut"
 
 
+@pytest.mark.parametrize(
+    "name", ["Text/Event-Stream", "text/event-stream; charset=utf-8", "text/event-stream;"]
+)
+def test_the_name_of_the_media_type_has_no_case_and_may_have_parameters(name):
+    journey = Journey(RESUMABLE)
+    head = NO_LENGTH.replace(b"text/event-stream", name.encode())
+    journey.host().says(head + HAD + HALF).ends(in_order=True)
+    assert journey.host(1).told("last-event-id") == "3" and bytes(journey.client.body) == HAD
+
+
 @pytest.mark.parametrize("kind", KINDS)
 def test_an_answer_that_is_no_stream_is_whole_at_a_close_and_not_at_a_reset(kind):
     """Nothing in its bytes tells where it ends."""
