HTTP client: the framing of an answer's head is read once

An answer's head was searched twice for the headers that tell its framing. No decision changes; 467 tests of HTTP and of answers' ends pass.

--- a/hopsail/http/client_connection.py
+++ b/hopsail/http/client_connection.py
@@ -139,8 +139,9 @@
         if self.status < 200:
             return
         head = ResponseHead(self.status, self.headers, self.parser.should_keep_alive())
-        self.until_close = head.framing is Framing.CONNECTION
-        self.chunked = head.framing is Framing.CHUNKS
+        framing = head.framing
+        self.until_close = framing is Framing.CONNECTION
+        self.chunked = framing is Framing.CHUNKS
         self.skipping = not self.listener.head(head)
         if self.bodiless and not self.skipping:
             self.whole = self.until_close = True  # the parser expects a body: it can't go on from here
