Tests: stand-ins of a request's way leave the file of its tests

The stand-ins are now tests/request_journey.py, what makes a data plane without sockets is tests/data_plane_by_hand.py, the fixture is in conftest.py.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import gc
 
 import pytest
+from data_plane_by_hand import data_plane_with_stand_ins
 
 from hopsail.load.scripted import Rig
 
@@ -36,3 +37,16 @@
     gc.disable()
     yield
     gc.enable()
+
+
+@pytest.fixture
+def data_plane():
+    """A data plane without sockets."""
+    with data_plane_with_stand_ins() as one:
+        yield one
+
+
+@pytest.fixture
+def plane(data_plane):
+    """The same; test files that tell it more have a fixture of this name."""
+    return data_plane
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -1,9 +1,10 @@
 """What each kind of end proves of a host's answer: by a length, a last chunk, a close in order, a reset.
 
-Played through a whole request with the stand-ins of `test_dataplane_forward`."""
+Played through a whole request with the stand-ins of `request_journey`."""
 
 import pytest
-from test_dataplane_forward import (
+from data_plane_by_hand import ask, feed, headers_of, instance
+from request_journey import (
     EVENTS_HEAD,
     IDEMPOTENT,
     LAST_CHUNK,
@@ -14,16 +15,11 @@
     STREAM,
     Journey,
     answer,
-    ask,
     chunk,
     event,
     events,
-    feed,
-    headers_of,
-    instance,
-    pieces_of,
-    plane,  # noqa: F401
 )
+from test_dataplane_forward import pieces_of
 
 from hopsail.dataplane.events import EventBoundary
 from hopsail.dataplane.execution import Outcome
@@ -40,7 +36,7 @@
     ],
     ids=["length", "last chunk", "close"],
 )
-def test_what_told_the_end_of_an_answer_is_counted(plane, said, closes, counter):  # noqa: F811
+def test_what_told_the_end_of_an_answer_is_counted(plane, said, closes, counter):
     feed(plane.view, instances=[instance()])
     ask(plane, headers_of())
     (host,) = plane.pool.made
@@ -51,7 +47,7 @@
     assert counted == {counter: 1}
 
 
-def test_a_stream_that_broke_off_is_counted_apart(plane):  # noqa: F811
+def test_a_stream_that_broke_off_is_counted_apart(plane):
     feed(plane.view, instances=[instance()])
     ask(plane, headers_of())
     plane.pool.made[0].says(NO_LENGTH + events(1, 2) + b"id: 3").ends(in_order=True)
@@ -59,7 +55,7 @@
     assert not [name for name in plane.counters.counts if "attempts.end" in name]
 
 
-def test_no_end_is_counted_of_an_answer_that_was_reset(plane):  # noqa: F811
+def test_no_end_is_counted_of_an_answer_that_was_reset(plane):
     feed(plane.view, instances=[instance()])
     ask(plane, headers_of())
     plane.pool.made[0].says(NO_LENGTH + events(1, 2)).ends()
--- a/tests/test_callers_simulation.py
+++ b/tests/test_callers_simulation.py
@@ -10,7 +10,7 @@
 
 import httptools
 import pytest
-from test_dataplane_forward import (
+from request_journey import (
     IDEMPOTENT,
     LINGER_RESET,
     MILLISECOND,
--- a/tests/test_controlplane_stopping.py
+++ b/tests/test_controlplane_stopping.py
@@ -7,7 +7,7 @@
 
 import pytest
 from test_controlplane_processes import DOOR, PORT, SECOND, SETTINGS, content, make_cluster, put  # noqa: F401
-from test_dataplane_forward import MILLISECOND, Clock, ClientSide
+from request_journey import MILLISECOND, Clock, ClientSide
 
 from hopsail.controlplane.messages import COMMAND, CommandCall, CommandReply
 from hopsail.controlplane.operator import OperatorCalls
--- a/tests/test_dataplane_directory.py
+++ b/tests/test_dataplane_directory.py
@@ -3,15 +3,8 @@
 import socket
 
 import pytest
-from test_dataplane_forward import (
-    SETTINGS,
-    answer,
-    ask,
-    feed,
-    headers_of,
-    instance,
-    plane as data_plane,  # noqa: F401 (the fixture)
-)
+from data_plane_by_hand import SETTINGS, ask, feed, headers_of, instance
+from request_journey import answer
 
 from hopsail.configuration.process import parse_settings
 from hopsail.dataplane.plane import DIRECTORY_PORT
@@ -51,7 +44,7 @@
 
 
 @pytest.fixture
-def plane(data_plane):  # noqa: F811
+def plane(data_plane):
     data_plane.attempts.directory = Directory()
     feed(data_plane.view, instances=[instance(f"i-{number}", port=8000 + number) for number in range(6)])
     return data_plane
--- a/tests/test_dataplane_evacuation.py
+++ b/tests/test_dataplane_evacuation.py
@@ -4,19 +4,8 @@
 from itertools import permutations
 
 import pytest
-from test_dataplane_forward import (
-    IDEMPOTENT,
-    MUTATING,
-    RESUMABLE,
-    STREAM,
-    Journey,
-    answer,
-    ask,
-    feed,
-    headers_of,
-    instance,
-    plane as data_plane,  # noqa: F401 (the fixture)
-)
+from request_journey import IDEMPOTENT, MUTATING, RESUMABLE, STREAM, Journey, answer
+from data_plane_by_hand import ask, feed, headers_of, instance
 from test_dataplane_placement import Fleet, prompt
 from test_dataplane_placement import instance as placed_instance
 
@@ -48,7 +37,7 @@
 
 
 @pytest.fixture
-def plane(data_plane):  # noqa: F811
+def plane(data_plane):
     """With a host in each of two zones."""
     feed(data_plane.view, instances=[in_zone("i-1", "z1"), in_zone("i-2", "z2", 8002)])
     return data_plane
--- a/tests/test_dataplane_stopping.py
+++ b/tests/test_dataplane_stopping.py
@@ -6,12 +6,11 @@
 from itertools import product
 
 import pytest
-from test_dataplane_forward import (
-    CONFIGURATION,
+from data_plane_by_hand import CONFIGURATION, SETTINGS, feed, headers_of, instance
+from request_journey import (
     EVENTS_HEAD,
     MILLISECOND,
     SECOND,
-    SETTINGS,
     ClientSide,
     Clock,
     Pool,
@@ -19,9 +18,6 @@
     chunk,
     declined,
     events,
-    feed,
-    headers_of,
-    instance,
 )
 
 from hopsail.configuration.process import parse_settings
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -1,11 +1,11 @@
 """What may have run, what may be repeated and what the client is told: each kind of request x instant.
 
-Played through a whole request with the stand-ins of `test_dataplane_forward`; the rules are pure."""
+Played through a whole request with the stand-ins of `request_journey`; the rules are pure."""
 
 from itertools import product
 
 import pytest
-from test_dataplane_forward import (
+from request_journey import (
     EVENTS_HEAD,
     IDEMPOTENT,
     LAST_CHUNK,
--- a/tests/test_kept_connections.py
+++ b/tests/test_kept_connections.py
@@ -1,7 +1,7 @@
 """Connections to hosts that carry one request after another: what the earlier ones may leave behind."""
 
 import pytest
-from test_dataplane_forward import IDENTIFIER, MUTATING, SECOND, ClientSide, Plane, answer, declined
+from request_journey import IDENTIFIER, MUTATING, SECOND, ClientSide, Plane, answer, declined
 from test_http import MILLISECOND, Host, runner  # noqa: F401 (the fixture)
 
 from hopsail.dataplane.execution import Outcome
--- a/tests/test_killed_hosts.py
+++ b/tests/test_killed_hosts.py
@@ -6,9 +6,9 @@
 import sys
 
 import pytest
-from test_dataplane_forward import (
-    IDENTIFIER,
+from request_journey import (
     IDEMPOTENT,
+    IDENTIFIER,
     RESUMABLE,
     SECOND,
     STREAM,
--- a/tests/test_lane_agreement.py
+++ b/tests/test_lane_agreement.py
@@ -5,7 +5,7 @@
 from types import SimpleNamespace
 
 import pytest
-from test_dataplane_forward import Clock
+from request_journey import Clock
 from test_lane_division import POOL
 
 from hopsail.dataplane.lane_agreement import (
--- a/tests/test_late_log.py
+++ b/tests/test_late_log.py
@@ -4,8 +4,9 @@
 from types import SimpleNamespace
 
 import pytest
+from data_plane_by_hand import ask, feed, headers_of, instance
+from request_journey import answer
 from test_dataplane_directory import LONG, Directory
-from test_dataplane_forward import answer, ask, feed, headers_of, instance, plane as data_plane  # noqa: F401
 
 from benchmarks.late_causes import Cause, cause_of, read_lines, table, times
 from hopsail.dataplane import late_log
@@ -16,7 +17,7 @@
 
 
 @pytest.fixture
-def plane(data_plane, monkeypatch):  # noqa: F811
+def plane(data_plane, monkeypatch):
     one, lines = data_plane, []
     one.attempts.directory = Directory()
     one.late_log = LateLog(lambda: one.loop.now(), one.view, one.counters)
--- a/tests/test_pipelined.py
+++ b/tests/test_pipelined.py
@@ -1,16 +1,7 @@
 """Requests that their client sends before it has the answers to earlier ones."""
 
-from test_dataplane_forward import (  # noqa: F401 (the fixture)
-    IDENTIFIER,
-    MILLISECOND,
-    SECOND,
-    ClientSide,
-    answer,
-    feed,
-    headers_of,
-    instance,
-    plane,
-)
+from request_journey import MILLISECOND, ClientSide
+from data_plane_by_hand import feed, headers_of, instance
 from test_http import Service, echo, post, runner  # noqa: F401 (the fixture)
 
 from hopsail.http.message import Request
@@ -34,7 +25,7 @@
     assert came + 700 * MILLISECOND <= third.began < came + 800 * MILLISECOND
 
 
-def pipelined(plane, waited_ms):  # noqa: F811
+def pipelined(plane, waited_ms):
     """A request that has waited for so long for its turn."""
     client = ClientSide(plane.loop)
     headers = [*headers_of(), ("hopsail-deadline-ms", "2000")]
@@ -45,7 +36,7 @@
     return client
 
 
-def test_a_host_is_told_what_a_pipelined_request_has_left(plane):  # noqa: F811
+def test_a_host_is_told_what_a_pipelined_request_has_left(plane):
     feed(plane.view, instances=[instance()])
     client = pipelined(plane, 700)
     (host,) = plane.pool.made
@@ -54,7 +45,7 @@
     assert client.status == 504 and not host.open
 
 
-def test_a_pipelined_request_whose_time_is_over_is_sent_to_no_host(plane):  # noqa: F811
+def test_a_pipelined_request_whose_time_is_over_is_sent_to_no_host(plane):
     feed(plane.view, instances=[instance()])
     client = pipelined(plane, 2000)
     plane.loop.forward(0)
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -7,7 +7,7 @@
 import weakref
 
 import pytest
-from test_dataplane_forward import (
+from request_journey import (
     EVENTS_HEAD,
     IDEMPOTENT,
     MILLISECOND,
@@ -21,8 +21,8 @@
     chunk,
     declined,
     events,
-    headers_of,
 )
+from data_plane_by_hand import headers_of
 from test_dataplane_stopping import stage  # noqa: F401  (a fixture)
 
 from hopsail.dataplane.forward import MOST_DIALS
--- a/tests/test_reused_address.py
+++ b/tests/test_reused_address.py
@@ -1,16 +1,8 @@
 """The address of a host that has ended belongs to another one: its quick refusals must not draw requests."""
 
 import pytest
-from test_dataplane_forward import (  # noqa: F401 (the fixture)
-    MILLISECOND,
-    answer,
-    ask,
-    declined,
-    feed,
-    headers_of,
-    instance,
-    plane,
-)
+from request_journey import MILLISECOND, answer, declined
+from data_plane_by_hand import ask, feed, headers_of, instance
 
 from hopsail.dataplane.execution import is_replaced
 from hopsail.http.message import ResponseHead
@@ -23,19 +15,19 @@
 PROMPT = [("hopsail-prompt-prefix", "aa:60,bb:10")]  # of one shared part, so with one home
 
 
-def asked(plane):  # noqa: F811
+def asked(plane):
     """The name of the host that the next request goes to first, and its connection."""
     ask(plane, headers_of() + PROMPT)
     host = plane.pool.made[-1]
     return host.told("hopsail-target-instance"), host
 
 
-def first_home(plane):  # noqa: F811
+def first_home(plane):
     feed(plane.view, instances=[instance(name, port=8000 + number) for number, name in enumerate(NAMES)])
     return asked(plane)
 
 
-def test_a_host_whose_address_another_has_is_passed_over(plane):  # noqa: F811
+def test_a_host_whose_address_another_has_is_passed_over(plane):
     ended, host = first_home(plane)
     host.says(TAKEN_OVER)
     for _ in range(100):
@@ -46,13 +38,13 @@
 
 
 @pytest.mark.parametrize("own_name", [False, True])
-def test_a_host_that_only_declines_is_not(plane, own_name):  # noqa: F811
+def test_a_host_that_only_declines_is_not(plane, own_name):
     name, host = first_home(plane)
     host.says(declined(421, (f"Hopsail-Instance-Id: {name}",) if own_name else ()))
     assert plane.placement.services["s"].health.may_send(plane.loop.now(), name)
 
 
-def test_one_request_after_the_pause_tells_whether_it_is_still_so(plane):  # noqa: F811
+def test_one_request_after_the_pause_tells_whether_it_is_still_so(plane):
     ended, host = first_home(plane)
     host.says(TAKEN_OVER)
     plane.loop.forward(LONGEST_PAUSE_NS + MILLISECOND)
--- a/tests/test_rules_of_pages.py
+++ b/tests/test_rules_of_pages.py
@@ -5,30 +5,22 @@
 from contextlib import suppress
 
 import pytest
-from test_dataplane_forward import (
-    CONFIGURATION,
+from data_plane_by_hand import CONFIGURATION, SETTINGS, ask, feed, headers_of, instance
+from request_journey import (
     IDEMPOTENT,
     IDENTIFIER,
-    MAY_HAVE_RUN,
     MILLISECOND,
     MUTATING,
-    NOT_RUN,
     RESUMABLE,
     SECOND,
-    SETTINGS,
     STREAM,
-    Clock,
     ClientSide,
-    Front,
+    Clock,
     Journey,
     answer,
-    ask,
     declined,
-    feed,
-    headers_of,
-    instance,
-    plane as data_plane,  # noqa: F401 (the fixture)
 )
+from test_dataplane_forward import MAY_HAVE_RUN, NOT_RUN, Front
 from test_http import LOCAL, RawPeer, Runner, in_chunks, post, request
 
 from hopsail.configuration.process import parse_settings
@@ -43,7 +35,7 @@
 
 
 @pytest.fixture
-def plane(data_plane):  # noqa: F811
+def plane(data_plane):
     return data_plane
 
 
--- a/tests/test_work_directory.py
+++ b/tests/test_work_directory.py
@@ -4,7 +4,7 @@
 from random import Random
 
 import pytest
-from test_dataplane_forward import Clock
+from request_journey import Clock
 
 from hopsail.dataplane.work_directory import (
     ANSWER_NS,
--- a/tests/weights/test_superseded_weights.py
+++ b/tests/weights/test_superseded_weights.py
@@ -3,6 +3,12 @@
 from random import Random
 
 import pytest
+from data_plane_by_hand import ask, feed, headers_of
+from data_plane_by_hand import instance as host_instance
+from request_journey import STREAM, Journey, answer
+from test_controlplane_rollouts import MODEL, Plane
+from test_dataplane_forward import ONCE, REPEATABLE
+from test_dataplane_placement import Fleet, instance
 
 from hopsail.feed.journal import Change
 from hopsail.feed.topics import Topic
@@ -11,20 +17,6 @@
 from hopsail.weights.load import HostLoad, LoadPhase, encode_load
 from hopsail.weights.named_revisions import MAX_NAMED, NamedRevisions
 from hopsail.weights.rollout import HostInfo, Rollout, RolloutRules
-from test_controlplane_rollouts import MODEL, Plane
-from test_dataplane_forward import (
-    ONCE,
-    REPEATABLE,
-    STREAM,
-    Journey,
-    answer,
-    ask,
-    feed,
-    headers_of,
-    plane,  # noqa: F401
-)
-from test_dataplane_forward import instance as host_instance
-from test_dataplane_placement import Fleet, instance
 
 MS = 1_000_000
 S = 1_000 * MS
@@ -264,7 +256,7 @@
     assert fleet.placement.may_wait(fleet.now + 1, "other", 1)
 
 
-def test_a_data_plane_withdraws_in_time_and_holds_nothing_against_the_host(plane):  # noqa: F811
+def test_a_data_plane_withdraws_in_time_and_holds_nothing_against_the_host(plane):
     """The real data plane, whose tick looks at what waits; its host then has loaded the version."""
     models = (ModelRevision("m", 1),)
     feed(plane.view, instances=[host_instance("i-1", models=models)], now=plane.loop.now())
