--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -303,3 +303,14 @@
     journey.loop.time = begins + after
     journey.host().ends(in_order=True)
     assert journey.over() == (200 if is_whole else "cut")
+
+
+@pytest.mark.parametrize("size", [1, 2, 3])
+@pytest.mark.parametrize(
+    "data", [b"id: 1\r\n\n", b"id: 1\n\r\n", b"id: 1\r\n\r", b"id: 1\r\r\n", b"id: 1\n\r"]
+)
+def test_lines_of_one_event_may_end_in_different_manners(data, size):
+    boundary = EventBoundary()
+    for piece in pieces_of(data, size):
+        boundary.feed(piece)
+    assert boundary.is_after_event
