--- a/hopsail/dataplane/attempt.py
+++ b/hopsail/dataplane/attempt.py
@@ -32,7 +32,7 @@
         self.connection: ClientConnection | None = None
         self.response: ResponseHead | None = None
         self.progress: AnswerProgress | None = None  # of that answer
-        self.answer_end: AnswerEnd | None = None  # of an answer whose end was told
+        self.answer_end: AnswerEnd | None = None  # of an answer whose end was signalled
         self.told: Told | None = None  # what the host's registrar was told of it
         self.work_until: int | None = None  # ns, when the time that the host was given is over
         self.first_at: int | None = None  # ns, when its answer began
@@ -74,17 +74,17 @@
         return True
 
     def body(self, data: bytes) -> None:
-        self.progress.came(data)
+        self.progress.received(data)
         if not self.declined:
             self._owner.answer_data(self, data)
 
     def complete(self, end: AnswerEnd) -> None:
         self.answer_end = end
-        self._end(outcome_of(True, self.response, whole=self.progress.is_whole(end, self.has_time)))
+        self._end(outcome_of(True, self.response, complete=self.progress.is_complete(end, self.has_time)))
 
     def failed(self, failure: Failure) -> None:
         written = failure is not Failure.NOT_SENT
-        self._end(outcome_of(written, self.response, whole=False))
+        self._end(outcome_of(written, self.response, complete=False))
 
     def abandon(self) -> None:
         """Gives the attempt up; closing its connection tells the host."""
@@ -100,7 +100,7 @@
     def withdraw(self) -> None:
         """Ends an attempt that waits at its host, through no fault of the host."""
         self.is_withdrawn = True
-        self._close_and_end(outcome_of(self.written, self.response, whole=False))
+        self._close_and_end(outcome_of(self.written, self.response, complete=False))
 
     def _close_and_end(self, outcome: Outcome) -> None:
         if self.connection is not None:
--- a/hopsail/dataplane/completeness.py
+++ b/hopsail/dataplane/completeness.py
@@ -1,8 +1,8 @@
-"""Whether a host's answer is whole, by what told its end: the one place where that is decided.
+"""Whether a host's answer is complete, by how its end was signalled: the one place where that is decided.
 
-A stated length and a last chunk are the host's own word. A connection that ends in order proves less: that is
-also how the system ends those of a process that has crashed. A reset proves nothing and is never asked about
-(`Listener.failed`)."""
+A stated length and a last chunk are the host's own word. A connection that is closed in order proves less:
+that is also how the system ends those of a process that has crashed. A reset proves nothing and is never
+asked about (`Listener.failed`)."""
 
 from ..http.client_connection import AnswerEnd
 from ..http.message import Framing, ResponseHead
@@ -25,13 +25,13 @@
         follows_events = head.framing is Framing.CONNECTION and is_event_stream(head)
         self._boundary = EventBoundary() if follows_events else None
 
-    def came(self, data: bytes) -> None:
+    def received(self, data: bytes) -> None:
         """A piece of the body has come."""
         if self._boundary is not None:
             self._boundary.feed(data)
 
-    def is_whole(self, end: AnswerEnd, has_time: bool) -> bool:
-        """Whether all of the answer has come, now that this has told its end.
+    def is_complete(self, end: AnswerEnd, has_time: bool) -> bool:
+        """Whether all of the answer has come, now that `end` has signalled its end.
 
         `has_time`: the time that the host was given is not over. Once it is, the host ends its work, so its
         close tells nothing. A stream that is closed before its first event, or within one, was broken off.
--- a/hopsail/dataplane/events.py
+++ b/hopsail/dataplane/events.py
@@ -1,4 +1,4 @@
-"""Splits the bytes of an event stream into whole events (HTML Standard, section 9.2.6)."""
+"""Splits the bytes of an event stream into complete events (HTML Standard, section 9.2.6)."""
 
 from typing import NamedTuple
 
@@ -29,7 +29,7 @@
         self.rest = b""
 
     def feed(self, data: bytes) -> list[Event]:
-        """The events that are whole with these bytes."""
+        """The events that these bytes complete."""
         buffer = self.rest + data
         events = []
         while (end := _end_of_event(buffer)) > 0:
@@ -41,7 +41,7 @@
         return events
 
     def end(self) -> list[Event]:
-        """What is left of a stream that is whole: comments, or an event without its blank line."""
+        """What is left of a complete stream: comments, or an event without its blank line."""
         rest, self.rest = self.rest, b""
         return [Event(rest, _identifier(rest))] if rest else []
 
@@ -59,7 +59,7 @@
 
     @property
     def is_after_event(self) -> bool:
-        """Whether an event has ended, and nothing but whole comments and blank lines came after it."""
+        """Whether an event has ended, and nothing but complete comments and blank lines came after it."""
         return self._has_events and not self._is_within_event and not self._line
 
     def feed(self, data: bytes) -> None:
--- a/hopsail/dataplane/execution.py
+++ b/hopsail/dataplane/execution.py
@@ -38,7 +38,7 @@
 class Outcome(Enum):
     """How an attempt ended."""
 
-    COMPLETE = auto()  # the host's whole answer has come
+    COMPLETE = auto()  # all of the host's answer has come
     NOT_SENT = auto()  # nothing was written: it can't have run
     DECLINED = auto()  # the host says that it did not run it
     BROKEN = auto()  # it may have run
@@ -104,11 +104,11 @@
     return head.status not in PROMISES  # it may have run: that promise can't be passed on
 
 
-def outcome_of(written: bool, head: ResponseHead | None, whole: bool) -> Outcome:
-    """`written`: a byte of the request has left; `whole`: all of the answer has come."""
+def outcome_of(written: bool, head: ResponseHead | None, complete: bool) -> Outcome:
+    """`written`: a byte of the request has left; `complete`: all of the answer has come."""
     if declines(head):
         return Outcome.DECLINED
-    if whole:
+    if complete:
         return Outcome.COMPLETE
     return Outcome.BROKEN if written else Outcome.NOT_SENT
 
--- a/hopsail/dataplane/forward.py
+++ b/hopsail/dataplane/forward.py
@@ -293,15 +293,15 @@
 
     def _send_events(self, events: list[Event]) -> None:
         """Passes on those that the client has not had."""
-        whole = bytearray()
+        unseen = bytearray()
         for event in events:
             if event.identifier is not None:
                 if self.last_event is not None and event.identifier <= self.last_event:
                     continue
                 self.last_event = event.identifier
             self.unnumbered = event.identifier is None and (self.unnumbered or event.has_data)
-            whole += event.data
-        self.exchange.send(bytes(whole))
+            unseen += event.data
+        self.exchange.send(bytes(unseen))
 
     def _drained(self) -> None:
         if self.attempt is not None and self.attempt.connection is not None:
--- a/hopsail/http/client_connection.py
+++ b/hopsail/http/client_connection.py
@@ -17,7 +17,7 @@
 
 
 class Failure(Enum):
-    """Why a call has no whole answer."""
+    """Why a call has no complete answer."""
 
     NOT_SENT = "nothing was written"
     BROKEN = "the connection ended, or what came is not an answer"
@@ -25,7 +25,7 @@
 
 
 class AnswerEnd(Enum):
-    """What told the end of an answer."""
+    """How the end of an answer was signalled."""
 
     LENGTH = "length"  # its stated length has come, or no body follows its head
     LAST_CHUNK = "last_chunk"
@@ -83,7 +83,7 @@
         self.written_at, self.until_close = None, False
         self.parser = httptools.HttpResponseParser(self)
         self.status, self.headers, self.head_bytes = 0, [], 0
-        self.whole = self.skipping = self.keep_alive = self.head_read = self.chunked = False
+        self.answer_complete = self.skipping = self.keep_alive = self.head_read = self.chunked = False
         if not self.dialing:
             self._write_request()
 
@@ -119,8 +119,8 @@
     # httptools' callbacks.
 
     def on_message_begin(self):
-        if self.whole:
-            raise ValueError("more after a whole answer")  # it belongs to no request
+        if self.answer_complete:
+            raise ValueError("more after a complete answer")  # it belongs to no request
         self.head_read = False
 
     def on_header(self, name: bytes, value: bytes):
@@ -144,10 +144,12 @@
         self.chunked = framing is Framing.CHUNKS
         self.skipping = not self.listener.head(head)
         if self.bodiless and not self.skipping:
-            self.whole = self.until_close = True  # the parser expects a body: it can't go on from here
+            self.answer_complete = self.until_close = (
+                True  # the parser expects a body: it can't go on from here
+            )
 
     def on_body(self, body: bytes):
-        if self.listener is not None and not self.skipping and not self.whole:
+        if self.listener is not None and not self.skipping and not self.answer_complete:
             self.listener.body(body)
 
     def on_message_complete(self):
@@ -156,7 +158,7 @@
         if self.status < 200 or self.skipping:
             self.headers, self.skipping, self.until_close = [], False, False
             return
-        self.whole = True
+        self.answer_complete = True
         self.keep_alive = self.parser.should_keep_alive()  # it can only be told here
 
     # The stream's.
@@ -168,11 +170,11 @@
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if not self.whole:
+            if not self.answer_complete:
                 self._fail(Failure.BROKEN)
                 return
-            self.parser = None  # more after a whole answer: it belongs to no request
-        if self.whole and self.listener is not None:
+            self.parser = None  # more after a complete answer: it belongs to no request
+        if self.answer_complete and self.listener is not None:
             self._complete()
 
     def _complete(self):
--- a/hopsail/http/message.py
+++ b/hopsail/http/message.py
@@ -57,7 +57,7 @@
 
 
 class Framing(Enum):
-    """How an answer's head says that its body's end is told (RFC 9112, section 6.3)."""
+    """How an answer's head says that its body's end is signalled (RFC 9112, section 6.3)."""
 
     LENGTH = auto()
     CHUNKS = auto()
