Soak: hosts crash within an event, and some of their streams have no length

A host that crashes now sends half of each stream's next event and its connections end in order; three in ten streams of the fleet's hosts have no length and end with their connection, by a reset where they are cut.

--- a/hopsail/standins/fleet.py
+++ b/hopsail/standins/fleet.py
@@ -32,6 +32,7 @@
 HOSTNAME = "fleet.example"
 HOST_PORT, STORE_PORT, PLATFORM_PORT = 8080, 8165, 8161
 CAPACITY, CACHE_TOKENS, STORE_TOKENS = 12, 140_644, 2_000_474
+UNFRAMED_SHARE = 0.3  # of the streams of hosts
 DRAIN_MS = 3000
 ADDRESSES_OF_A_BLOCK = 256
 BLOCKS_OF_A_TRIAL = 4  # stand-ins and control planes, data planes, hosts, and one that is free
@@ -150,6 +151,7 @@
         settings = HostSettings(
             SERVICE, self.place(FIRST_HOST + number, HOST_PORT), self.zones[number % len(self.zones)],
             {MODEL: 1}, capacity=CAPACITY, cache_tokens=CACHE_TOKENS, behind=behind,
+            unframed_share=UNFRAMED_SHARE,
             seed=f"{self.seed}/{number}{incarnation}",
         )  # fmt: skip
         host = Host(
--- a/hopsail/standins/host.py
+++ b/hopsail/standins/host.py
@@ -41,6 +41,7 @@
     load_ms: int = 400
     health_path: str = "/healthz"
     fence_checked: bool = True
+    unframed_share: float = 0.0  # of streams, which have no length and end with their connections
     behind: bool = False  # whether it starts with the versions of `models` though newer ones are named
     seed: str = ""
 
@@ -70,6 +71,17 @@
     def memory(self) -> int:
         return self.prompt_tokens + self.total
 
+    def end_with_connection(self) -> None:
+        """Its answer is to be as one to HTTP/1.0: its end is told by the connection, a cut by a reset."""
+        self.exchange.request = self.exchange.request._replace(version="1.0")
+
+    def begin_next_event(self) -> None:
+        """Sends the first half of the event that is next, if there is one."""
+        if self.run is None or not self.exchange.started or self.position >= self.total:
+            return
+        event = event_of(self.run.identifier, self.position + 1, self.position + 1)
+        self.exchange.send(event[: len(event) // 2])
+
     def break_off(self) -> None:
         """The host itself ends it before its answer is whole."""
         self.stop_timers()
@@ -143,10 +155,12 @@
         self.changed(self)
 
     def crash(self) -> None:
-        """It is gone at once; once only."""
+        """It is gone at once, within an event of each stream; its connections end in order. Once only."""
         if self.gone:
             return
         self.gone = True
+        for work in self.running:
+            work.begin_next_event()
         for work in [*self.queue, *self.running]:
             work.break_off()
         self.queue.clear()
@@ -332,6 +346,8 @@
         if not work.streaming:
             self._answer_plain(work)
             return
+        if self.settings.unframed_share and self.random.random() < self.settings.unframed_share:
+            work.end_with_connection()
         work.exchange.start(200, [*self._head(work), ("content-type", "text/event-stream")])
         self._step(work)
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -593,6 +593,66 @@
     assert stage.journal.runs[0].broken_off
 
 
+def raw_stream(stage, host, generated=1000):
+    """A prompt on a plain connection, whose answer is read as it comes: bytes so far, and why it ended."""
+    sock = stage.keep(socket.create_connection(host.settings.address))
+    lines = ["POST /p/x HTTP/1.1", "Host: h", "Hopsail-Attempt-Id: a1", f"Hopsail-Model: {MODEL}"]
+    lines += [f"Hopsail-Token-Count: 10,{generated}", "Content-Length: 0"]
+    sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode())
+    sock.setblocking(False)
+    answer = {"bytes": b"", "end": None}
+
+    def read():
+        try:
+            data = sock.recv(65536)
+        except BlockingIOError:
+            return
+        except OSError:
+            answer["end"] = "reset"
+            return
+        answer["bytes"] += data
+        answer["end"] = None if data else "in order"
+
+    def until(reached):
+        def look():
+            if answer["end"] is None:
+                read()
+            return reached(answer)
+
+        stage.until(look)
+        return answer
+
+    return until
+
+
+@pytest.mark.parametrize("share", [0.0, 1.0])
+def test_a_host_crashes_within_an_event_and_its_connections_end_in_order(stage, share):
+    host = stage.host(step_ms=50, unframed_share=share)
+    until = raw_stream(stage, host)
+    until(lambda answer: answer["bytes"].count(b"\n\n") > 1)
+    host.crash()
+    answer = until(lambda answer: answer["end"] is not None)
+    assert answer["end"] == "in order" and (b"chunked" in answer["bytes"]) == (share == 0.0)
+    rest = answer["bytes"].rpartition(b"\n\n")[2]
+    assert b"id: " in rest and stage.journal.runs[0].broken_off
+
+
+def test_a_stream_without_a_length_ends_with_its_connection(stage):
+    until = raw_stream(stage, stage.host(unframed_share=1.0), generated=5)
+    answer = until(lambda answer: answer["end"] is not None)
+    assert answer["end"] == "in order" and b"chunked" not in answer["bytes"]
+    assert answer["bytes"].endswith(b"\n\n") and stage.journal.runs[0].complete
+
+
+def test_a_stream_without_a_length_whose_time_is_over_is_reset(stage):
+    host = stage.host(step_ms=50, unframed_share=1.0)
+    until = raw_stream(stage, host)
+    until(lambda answer: b"data: " in answer["bytes"])
+    (work,) = host.running
+    host._late(work)
+    assert until(lambda answer: answer["end"] is not None)["end"] == "reset"
+
+
 def test_a_connection_that_never_came_up_was_not_cut(stage):
     asked = route(tries=1)
     client = stage.keep(LoadClient(stage.loop, OneEdge(free_address()), stage.journal, [asked]))
