Tests of answers' ends: one table of kinds, one judge, the peer that was there

Read again: test_standins had a second hand-made reader of a plain socket beside RawPeer of test_http, the table of route kinds stood in two files, and what an end proves was written out twice. Each stands once now; a test of event boundaries is in its section.

--- a/tests/request_journey.py
+++ b/tests/request_journey.py
@@ -297,6 +297,7 @@
 IDEMPOTENT = {"RouteKind": "idempotent"}
 STREAM = {"RouteKind": "streaming"}
 RESUMABLE = {"RouteKind": "streaming", "Resumable": True}
+KINDS = {"idempotent": IDEMPOTENT, "mutating": MUTATING, "stream": STREAM, "resumable": RESUMABLE}
 
 
 class Journey:
--- a/tests/test_answer_ends.py
+++ b/tests/test_answer_ends.py
@@ -7,6 +7,7 @@
 from request_journey import (
     EVENTS_HEAD,
     IDEMPOTENT,
+    KINDS,
     LAST_CHUNK,
     LINGER_RESET,
     MUTATING,
@@ -25,6 +26,7 @@
 from hopsail.dataplane.execution import Outcome
 
 NO_LENGTH = EVENTS_HEAD.replace(b"Transfer-Encoding: chunked\r\n", b"")
+NO_STREAM = NO_LENGTH.replace(b"text/event-stream", b"text/plain")
 
 
 @pytest.mark.parametrize(
@@ -64,7 +66,6 @@
 
 # A close in order, which a system does for a process that crashes, too
 
-KINDS = {"mutating": MUTATING, "idempotent": IDEMPOTENT, "stream": STREAM, "resumable": RESUMABLE}
 HAD = events(1, 3)
 HALF = event(4)[: len(event(4)) // 2]
 SAID = {
@@ -107,6 +108,11 @@
 BREAKS = [was_reset, closed_within_length, closed_within_chunks]
 
 
+def proves_the_whole(end, said):
+    """Whether an end shows that a stream is complete; `said` names what came before it."""
+    return end in PROOFS or (end is closed and said == "whole events")
+
+
 def ended(journey):
     """Whether the answer was ended as complete; a stream that was taken up elsewhere is still under way."""
     return journey.exchange.ended and journey.over() == 200
@@ -163,7 +169,7 @@
     """A length or a last chunk proves the whole; a close only after a whole event; nothing else does."""
     journey = Journey(KINDS[kind])
     end(journey.host(), SAID[said])
-    is_whole = end in PROOFS or (end is closed and said == "whole events")
+    is_whole = proves_the_whole(end, said)
     assert ended(journey) == is_whole
     if is_whole:
         assert bytes(journey.client.body) == SAID[said] and journey.sent == 1
@@ -182,7 +188,7 @@
     first(journey.host(), HAD + HALF)
     rest = {"nothing": b"", "half an event": HALF, "whole events": events(4, 5)}[said]
     end(journey.host(1), rest)
-    is_whole = end in PROOFS or (end is closed and said == "whole events")
+    is_whole = proves_the_whole(end, said)
     assert ended(journey) == is_whole
     if is_whole:
         assert bytes(journey.client.body) == HAD + rest
@@ -232,7 +238,7 @@
     """Nothing in its bytes tells where it ends."""
     for in_order in (True, False):
         journey = Journey(KINDS[kind])
-        journey.host().says(NO_LENGTH.replace(b"text/event-stream", b"text/plain") + HAD + HALF)
+        journey.host().says(NO_STREAM + HAD + HALF)
         journey.host().ends(in_order)
         assert journey.over() == (200 if in_order else "cut")
 
@@ -255,6 +261,17 @@
         assert boundary.is_after_event == after, prefix
 
 
+@pytest.mark.parametrize("size", [1, 2, 3])
+@pytest.mark.parametrize(
+    "data", [b"id: 1\r\n\n", b"id: 1\n\r\n", b"id: 1\r\n\r", b"id: 1\r\r\n", b"id: 1\n\r"]
+)
+def test_lines_of_one_event_may_end_in_different_manners(data, size):
+    boundary = EventBoundary()
+    for piece in pieces_of(data, size):
+        boundary.feed(piece)
+    assert boundary.is_after_event
+
+
 def test_a_stream_of_any_length_is_followed_without_being_kept():
     boundary = EventBoundary()
     boundary.feed(HAD + b"data: ")
@@ -269,11 +286,8 @@
 # The time that a host was given
 
 
-PLAIN_HEAD = NO_LENGTH.replace(b"text/event-stream", b"text/plain")
-
-
 @pytest.mark.parametrize("kind", KINDS)
-@pytest.mark.parametrize("head", [NO_LENGTH, PLAIN_HEAD], ids=["events", "no stream"])
+@pytest.mark.parametrize("head", [NO_LENGTH, NO_STREAM], ids=["events", "no stream"])
 def test_an_answer_that_its_host_may_have_ended_for_want_of_time_is_not_complete(kind, head):
     """Issue 87: a host ends its work when its time is over, whole or not; a close then proves nothing."""
     journey = Journey(KINDS[kind])
@@ -303,14 +317,3 @@
     journey.loop.time = begins + after
     journey.host().ends(in_order=True)
     assert journey.over() == (200 if is_whole else "cut")
-
-
-@pytest.mark.parametrize("size", [1, 2, 3])
-@pytest.mark.parametrize(
-    "data", [b"id: 1\r\n\n", b"id: 1\n\r\n", b"id: 1\r\n\r", b"id: 1\r\r\n", b"id: 1\n\r"]
-)
-def test_lines_of_one_event_may_end_in_different_manners(data, size):
-    boundary = EventBoundary()
-    for piece in pieces_of(data, size):
-        boundary.feed(piece)
-    assert boundary.is_after_event
--- a/tests/test_execution.py
+++ b/tests/test_execution.py
@@ -8,12 +8,11 @@
 from request_journey import (
     EVENTS_HEAD,
     IDEMPOTENT,
+    KINDS,
     LAST_CHUNK,
     MILLISECOND,
-    MUTATING,
     RESUMABLE,
     SECOND,
-    STREAM,
     Journey,
     answer,
     chunk,
@@ -36,7 +35,6 @@
 )
 from hopsail.http.message import ResponseHead
 
-KINDS = {"idempotent": IDEMPOTENT, "mutating": MUTATING, "stream": STREAM, "resumable": RESUMABLE}
 NOT_EXECUTED = "hopsail-not-executed"
 EARLIER = "an earlier request"
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -5,6 +5,7 @@
 from time import monotonic
 
 import pytest
+from test_http import RawPeer
 
 from hopsail.configuration.checker import check_configuration, parse_configuration
 from hopsail.configuration.process import parse_settings
@@ -60,10 +61,14 @@
         self.made.append(part)
         return part
 
-    def until(self, reached):
+    def own(self, part):
+        """As `keep`, for peers that belong to who drives the loop."""
+        return self.keep(part)
+
+    def until(self, reached, what="it"):
         ends = monotonic() + WITHIN
         while not reached():
-            assert monotonic() < ends, "it does not come"
+            assert monotonic() < ends, f"{what} does not come"
             self.loop.round(0.05)
 
     def call(self, address, method, target, headers=(), body=b""):
@@ -594,63 +599,43 @@
 
 
 def raw_stream(stage, host, generated=1000):
-    """A prompt on a plain connection, whose answer is read as it comes: bytes so far, and why it ended."""
-    sock = stage.keep(socket.create_connection(host.settings.address))
+    """A prompt on a plain connection, whose answer is read as it comes."""
     lines = ["POST /p/x HTTP/1.1", "Host: h", "Hopsail-Attempt-Id: a1", f"Hopsail-Model: {MODEL}"]
     lines += [f"Hopsail-Token-Count: 10,{generated}", "Content-Length: 0"]
-    sock.sendall(("\r\n".join(lines) + "\r\n\r\n").encode())
-    sock.setblocking(False)
-    answer = {"bytes": b"", "end": None}
-
-    def read():
-        try:
-            data = sock.recv(65536)
-        except BlockingIOError:
-            return
-        except OSError:
-            answer["end"] = "reset"
-            return
-        answer["bytes"] += data
-        answer["end"] = None if data else "in order"
-
-    def until(reached):
-        def look():
-            if answer["end"] is None:
-                read()
-            return reached(answer)
-
-        stage.until(look)
-        return answer
-
-    return until
+    peer = RawPeer(stage, socket.create_connection(host.settings.address))
+    return peer.send(("\r\n".join(lines) + "\r\n\r\n").encode())
 
 
 @pytest.mark.parametrize("share", [0.0, 1.0])
 def test_a_host_crashes_within_an_event_and_its_connections_end_in_order(stage, share):
     host = stage.host(step_ms=50, unframed_share=share)
-    until = raw_stream(stage, host)
-    until(lambda answer: answer["bytes"].count(b"\n\n") > 1)
+    peer = raw_stream(stage, host)
+
+    def has_two_events():
+        peer.read()
+        return peer.got.count(b"\n\n") > 1
+
+    stage.until(has_two_events)
     host.crash()
-    answer = until(lambda answer: answer["end"] is not None)
-    assert answer["end"] == "in order" and (b"chunked" in answer["bytes"]) == (share == 0.0)
-    rest = answer["bytes"].rpartition(b"\n\n")[2]
-    assert b"id: " in rest and stage.journal.runs[0].broken_off
+    got = peer.ends()
+    assert not peer.reset and (b"chunked" in got) == (share == 0.0)
+    assert b"id: " in got.rpartition(b"\n\n")[2] and stage.journal.runs[0].broken_off
 
 
 def test_a_stream_without_a_length_ends_with_its_connection(stage):
-    until = raw_stream(stage, stage.host(unframed_share=1.0), generated=5)
-    answer = until(lambda answer: answer["end"] is not None)
-    assert answer["end"] == "in order" and b"chunked" not in answer["bytes"]
-    assert answer["bytes"].endswith(b"\n\n") and stage.journal.runs[0].complete
+    peer = raw_stream(stage, stage.host(unframed_share=1.0), generated=5)
+    got = peer.ends()
+    assert not peer.reset and b"chunked" not in got
+    assert got.endswith(b"\n\n") and stage.journal.runs[0].complete
 
 
 def test_a_stream_without_a_length_whose_time_is_over_is_reset(stage):
     host = stage.host(step_ms=50, unframed_share=1.0)
-    until = raw_stream(stage, host)
-    until(lambda answer: b"data: " in answer["bytes"])
+    peer = raw_stream(stage, host).receives(b"data: ")
     (work,) = host.running
     host._late(work)
-    assert until(lambda answer: answer["end"] is not None)["end"] == "reset"
+    peer.ends()
+    assert peer.reset
 
 
 def test_a_connection_that_never_came_up_was_not_cut(stage):
