Log: the disks that an add needs, and how each other's last call ended

Now the line names the disks needed and, for each other process, how its last call ended. Nothing else is changed.

--- a/hopsail/controlplane/tallies.py
+++ b/hopsail/controlplane/tallies.py
@@ -66,7 +66,7 @@
         self._reads_from = self.loop.now() + (0 if is_first else JOIN_WAIT_NS)
         self._timer: Timer | None = None
         self._is_pump_due = self._is_complete = False
-        self._cut_off = 0
+        self._told_verdict: tuple[int, frozenset[str], int] | None = None
         self._peers: frozenset[str] | None = None
         if self.disk.is_wasteful:
             self.replica.compact()
@@ -132,10 +132,12 @@
             self._pump_soon()
 
     def _tell_changes(self) -> None:
-        cut_off = self.replica.figures()["cut_off"]
-        if cut_off != self._cut_off:
-            log.info("others cut off: %s", cut_off)
-            self._cut_off = cut_off
+        peers = self.replica.peer_states()
+        needed = self.replica.needed_disks()
+        verdict = (needed, frozenset(peer.name for peer in peers), sum(peer.is_cut_off for peer in peers))
+        if verdict != self._told_verdict:
+            self._told_verdict = verdict
+            log.info("disks that an add needs: %s; others: %s", needed, "; ".join(map(str, peers)) or "none")
         if not self._is_complete and self.replica.total(self.loop.now(), "") is not None:
             self._is_complete = True
             log.info("reads are answered")
--- a/hopsail/tallies/peers.py
+++ b/hopsail/tallies/peers.py
@@ -7,6 +7,7 @@
 import math
 from collections.abc import Iterable
 from enum import Enum, auto
+from typing import NamedTuple
 
 from .messages import ExchangeCall, OriginRun
 from .records import Positions, to_positions
@@ -27,6 +28,19 @@
     SILENCE = auto()
 
 
+class PeerState(NamedTuple):
+    """What is held of a peer now, for logs."""
+
+    name: str
+    ending: Ending
+    is_cut_off: bool
+
+    def __str__(self) -> str:
+        """As one line of a log shows it."""
+        suffix = ", cut off" if self.is_cut_off else ""
+        return f"{self.name} {self.ending.name.lower()}{suffix}"
+
+
 class Peer:
     """One other replica, as seen from here."""
 
@@ -47,6 +61,10 @@
         self._exchanges = 0  # of the calls
         self._former_lives: set[str] = set()
 
+    def state(self, now: int) -> PeerState:
+        """What is held of it now."""
+        return PeerState(self.name, self.ending, self.cut_off(now))
+
     def cut_off(self, now: int) -> bool:
         """Whether it has to be taken for the other side of a partition."""
         return self._cut_off_at() <= now
--- a/hopsail/tallies/replica.py
+++ b/hopsail/tallies/replica.py
@@ -11,7 +11,7 @@
 from .acknowledgement import Acknowledgements
 from .messages import ExchangeCall, ExchangeReply, OriginRun, PushCall, PushReply
 from .own_disk import OwnDisk, load
-from .peers import EXCHANGE_INTERVAL_NS, Peer
+from .peers import EXCHANGE_INTERVAL_NS, Peer, PeerState
 from .records import Positions, RecordSet, check_add, covers, ends, from_positions, to_positions
 from .types import Add, AddDone, AddOutcome, PeerCall, PeerReply, TallyWrite
 
@@ -173,6 +173,14 @@
         """The next write stands for all that was written before."""
         self._disk.replace_all()
 
+    def needed_disks(self) -> int:
+        """On how many disks an add has to be before it is acknowledged now."""
+        return self._needed()
+
+    def peer_states(self) -> list[PeerState]:
+        """What is held of each other replica now."""
+        return [peer.state(self._now) for peer in self._each_peer()]
+
     def figures(self) -> dict[str, int]:
         """Counters for operators."""
         return {
