A process that is down is not taken for the other side of a partition

Cause: a peer without a reply for 1 s, or with refused connections for 2 s, counted as cut off, and an add needs no more disks than this side of a cut has. Neither is a sign of a link: a reset comes from the other machine, and so does the handshake of a process that stands still.

Channels now tell what dials have shown (rpc/link_sign.py); tallies/link.py alone decides. A link is cut once two handshakes in a row had no answer and no reply has come for 1 s.

The test of a side that goes on took frozen processes for a cut; it now has handshakes that hang, and both sides add. test_add_at_the_beginning_of_a_cut counts one attempt: with later ones the outcome hung on which machine was drawn. The model's network tells signs as channels do; it excuses lost adds for cut links and machines without power only, no longer for processes that are down, and gets processes killed or frozen one by one, crash loops and all but one away while that one's disk is lost.

--- a/hopsail/controlplane/plane.py
+++ b/hopsail/controlplane/plane.py
@@ -13,8 +13,8 @@
 from ..http.client import HttpClient
 from ..http.message import Request
 from ..http.server import Exchange, HttpServer, ServerLimits
-from ..process import FLEET, Program
-from ..rpc.channel import Channel
+from ..process import FLEET, MILLISECOND, Program
+from ..rpc.channel import USUAL_DIAL_TIMES, Channel, DialTimes
 from ..rpc.server import RpcServer
 from ..tallies.types import Add, AddDone
 from .commands import Command, CommandKind
@@ -53,6 +53,8 @@
 TICK_MS = 20
 SLOW_TICK_MS = 500
 VOTERS_TICK_MS = 100
+# A cut, and its end, show in dials.
+TALLY_DIAL_TIMES = DialTimes(up_within=300 * MILLISECOND, longest_back_off=250 * MILLISECOND)
 
 
 class ControlPlane(Program):
@@ -198,13 +200,16 @@
 
     def tally_channel(self, identity: str) -> Channel:
         """The way of tallies: a connection that is silent for as long as they wait ends, the others stay."""
-        return self._channel_of(self.tally_channels, identity)
+        return self._channel_of(self.tally_channels, identity, TALLY_DIAL_TIMES)
 
-    def _channel_of(self, channels: dict[str, Channel], identity: str) -> Channel:
+    def _channel_of(
+        self, channels: dict[str, Channel], identity: str, dial_times: DialTimes = USUAL_DIAL_TIMES
+    ) -> Channel:
         channel = channels.get(identity)
         if channel is None:
             host, _, port = identity.rpartition(":")
-            channel = channels[identity] = Channel(self.loop, (host, int(port)), FLEET)
+            address = (host, int(port))
+            channel = channels[identity] = Channel(self.loop, address, FLEET, dial_times=dial_times)
         return channel
 
     # Other processes and services.
--- a/hopsail/controlplane/tallies.py
+++ b/hopsail/controlplane/tallies.py
@@ -16,6 +16,7 @@
 from ..replication.errors import StorageError
 from ..rpc.channel import Channel
 from ..rpc.errors import CallError, CallRefusedError, CallTimeoutError, DisconnectedError
+from ..rpc.link_sign import LinkSign
 from ..rpc.server import Peer, Respond, RpcServer
 from ..tallies.errors import TallyError
 from ..tallies.messages import EXCHANGE, PUSH, ExchangeCall, ExchangeReply, PushCall, PushReply
@@ -34,7 +35,7 @@
 CHANNEL_TIMEOUT_NS = CALL_TIMEOUT_NS - 50 * MILLISECOND
 JOIN_WAIT_NS = 2000 * MILLISECOND  # after a start, in which members become known that are no seeds
 REPLIES = {PUSH: PushReply, EXCHANGE: ExchangeReply}
-# After these it is the channel that tells whether the other side refuses connections or is silent.
+# After these it is the channel that tells what is known of the link; else a process has answered.
 CONNECTION_ERRORS = (CallTimeoutError, CallRefusedError, DisconnectedError)
 
 
@@ -187,8 +188,11 @@
             self.counters.add("tallies.pushed_bytes", _size(call.message))
 
         def done(reply: PushReply | ExchangeReply | None, error: CallError | None) -> None:
-            refused = channel.refusing if isinstance(error, CONNECTION_ERRORS) else error is not None
-            self.replica.replied(self.loop.now(), call.number, reply, refused)
+            if reply is not None:
+                self.replica.replied(self.loop.now(), call.number, reply)
+            else:
+                sign = channel.link_sign if isinstance(error, CONNECTION_ERRORS) else LinkSign.REFUSED
+                self.replica.failed(self.loop.now(), call.number, sign)
             self._pump_soon()
 
         channel.call(method, call.message, REPLIES[method], done, CHANNEL_TIMEOUT_NS)
--- a/hopsail/rpc/channel.py
+++ b/hopsail/rpc/channel.py
@@ -2,7 +2,7 @@
 
 import errno
 from collections.abc import Callable
-from typing import Any
+from typing import Any, NamedTuple
 
 from ..event_log import log_exception
 from ..net.loop import Loop, Timer
@@ -20,6 +20,7 @@
 )
 from .failure import NOT_RUN, Failure
 from .frames import MAX_FRAME, Kind, Message
+from .link_sign import LinkSign
 from .structs import Struct, decode, encode
 
 __all__ = [
@@ -41,6 +42,9 @@
 MAX_UNSENT_FOR_SEND = 4 * 1024 * 1024  # bytes, beyond which one-way messages are dropped
 LAST_SEQID = 2**31 - 1
 ANSWERED_ERRORS = (errno.ECONNREFUSED, errno.ECONNRESET, errno.EPIPE)  # the other side's machine is there
+UNANSWERED_ERRORS = (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
+# One opening packet may be lost, and this process may have stood still during a dial.
+UNANSWERED_DIALS = 2
 MAX_HEADER_BYTES = 256  # bytes of a frame that are not its body, at most
 
 Done = Callable[[Any, CallError | None], None]
@@ -59,15 +63,31 @@
         self.timer: Timer | None = None
 
 
+class DialTimes(NamedTuple):
+    """How long a dial may take, and how long after a failed one the next may begin at the latest, in ns."""
+
+    up_within: int = UP_WITHIN
+    longest_back_off: int = LONGEST_BACK_OFF
+
+
+USUAL_DIAL_TIMES = DialTimes()
+
+
 class Channel:
     """A client of the RPC server at the address `(host, port)`; the host is an IP address."""
 
     def __init__(
-        self, loop: Loop, address: tuple[str, int], fleet: str, counts: RpcCounts | None = None
+        self,
+        loop: Loop,
+        address: tuple[str, int],
+        fleet: str,
+        counts: RpcCounts | None = None,
+        dial_times: DialTimes = USUAL_DIAL_TIMES,
     ) -> None:
         """Makes no connection yet; `counts` may be shared with other channels and servers."""
         self.loop, self.address, self.fleet = loop, address, fleet
         self.counts = counts or RpcCounts()
+        self.dial_times = dial_times
         self._connection: Connection | None = None
         self._calls: dict[int, _Call] = {}
         self._pending_bytes = 0  # of calls that wait for a connection
@@ -77,15 +97,22 @@
         self._dial_timer: Timer | None = None
         self._up_timer: Timer | None = None
         self._closed = False
-        # The other side has refused or ended the last connection, and none has come up since. False when it
-        # is silent.
-        self.refusing = False
+        self._last_sign = LinkSign.NONE  # of connections that have ended
+        self._unanswered_dials = 0  # in a row
 
     @property
     def connected(self) -> bool:
         """Whether there is a connection on which the other side has said its hello."""
         return self._connection is not None and self._connection.is_greeted
 
+    @property
+    def link_sign(self) -> LinkSign:
+        """What the connection that is coming up shows of the way to the other side, else the last one."""
+        connection = self._connection
+        if connection is None or not connection.came_up:
+            return self._last_sign
+        return LinkSign.NONE if connection.is_greeted else LinkSign.ACCEPTED
+
     def call(
         self, method: str, argument: Struct, reply_class: type[Struct], done: Done, timeout: int
     ) -> None:
@@ -137,14 +164,14 @@
     def greeted(self, connection: Connection) -> None:
         """Called by the connection: the other side is of this fleet."""
         self._back_off = FIRST_BACK_OFF
-        self.refusing = False
+        self._unanswered_dials = 0
 
     def lost(self, connection: Connection) -> None:
         """Called by the connection: it is over."""
         if connection is not self._connection:
             return
         self._connection = None
-        self.refusing = connection.finished or connection.mismatched or connection.error in ANSWERED_ERRORS
+        self._last_sign = self._sign_of(connection)
         self._cancel_up_timer()
         if connection.came_up:
             reason = "another fleet or version" if connection.mismatched else "connection lost"
@@ -155,6 +182,27 @@
         known_not_run = not connection.came_up or connection.mismatched
         self._fail_all(CallRefusedError(reason) if known_not_run else DisconnectedError(reason))
 
+    def _sign_of(self, connection: Connection) -> LinkSign:
+        """What a connection that is over has shown."""
+        if not connection.came_up:
+            return self._sign_of_dial(connection.error)
+        self._unanswered_dials = 0
+        if connection.finished or connection.mismatched or connection.error in ANSWERED_ERRORS:
+            return LinkSign.REFUSED
+        # Bytes that are not acknowledged in time prove nothing: a process that does not read may be why.
+        is_fresh = not connection.is_greeted and not connection.error
+        return LinkSign.ACCEPTED if is_fresh else LinkSign.NONE
+
+    def _sign_of_dial(self, error: int) -> LinkSign:
+        """What a dial that has failed with this error, or with none within its time, has shown."""
+        if error in ANSWERED_ERRORS:
+            self._unanswered_dials = 0
+            return LinkSign.REFUSED
+        if error and error not in UNANSWERED_ERRORS:
+            return self._last_sign  # this process lacks descriptors or memory
+        self._unanswered_dials += 1
+        return LinkSign.UNANSWERED if self._unanswered_dials >= UNANSWERED_DIALS else self._last_sign
+
     def message(self, connection: Connection, message: Message) -> None:
         """Called by the connection: a reply has come."""
         if message.kind not in (Kind.REPLY, Kind.EXCEPTION):
@@ -215,11 +263,11 @@
         try:
             sock = dial(self.address)
         except OSError as error:
-            self.refusing = error.errno in ANSWERED_ERRORS
+            self._last_sign = self._sign_of_dial(error.errno or 0)
             self._fail_dial()
             return
         self._connection = Connection(self.loop, sock, self, dialing=True)
-        self._up_timer = self.loop.at(self.loop.now() + UP_WITHIN, self._give_up)
+        self._up_timer = self.loop.at(self.loop.now() + self.dial_times.up_within, self._give_up)
         self._pending_bytes = 0
         for call in self._calls.values():
             self._write(call)
@@ -231,7 +279,7 @@
 
     def _delay(self) -> None:
         self._not_before = self.loop.now() + self._back_off
-        self._back_off = min(2 * self._back_off, LONGEST_BACK_OFF)
+        self._back_off = min(2 * self._back_off, self.dial_times.longest_back_off)
 
     def _give_up(self) -> None:
         self._up_timer = None
--- a/hopsail/rpc/connection.py
+++ b/hopsail/rpc/connection.py
@@ -1,5 +1,6 @@
 """A connection of frames between two processes of one fleet, the same on both sides."""
 
+import errno
 import socket
 from typing import Protocol
 
@@ -81,6 +82,7 @@
     def connected(self) -> None:
         """Called by the stream: the dialed connection is up."""
         if self.sock.getsockname() == self.sock.getpeername():  # a port dialed itself, nobody listens there
+            self.error = errno.ECONNREFUSED
             self.close()
             return
         self.came_up = True
--- a/hopsail/tallies/peers.py
+++ b/hopsail/tallies/peers.py
@@ -1,19 +1,18 @@
-"""What a replica knows of another one: what it holds, and whether it answers.
-
-A peer that is silent for some time is cut off. One that refuses connections may have a process that
-restarts: it is cut off only when that lasts longer than a start takes.
-"""
+"""What a replica knows of another one: what it holds, and whether it answers."""
 
 import math
 from collections.abc import Iterable
 from enum import Enum, auto
 from typing import NamedTuple
 
+from ..rpc.link_sign import LinkSign
+from .link import Link
 from .messages import ExchangeCall, OriginRun
 from .records import Positions, to_positions
 from .types import PeerCall, PeerReply
 
-CUT_OFF_NS = 1_000_000_000  # ns without a reply after which a silent peer is cut off
+REACHABLE_NS = 1_000_000_000  # ns without a reply for which a silent peer may still take a push
+SILENT_START_NS = 1_000_000_000  # ns for which a process that has started waits for a silent peer
 RESTART_WAIT_NS = 2_000_000_000  # ns that a peer which refuses connections may take to start
 EXCHANGE_INTERVAL_NS = 250_000_000  # ns between two exchanges with a peer
 CALL_TIMEOUT_NS = 500_000_000  # ns
@@ -24,8 +23,18 @@
 
     NONE = auto()  # there was none yet
     REPLY = auto()
-    REFUSED = auto()  # or the connection broke
-    SILENCE = auto()
+    REFUSED = auto()  # or the connection broke: the process is down
+    ACCEPTED = auto()  # its machine takes connections, but the process says nothing
+    SILENCE = auto()  # of which nothing is known
+    UNANSWERED = auto()  # its machine does not answer either
+
+
+ENDINGS = {
+    LinkSign.NONE: Ending.SILENCE,
+    LinkSign.ACCEPTED: Ending.ACCEPTED,
+    LinkSign.REFUSED: Ending.REFUSED,
+    LinkSign.UNANSWERED: Ending.UNANSWERED,
+}
 
 
 class PeerState(NamedTuple):
@@ -52,8 +61,7 @@
         self.durable: Positions = {}
         self.complete = False  # all that it held at an exchange was merged here
         self.ending = Ending.NONE
-        self.last_reply = now  # or when it became known
-        self.silent_since = now
+        self.link = Link(now)
         self.exchange_due = now
         self.push_due = now
         self.push_limits: Positions = {}  # how much of other origins it gets
@@ -66,27 +74,21 @@
         return PeerState(self.name, self.ending, self.cut_off(now))
 
     def cut_off(self, now: int) -> bool:
-        """Whether it has to be taken for the other side of a partition."""
-        return self._cut_off_at() <= now
-
-    def _cut_off_at(self) -> float:
-        """When it counts as cut off if no call to it has another end than the last one, ns."""
-        if self.ending is Ending.SILENCE:
-            return min(self.silent_since + CUT_OFF_NS, self.last_reply + RESTART_WAIT_NS)
-        if self.ending is Ending.REFUSED:
-            return self.last_reply + RESTART_WAIT_NS
-        return math.inf
+        """Whether it is on the other side of a partition."""
+        return self.link.is_cut(now)
 
     def reachable(self, now: int) -> bool:
         """Whether the next push may well arrive."""
-        return self.ending is not Ending.REFUSED and not self.cut_off(now)
+        if self.ending is Ending.REFUSED or self.cut_off(now):
+            return False
+        return now - self.link.last_reply < REACHABLE_NS
 
     def awaited(self, now: int) -> bool:
         """Whether a process that has started should still wait for what this peer holds."""
         if self.complete or self.ending is Ending.REPLY:
             return not self.complete
-        patience = RESTART_WAIT_NS if self.ending is Ending.REFUSED else CUT_OFF_NS
-        return now - self.last_reply < patience
+        patience = RESTART_WAIT_NS if self.ending is Ending.REFUSED else SILENT_START_NS
+        return now - self.link.last_reply < patience
 
     @property
     def exchanging(self) -> bool:
@@ -122,16 +124,18 @@
         _raise_to(self.known, to_positions(reply.known))
         _raise_to(self.durable, to_positions(reply.durable))
         self.ending = Ending.REPLY
-        self.last_reply = self.silent_since = now
+        self.link.replied(now)
         return True
 
-    def failed(self, now: int, refused: bool) -> None:
+    def failed(self, now: int, sign: LinkSign) -> None:
         """A call has ended without a reply. A process that is gone may come back with an empty disk."""
-        self.ending = Ending.REFUSED if refused else Ending.SILENCE
+        refused = sign is LinkSign.REFUSED
+        self.ending = ENDINGS[sign]
+        self.link.failed(now, sign)
         self.push_limits = {}
         self.exchange_due = max(self.exchange_due, now + (EXCHANGE_INTERVAL_NS if refused else 0))
         if refused:
-            self.silent_since, self.durable = now, {}
+            self.durable = {}
 
     def took(self, runs: Iterable[OriginRun]) -> bool:
         """Whether it holds something of these; else it may be full."""
@@ -143,8 +147,7 @@
 
     def shift(self, by: int) -> None:
         """This process stood still for so long: that is not the peer's silence."""
-        self.silent_since += by
-        self.last_reply += by
+        self.link.shift(by)
         self._calls = {number: (call, time_out + by) for number, (call, time_out) in self._calls.items()}
 
     def due(self, now: int) -> Iterable[int]:
@@ -154,8 +157,8 @@
             yield self.exchange_due
         if self.push_due > now:
             yield self.push_due
-        if now < (cut_off_at := self._cut_off_at()) < math.inf:
-            yield int(cut_off_at)
+        if now < (cut_at := self.link.cut_at()) < math.inf:
+            yield int(cut_at)
 
 
 def _raise_to(positions: Positions, others: Positions) -> None:
--- a/hopsail/tallies/replica.py
+++ b/hopsail/tallies/replica.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
+from ..rpc.link_sign import LinkSign
 from .acknowledgement import Acknowledgements
 from .messages import ExchangeCall, ExchangeReply, OriginRun, PushCall, PushReply
 from .own_disk import OwnDisk, load
@@ -94,7 +95,7 @@
         for peer in self._each_peer():
             for number in peer.overdue(now):
                 peer.ended(number)
-                peer.failed(now, refused=False)
+                peer.failed(now, LinkSign.NONE)
         self._check_ready()
         self._settle()
 
@@ -135,18 +136,21 @@
                 calls.append(self._call(peer, PushCall(runs=runs)))
         return calls
 
-    def replied(self, now: int, number: int, reply: PeerReply | None, refused: bool) -> None:
-        """A call has ended; without a reply by a refused or broken connection, or by a time-out."""
+    def replied(self, now: int, number: int, reply: PeerReply) -> None:
+        """A call has ended with a reply."""
+        self._end(now, number, lambda peer, call: self._take_reply(peer, call, reply))
+
+    def failed(self, now: int, number: int, sign: LinkSign) -> None:
+        """A call has ended without a reply; the sign is what its channel then showed of the link."""
+        self._end(now, number, lambda peer, _call: peer.failed(now, sign))
+
+    def _end(self, now: int, number: int, take: Callable[[Peer, PeerCall], None]) -> None:
         self._advance(now)
         for peer in self._each_peer():
             call = peer.ended(number)
-            if call is None:
-                continue
-            if reply is None:
-                peer.failed(now, refused)
-            else:
-                self._take_reply(peer, call, reply)
-            break
+            if call is not None:
+                take(peer, call)
+                break
         self._check_ready()
         self._settle()
 
@@ -206,9 +210,9 @@
         self._now = now
 
     def _needed(self) -> int:
-        """On how many disks an add has to be on this side of a partition."""
-        reachable = sum(not peer.cut_off(self._now) for peer in self._each_peer())
-        return min(self._config.disk_losses + 1, 1 + reachable)
+        """On how many disks an add has to be, whether or not the processes on this side of a cut run."""
+        on_this_side = 1 + sum(not peer.cut_off(self._now) for peer in self._each_peer())
+        return min(self._config.disk_losses + 1, on_this_side)
 
     def _admits(self) -> bool:
         """Whether an add can be taken and may reach enough disks."""
--- a/tests/simulation/doors.py
+++ b/tests/simulation/doors.py
@@ -7,6 +7,7 @@
 
 from hopsail.http.message import Request, Response
 from hopsail.rpc.errors import DisconnectedError, CallTimeoutError
+from hopsail.rpc.link_sign import LinkSign
 from hopsail.rpc.structs import decode, encode
 
 from .clock import MILLISECOND
@@ -88,13 +89,13 @@
 
     connected = True
 
-    def __init__(self, loop, address, fleet: str, counts=None):
+    def __init__(self, loop, address, fleet: str, counts=None, dial_times=None):
         self.loop, self.address = loop, tuple(address)
         self.machine, self.life = loop.machine, loop.life
         self._seqids, self._calls = count(1), {}
         self.connection = 1  # of those made after resets
         self._not_before = 0  # world's ns
-        self._closed = self.refusing = False
+        self._closed = self._has_reset = False
 
     def call(self, method: str, argument, reply_class, done, timeout: int) -> None:
         seqid, body = next(self._seqids), encode(argument)
@@ -110,9 +111,20 @@
     def close(self) -> None:
         self._closed = True
 
+    @property
+    def link_sign(self) -> LinkSign:
+        """What dials would have shown by now."""
+        world, here, there = self.machine.world, self.machine.host, self.address[0]
+        if world.network.is_cut(here, there) or world.network.is_cut(there, here):
+            return LinkSign.UNANSWERED
+        other = world.machine_at(there)
+        if other is None or other.gone:
+            return LinkSign.UNANSWERED
+        return LinkSign.REFUSED if other.rpc is None or self._has_reset else LinkSign.ACCEPTED
+
     def replied(self, seqid: int, data: bytes) -> None:
         """An answer has come; a second one, or a late one, is dropped."""
-        self.refusing = False
+        self._has_reset = False
         if seqid in self._calls:
             self._finish(seqid, decode(self._calls[seqid][0], data), None)
 
@@ -120,7 +132,7 @@
         """The connection ends; both sides see it, and what is under way on it is lost."""
         world, ended = self.machine.world, self.connection
         self.connection += 1
-        self.refusing = True
+        self._has_reset = True
         self._not_before = world.clock.now + RESET_PAUSE
         self.machine.have(lambda: self._lost(list(self._calls)), self.life)
         other = world.machine_at(self.address[0])
--- a/tests/tallies/test_tally_histories.py
+++ b/tests/tallies/test_tally_histories.py
@@ -5,7 +5,9 @@
 import pytest
 from tallies_simulation import Shape, ViolationError, play, play_all
 
+from hopsail.rpc.link_sign import LinkSign
 from hopsail.tallies import acknowledgement, records
+from hopsail.tallies.link import Link
 from hopsail.tallies.replica import TallyReplica
 from hopsail.tallies.types import AddOutcome
 
@@ -75,6 +77,7 @@
 
 
 FIVE = Shape(fault_ns=1_000_000_000)
+STRANDED = SMALL._replace(cuts=False, faults=("strand", "calm"), fault_ns=8_000_000_000)
 
 
 @pytest.mark.parametrize(
@@ -85,13 +88,35 @@
     assert found(shape, replica_type) is not None
 
 
+def takes_a_process_that_is_down_for_a_cut(monkeypatch):
+    take_for_a_cut(monkeypatch, LinkSign.REFUSED)
+
+
+def takes_a_process_that_stands_still_for_a_cut(monkeypatch):
+    take_for_a_cut(monkeypatch, LinkSign.ACCEPTED)
+
+
+def take_for_a_cut(monkeypatch, misread):
+    failed = Link.failed
+
+    def misreading(self, now, sign):
+        failed(self, now, LinkSign.UNANSWERED if sign is misread else sign)
+
+    monkeypatch.setattr(Link, "failed", misreading)
+
+
 @pytest.mark.parametrize(
-    "broken",
-    [counts_each_record, rejects_after_the_record_was_made],
+    ("broken", "shape"),
+    [
+        (counts_each_record, FIVE),
+        (rejects_after_the_record_was_made, FIVE),
+        (takes_a_process_that_is_down_for_a_cut, STRANDED),
+        (takes_a_process_that_stands_still_for_a_cut, STRANDED),
+    ],
 )
-def test_broken_guard_is_found(monkeypatch, broken):
+def test_broken_guard_is_found(monkeypatch, broken, shape):
     broken(monkeypatch)
-    assert found(FIVE) is not None
+    assert found(shape) is not None
 
 
 def test_origins_that_come_again_are_found():
--- a/tests/tallies/test_tally_replica.py
+++ b/tests/tallies/test_tally_replica.py
@@ -60,7 +60,7 @@
 
 def test_add_at_the_beginning_of_a_cut_is_answered_in_time_and_never_rejected(simulation):
     cut(simulation, {"m0"})
-    simulation.call(ADD, "m0")
+    simulation.call(ADD, "m0", most_attempts=1)
     simulation.run_for(900 * MS)
     counts = simulation.counts
     assert counts[AddOutcome.REJECTED] == 0
@@ -98,19 +98,19 @@
     replica.set_peers(0, frozenset({"b"}))
     (exchange,) = replica.take_calls()
     reply = ExchangeReply(runs=[], known=[], durable=[], origin="b/1")
-    replica.replied(MS, exchange.number, reply, refused=False)
+    replica.replied(MS, exchange.number, reply)
     outcomes = []
     replica.add(MS, ADD, outcomes.append)
     (push,) = replica.take_calls()
     position = [Position(origin="a/1", sequence=1)]
     synced = PushReply(known=position, durable=position, origin="b/1")
-    replica.replied(2 * MS, push.number, synced, refused=False)
+    replica.replied(2 * MS, push.number, synced)
     replica.tick(300 * MS)
     (exchange,) = replica.take_calls()
     reply = ExchangeReply(runs=[], known=[], durable=[], origin="b/2")
-    replica.replied(301 * MS, exchange.number, reply, refused=False)
+    replica.replied(301 * MS, exchange.number, reply)
     (push,) = replica.take_calls()
-    replica.replied(302 * MS, push.number, synced, refused=False)  # late, of the former life
+    replica.replied(302 * MS, push.number, synced)  # late, of the former life
     replica.written(303 * MS, replica.take_write().serial)
     assert outcomes == []
 
--- a/tests/tallies_simulation.py
+++ b/tests/tallies_simulation.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import NamedTuple
 
+from hopsail.rpc.link_sign import LinkSign
 from hopsail.tallies.replica import TallyConfig, TallyReplica
 from hopsail.tallies.types import Add, AddOutcome, PeerCall
 
@@ -15,6 +16,11 @@
 MERGE_NS = 3_000 * MS
 CALLER_PATIENCE_NS = 1_000 * MS
 DETECTION_NS = 1_750 * MS  # until a healed link is seen as such, and a broken one
+# As channels do, which dial anew once a connection is silent.
+SILENT_CONNECTION_NS = 450 * MS
+DIAL_NS = 300 * MS
+FIRST_BACK_OFF_NS, LONGEST_BACK_OFF_NS = 25 * MS, 250 * MS
+UNANSWERED_DIALS = 2
 SETTLE_NS = 1_000 * MS  # within which an add is acknowledged while nothing is broken
 TALLIES = ("t0", "t1", "t2")
 ATTEMPTS = 4
@@ -31,11 +37,33 @@
     disk_losses: int = 2
     fault_ns: int = 7_000 * MS
     reused_origins: bool = False
+    cuts: bool = True  # of links between machines
+    most_away: int | None = None  # processes that are down or stand still at once; None: any number
+    faults: tuple[str, ...] = ()  # names of methods of `Faults`; none: all
 
 
 USUAL = Shape()
 
 
+class Line:
+    """What a process's channel to another one has come to."""
+
+    def __init__(self) -> None:
+        self.is_connected = True  # or has not been tried
+        self.is_dialing = False  # or waits until it may
+        self.accepted = False  # a handshake was completed since the last reply
+        self.waiting: list[PeerCall] = []  # for a connection
+        self.unanswered_dials = 0
+        self.back_off = FIRST_BACK_OFF_NS
+        self.sign = LinkSign.NONE
+
+    def end_connection(self, sign: LinkSign) -> None:
+        """There is no connection any more, or none came up."""
+        self.is_connected = self.is_dialing = False
+        self.sign = sign
+        self.back_off = min(2 * self.back_off, LONGEST_BACK_OFF_NS)
+
+
 class Machine:
     """A machine with a disk, and the process on it."""
 
@@ -50,12 +78,19 @@
         self.disk_slow = False
         self.writing: tuple[bytes, bool] | None = None
         self.calls: dict[int, str] = {}
+        self.lines: dict[str, Line] = {}
         self.acknowledged: set[Add] = set()  # in this life
-        self.weak = False  # reaches fewer disks than are owed
+        self.owed_at_start: set[Add] = set()
+        self.weak = False  # its links lead to fewer disks than are owed
         self.healed_since = 0
         self.unsettled: list[Add] = []
         self.coming_back = False
 
+    @property
+    def is_refusing(self) -> bool:
+        """Whether its system answers, and refuses connections."""
+        return self.replica is None and not self.silent
+
 
 class Caller:
     """An application's add, tried at one machine after the other."""
@@ -120,6 +155,8 @@
         machine.silent = False
         machine.paused_until = 0
         machine.acknowledged = set()
+        machine.lines = {}
+        machine.owed_at_start = set(self.owed)
         origin = machine.name if self.shape.reused_origins else f"{machine.name}/{machine.life}"
         config = TallyConfig(machine.name, self.shape.disk_losses)
         machine.replica = self.replica_type(config, origin, self.now, list(machine.disk), bootstrapping)
@@ -214,15 +251,66 @@
 
     def _send(self, machine: Machine, life: int, call: PeerCall) -> None:
         machine.calls[call.number] = call.peer
+        line = machine.lines.setdefault(call.peer, Line())
+        self.after(SILENT_CONNECTION_NS, lambda: self._time_out(machine, life, call, line))
+        if line.is_connected:
+            self._transmit(machine, life, call)
+            return
+        line.waiting.append(call)
+        if not line.is_dialing:
+            line.is_dialing = True
+            self.after(line.back_off, lambda: self._dial(machine, life, call.peer, line))
+
+    def _transmit(self, machine: Machine, life: int, call: PeerCall) -> None:
         target = self.machines.get(call.peer)
-        if target is None:
+        if target is not None:
+            for _ in range(2 if self.random.random() < 0.02 else 1):
+                self._carry(machine.name, target.name, lambda: self._arrive(machine, life, target, call))
+
+    def _dial(self, machine: Machine, life: int, peer: str, line: Line) -> None:
+        target = self.machines.get(peer)
+        if machine.life != life:
             return
-        ways = {(machine.name, target.name), (target.name, machine.name)}
-        if self.resetting and ways & self.blocked:
-            self.after(MS, lambda: self._refused(machine, life, call.number))
+        is_blocked = target is None or self._is_blocked(machine, target)
+        if is_blocked and self.resetting or target is not None and target.is_refusing and not is_blocked:
+            self.after(MS, lambda: self._fail_dial(machine, life, line, LinkSign.REFUSED))
+        elif is_blocked or target.silent:
+            self.after(DIAL_NS, lambda: self._give_up_dial(machine, life, line))
+        else:
+            line.is_connected, line.is_dialing, line.accepted = True, False, True
+            waiting, line.waiting = line.waiting, []
+            for call in waiting:
+                self._transmit(machine, life, call)
+
+    def _give_up_dial(self, machine: Machine, life: int, line: Line) -> None:
+        line.unanswered_dials += 1
+        is_unanswered = line.unanswered_dials >= UNANSWERED_DIALS
+        self._fail_dial(machine, life, line, LinkSign.UNANSWERED if is_unanswered else line.sign)
+
+    def _fail_dial(self, machine: Machine, life: int, line: Line, sign: LinkSign) -> None:
+        if sign is LinkSign.REFUSED:
+            line.unanswered_dials = 0
+        line.end_connection(sign)
+        waiting, line.waiting = line.waiting, []
+        for call in waiting:
+            self._fail(machine, life, call.number, sign)
+
+    def _time_out(self, machine: Machine, life: int, call: PeerCall, line: Line) -> None:
+        if machine.life != life or call.number not in machine.calls:
             return
-        for _ in range(2 if self.random.random() < 0.02 else 1):
-            self._carry(machine.name, target.name, lambda: self._arrive(machine, life, target, call))
+        if line.is_connected:
+            line.unanswered_dials = 0
+            line.end_connection(LinkSign.ACCEPTED if line.accepted else LinkSign.NONE)
+        line.waiting = [waiting for waiting in line.waiting if waiting is not call]
+        self._fail(machine, life, call.number, line.sign)
+
+    def _fail(self, machine: Machine, life: int, number: int, sign: LinkSign) -> None:
+        if machine.life == life and machine.calls.pop(number, None) is not None:
+            self.on(machine, life, lambda replica: replica.failed(self.now, number, sign))
+
+    def _is_blocked(self, machine: Machine, other: Machine) -> bool:
+        """Whether no handshake between them is completed."""
+        return bool({(machine.name, other.name), (other.name, machine.name)} & self.blocked)
 
     def _arrive(self, machine: Machine, life: int, target: Machine, call: PeerCall) -> None:
         if target.replica is None:
@@ -242,15 +330,21 @@
         self.on(target, target.life, receive)
 
     def _answer(self, machine: Machine, life: int, number: int, reply: object) -> None:
-        machine.calls.pop(number, None)
-        self.on(machine, life, lambda replica: replica.replied(self.now, number, reply, False))
+        peer = machine.calls.pop(number, None)
+        if machine.life == life and peer is not None:
+            line = machine.lines[peer]
+            line.accepted, line.unanswered_dials, line.back_off = False, 0, FIRST_BACK_OFF_NS
+        self.on(machine, life, lambda replica: replica.replied(self.now, number, reply))
 
     def _refuse(self, source: str, machine: Machine, life: int, number: int) -> None:
         self._carry(source, machine.name, lambda: self._refused(machine, life, number))
 
     def _refused(self, machine: Machine, life: int, number: int) -> None:
-        machine.calls.pop(number, None)
-        self.on(machine, life, lambda replica: replica.replied(self.now, number, None, True))
+        if machine.life == life and number in machine.calls:
+            line = machine.lines[machine.calls[number]]
+            line.unanswered_dials = 0
+            line.end_connection(LinkSign.REFUSED)
+            self._fail(machine, life, number, LinkSign.REFUSED)
 
     def block(self, pairs: set[tuple[str, str]]) -> None:
         self.blocked |= pairs
@@ -261,20 +355,22 @@
         self.weigh()
 
     def weigh(self) -> None:
-        """Sees which machines reach fewer disks than are owed, so that the rules owe less."""
+        """Sees which machines' links lead to fewer disks than are owed, so that the rules owe less.
+
+        That processes are down, or stand still, is no excuse. A machine without power can't be told from one
+        behind a cut.
+        """
         for machine in self.machines.values():
-            reached = 1 + sum(self._reaches(machine, other) for other in self.machines.values())
-            weak = reached <= min(self.shape.disk_losses, len(self.machines) - 1)
+            linked = 1 + sum(self._is_linked(machine, other) for other in self.machines.values())
+            weak = linked <= min(self.shape.disk_losses, len(self.machines) - 1)
             if weak and not machine.weak and self.now - machine.healed_since >= MERGE_NS:
                 machine.unsettled = []
             if machine.weak and not weak:
                 machine.healed_since = self.now
             machine.weak = weak
 
-    def _reaches(self, machine: Machine, other: Machine) -> bool:
-        ways = {(machine.name, other.name), (other.name, machine.name)}
-        alive = other.replica is not None and other.paused_until <= self.now
-        return other is not machine and alive and not ways & self.blocked
+    def _is_linked(self, machine: Machine, other: Machine) -> bool:
+        return other is not machine and not other.silent and not self._is_blocked(machine, other)
 
     # Callers.
 
@@ -337,6 +433,8 @@
                 raise ViolationError(f"TWICE: {machine.name} has {total} in {tally}")
             if total < self.least(machine.acknowledged, tally):
                 raise ViolationError(f"STALE: {machine.name} lacks in {tally} what it acknowledged")
+            if not self.shape.cuts and total < self.least(machine.owed_at_start, tally):
+                raise ViolationError(f"STALE: {machine.name} lacks in {tally} what was owed at its start")
         return totals
 
     def least(self, acknowledged: set[Add], tally: str) -> int:
@@ -383,11 +481,19 @@
     def __init__(self, simulation: Simulation) -> None:
         self.simulation = simulation
         self.random = simulation.random
+        self._repairs = 0
+        self._undisturbed_until = 0
 
     def strike(self) -> None:
-        kinds = (self.cut, self.cut, self.cut, self.heal, self.restart, self.lose, self.lose)
-        others = (self.pause, self.disk, self.disk, self.compact, self.blackout, self.replace, self.calm)
-        self.random.choice(kinds + others)()
+        if self.simulation.now < self._undisturbed_until:
+            return
+        if self.simulation.shape.faults:
+            getattr(self, self.random.choice(self.simulation.shape.faults))()
+            return
+        links = (self.cut, self.cut, self.cut, self.heal) if self.simulation.shape.cuts else ()
+        processes = (self.restart, self.down, self.strand, self.crash_loop, self.pause, self.lose)
+        others = (self.disk, self.disk, self.compact, self.blackout, self.replace, self.calm)
+        self.random.choice(links + processes + others)()
 
     def cut(self) -> None:
         """Two groups, all ways or one; with a third group it is a bridge."""
@@ -410,14 +516,63 @@
         self.simulation.stop(machine)
         self._back(machine, self.random.randint(100, 1500))
 
+    def down(self) -> None:
+        """Some processes are killed, one by one, and stay away for longer than any wait."""
+        for machine in self._several():
+            length = self.random.randint(1000, 6000)
+            self._later(
+                self.random.randint(0, 1500) * MS, lambda m=machine, length=length: self._down(m, length)
+            )
+
+    def _down(self, machine: Machine, length_ms: int) -> None:
+        if machine.replica is not None and self._may_go():
+            self.simulation.stop(machine)
+            self._back(machine, length_ms)
+
+    def _freeze(self, machine: Machine, length_ms: int) -> None:
+        if self._may_go():
+            machine.paused_until = max(machine.paused_until, self.simulation.now + length_ms * MS)
+
+    def strand(self) -> None:
+        """All processes but one go, one by one; that one's disk is lost before they are back."""
+        last = self._some()
+        others = [machine for machine in self.simulation.machines.values() if machine is not last]
+        lost_after = self.random.randint(2000, 5000)
+        if self.random.random() < 0.7:
+            self._undisturbed_until = self.simulation.now + (lost_after + 1000) * MS
+        for machine in others:
+            leave = self.random.choice((self._down, self._freeze))
+            self._later(
+                self.random.randint(0, 500) * MS, lambda m=machine, leave=leave: leave(m, lost_after + 1000)
+            )
+        self._later(lost_after * MS, lambda: self._lose(last))
+
+    def crash_loop(self) -> None:
+        """A process ends again and again, soon after its start."""
+        machine = self._some()
+        for number in range(self.random.randint(2, 6)):
+            delay = number * self.random.randint(300, 900) * MS
+            self._later(delay, lambda: self._crash(machine))
+
+    def _later(self, delay: int, action: Callable[[], None]) -> None:
+        """Unless all is repaired before."""
+        repairs = self._repairs
+        self.simulation.after(delay, lambda: repairs == self._repairs and action())
+
+    def _crash(self, machine: Machine) -> None:
+        if machine.replica is not None and self._may_go():
+            self.simulation.stop(machine)
+            self._back(machine, self.random.randint(100, 400))
+
     def lose(self) -> None:
         """A machine with its disk, if that many losses can still be borne; another takes its place."""
-        machine = self._some()
-        if not self._may_lose(machine):
-            return
-        self.simulation.stop(machine, silent=self.random.random() < 0.5)
-        self.simulation.wipe(machine)
-        self._back(machine, self.random.randint(100, 2500))
+        self._lose(self._some())
+
+    def _lose(self, machine: Machine) -> None:
+        if self._may_lose(machine):
+            self.simulation.stop(machine, silent=self.random.random() < 0.5)
+            self.simulation.wipe(machine)
+            self._back(machine, self.random.randint(100, 2500))
 
     def replace(self) -> None:
         """The same, but the machine that takes its place has another name."""
@@ -443,12 +598,10 @@
         simulation.after(self.random.randint(500, 1500) * MS, arrive)
 
     def pause(self) -> None:
-        machine = self._some()
-        if self._away() < self.simulation.shape.disk_losses:
-            length = self.random.randint(200, 2500) * MS
-            machine.paused_until = self.simulation.now + length
-            self.simulation.weigh()
-            self.simulation.after(length, self.simulation.weigh)
+        """Some processes stand still, now and then for longer than any wait."""
+        for machine in self._several():
+            shortest, longest = self.random.choice(((200, 2500), (2000, 6000)))
+            self._freeze(machine, self.random.randint(shortest, longest))
 
     def disk(self) -> None:
         machine = self._some()
@@ -494,13 +647,14 @@
     def calm(self) -> None:
         """Without faults for a while, judged at its end."""
         self.repair()
-        while any(machine.replica is None for machine in self.simulation.machines.values()):
+        while self._away():
             self.simulation.run_for(100 * MS)
         self.simulation.judge_quiet()
         self.simulation.lost_disks = set()
 
     def repair(self) -> None:
         """Everything works again."""
+        self._repairs += 1
         self.simulation.heal()
         for machine in list(self.simulation.machines.values()):
             machine.disk_failing = machine.disk_slow = False
@@ -515,6 +669,15 @@
         machines = self.simulation.machines.values()
         return sum(machine.replica is None or machine.paused_until > now for machine in machines)
 
+    def _several(self) -> list[Machine]:
+        machines = list(self.simulation.machines.values())
+        return self.random.sample(machines, self.random.randint(1, len(machines)))
+
+    def _may_go(self) -> bool:
+        """Whether one more process may be away."""
+        most = self.simulation.shape.most_away
+        return most is None or self._away() < most
+
     def _may_lose(self, machine: Machine) -> bool:
         lost = self.simulation.lost_disks
         return machine.name in lost or len(lost) < self.simulation.shape.disk_losses
--- a/tests/test_controlplane_tallies.py
+++ b/tests/test_controlplane_tallies.py
@@ -3,7 +3,8 @@
 import json
 
 import pytest
-from test_controlplane_processes import DOOR, SECOND, make_cluster, put  # noqa: F401
+from test_controlplane_processes import DOOR, PORT, SECOND, make_cluster, put  # noqa: F401
+from unanswered_address import UnansweredAddress
 
 from hopsail.controlplane.tally_disk import TallyDisk
 from hopsail.http.client import HttpClient
@@ -26,9 +27,46 @@
     cluster.until(lambda: cluster.planes[number].tally_total("t") == total)
 
 
-def cut_off(cluster, number):
-    """It hears nothing of the others any more."""
-    cluster.frozen |= set(cluster.planes) - {number}
+@pytest.fixture
+def unanswered():
+    made = UnansweredAddress()
+    yield made
+    made.close()
+
+
+def redirect(cluster, source, target, address=None):
+    """The source's calls of tallies go to this address from now on, or to the target again."""
+    channel = cluster.planes[source].tally_channel(f"{cluster.ip(target)}:{PORT}")
+    channel.address = address or (cluster.ip(target), PORT)
+    if channel._connection is not None:
+        channel._connection.close()
+
+
+def cut_off(cluster, number, unanswered):
+    """No handshake between it and the others is answered any more."""
+    for other in set(cluster.planes) - {number}:
+        redirect(cluster, number, other, unanswered.address)
+        redirect(cluster, other, number, unanswered.address)
+
+
+def heal(cluster):
+    for source in cluster.planes:
+        for target in set(cluster.planes) - {source}:
+            redirect(cluster, source, target)
+
+
+def run_for(cluster, duration):
+    """Drives all for so many ns of the loops' clock."""
+    clock = next(iter(cluster.planes.values())).loop
+    end = clock.now() + duration
+    cluster.until(lambda: clock.now() >= end)
+
+
+def outcome_of_add(cluster, number, identifier):
+    """Of a single call."""
+    told = []
+    cluster.planes[number].add_to_tally(Add("t", identifier, 1), told.append)
+    return cluster.until(lambda: told)[0]
 
 
 def test_adds_at_each_process_are_read_at_all(make_cluster):  # noqa: F811
@@ -52,16 +90,38 @@
         read(cluster, number, 5)
 
 
-def test_a_process_alone_on_its_side_of_a_partition_goes_on(make_cluster):  # noqa: F811
+def test_a_process_alone_on_its_side_of_a_partition_goes_on(make_cluster, unanswered):  # noqa: F811
     cluster = make_cluster()
     add(cluster, 1, "before", 1)
-    cut_off(cluster, 1)
+    cut_off(cluster, 1, unanswered)
     plane = cluster.planes[1]
     cluster.until(lambda: plane.tallies.replica.figures()["cut_off"] == 2)
     add(cluster, 1, "alone", 2)
     assert plane.tally_total("t") == 3
-    cluster.frozen.clear()
-    read(cluster, 3, 3)
+    add(cluster, 2, "on the other side", 4)
+    heal(cluster)
+    read(cluster, 3, 7)
+    cluster.until(lambda: plane.tallies.replica.figures()["cut_off"] == 0)
+
+
+# Guards against adds on one disk while the others' processes are down (docs/incidents/review-2-one-disk.md).
+@pytest.mark.parametrize("leave", ["killed", "frozen"])
+def test_no_add_is_acknowledged_on_one_disk_while_both_others_are_down(make_cluster, leave):  # noqa: F811
+    cluster = make_cluster()
+    add(cluster, 1, "before", 1)
+    for number in (2, 3):
+        cluster.kill(number) if leave == "killed" else cluster.frozen.add(number)
+    for attempt in range(5):
+        assert outcome_of_add(cluster, 1, f"alone {attempt}") is not AddOutcome.ACKNOWLEDGED
+        run_for(cluster, SECOND)
+    if leave == "killed":
+        cluster.start(3)
+    cluster.frozen.discard(3)
+    outcomes = []
+    while AddOutcome.ACKNOWLEDGED not in outcomes:  # adds go on with one of three away
+        assert len(outcomes) < 30
+        run_for(cluster, SECOND // 10)
+        outcomes.append(outcome_of_add(cluster, 1, "with one of three away"))
 
 
 def test_a_stalled_disk_of_tallies_costs_neither_adds_nor_leadership(make_cluster, monkeypatch):  # noqa: F811
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -8,12 +8,13 @@
 import pytest
 from thrift.protocol.TBinaryProtocol import TBinaryProtocol
 from thrift.transport.TTransport import TMemoryBuffer
+from unanswered_address import UnansweredAddress
 
 from hopsail.net.loop import Loop
 from hopsail.rpc import channel as channel_module
 from hopsail.rpc import server as server_module
 from hopsail.rpc import structs
-from hopsail.rpc.channel import Channel
+from hopsail.rpc.channel import Channel, DialTimes
 from hopsail.rpc.connection import HELLO, PROTOCOL_VERSION, Hello
 from hopsail.rpc.counts import RpcCounts
 from hopsail.rpc.errors import (
@@ -24,6 +25,7 @@
     CallRefusedError,
     CallTimeoutError,
 )
+from hopsail.rpc.link_sign import LinkSign
 from hopsail.rpc.frames import MAX_FRAME, FrameReader, Kind, Message, pack, unpack
 from hopsail.rpc.server import RpcServer
 from hopsail.rpc.structs import Struct, TType, decode, encode, spec
@@ -469,18 +471,45 @@
         assert outcomes.all == [Inner(name="x"), CallTimeoutError]
         assert other.all == [DisconnectedError]
         assert not channel.connected and channel.counts.silent_peers == 1
-        assert not channel.refusing
+        assert channel.link_sign is LinkSign.NONE
 
     def test_a_side_that_refuses_connections_is_told_from_a_silent_one(self, loop, server, channel, outcomes):
         channel.call("echo", Inner(), Inner, outcomes, SECOND)
         loop.until(lambda: outcomes.all)
-        assert not channel.refusing
+        assert channel.link_sign is LinkSign.NONE
         server.close()
         loop.until(lambda: not channel.connected)
-        assert channel.refusing
+        assert channel.link_sign is LinkSign.REFUSED
         channel.call("echo", Inner(), Inner, outcomes, SECOND)
         loop.until(lambda: len(outcomes.all) == 2)
-        assert channel.refusing
+        assert channel.link_sign is LinkSign.REFUSED
+
+    def test_a_process_that_says_nothing_on_a_new_connection_is_known_to_be_linked(self, loop, raw, opened):
+        channel, outcomes = Channel(loop, raw.address, "blue"), Outcomes()
+        opened.append(channel)
+        channel.call("echo", Inner(), Inner, outcomes, SECOND)
+        loop.until(lambda: channel._connection.came_up)
+        assert channel.link_sign is LinkSign.ACCEPTED
+        loop.skip(SECOND)
+        loop.until(lambda: outcomes.all)
+        assert channel._connection is None and channel.link_sign is LinkSign.ACCEPTED
+
+    def test_handshakes_that_hang_are_a_sign_only_when_two_in_a_row_do(self, loop, server, opened):
+        nobody, outcomes = UnansweredAddress(), Outcomes()
+        channel = Channel(loop, nobody.address, "blue", dial_times=DialTimes(up_within=20 * MS))
+        opened.extend((nobody, channel))
+        for number, sign in ((1, LinkSign.NONE), (2, LinkSign.UNANSWERED)):
+            channel.call("echo", Inner(), Inner, outcomes, SECOND)
+            loop.until(lambda number=number: len(outcomes.all) == number)
+            assert channel.link_sign is sign
+        channel.address = closed_port()
+        channel.call("echo", Inner(), Inner, outcomes, SECOND)
+        loop.until(lambda: len(outcomes.all) == 3)
+        assert channel.link_sign is LinkSign.REFUSED
+        channel.address = nobody.address
+        channel.call("echo", Inner(), Inner, outcomes, SECOND)
+        loop.until(lambda: len(outcomes.all) == 4)
+        assert channel.link_sign is LinkSign.REFUSED
 
     def test_no_reply_in_time_leaves_a_connection_that_brings_others(self, loop, server, channel, outcomes):
         held = []
