A process that has started answers reads only if it must hold every acknowledged add

Cause: a peer that refused connections for 2 s, or was silent for 1 s, was not waited for any more, however many disks were lost. An older state was told until that peer was back.

tallies/startup.py now decides: peers that were not heard, and disks that were lost and have not caught up, must not be more than may be lost at once. Peers behind a cut are not waited for. Each write tells whether the process is still catching up, so that one in a crash loop does not take a disk it has begun to fill for a whole one; replies to exchanges tell it too (a field with a default: earlier versions count as whole).

Tests: test_no_total_is_read_that_may_lack_an_add_of_a_process_that_is_down failed before ([1, 1] read in place of nothing); test_reads_go_on_while_one_of_three_is_down passed and passes.

--- a/hopsail/tallies/messages.py
+++ b/hopsail/tallies/messages.py
@@ -4,7 +4,7 @@
 holds an unbroken run of them from the first on, so that a position for each origin tells all that it holds.
 """
 
-from ..rpc.structs import Struct, i64, spec, structs, text
+from ..rpc.structs import Struct, boolean, i64, spec, structs, text
 
 PUSH = "tally_push"  # the methods' names
 EXCHANGE = "tally_exchange"
@@ -72,12 +72,14 @@
     known: list[Position]
     durable: list[Position]
     origin: str  # that of the replica that replies
+    intact: bool  # it holds all that it has ever confirmed: its disk was kept, or it has caught up since
 
     thrift_spec = spec(
         structs(1, "runs", OriginRun),
         structs(2, "known", Position),
         structs(3, "durable", Position),
         text(4, "origin"),
+        boolean(5, "intact", default=True),
     )
 
 
@@ -85,5 +87,6 @@
     """One write to the disk, or with all runs the whole state."""
 
     runs: list[OriginRun]
+    catching_up: bool  # the process had lost its disk, and did not yet hold what others held
 
-    thrift_spec = spec(structs(1, "runs", OriginRun))
+    thrift_spec = spec(structs(1, "runs", OriginRun), boolean(2, "catching_up"))
--- a/hopsail/tallies/peers.py
+++ b/hopsail/tallies/peers.py
@@ -60,6 +60,7 @@
         self.known: Positions = {}
         self.durable: Positions = {}
         self.complete = False  # all that it held at an exchange was merged here
+        self.intact = False  # it then held all that it has ever confirmed
         self.ending = Ending.NONE
         self.link = Link(now)
         self.exchange_due = now
--- a/hopsail/tallies/replica.py
+++ b/hopsail/tallies/replica.py
@@ -14,6 +14,7 @@
 from .own_disk import OwnDisk, load
 from .peers import EXCHANGE_INTERVAL_NS, Peer, PeerState
 from .records import Positions, RecordSet, check_add, covers, ends, from_positions, to_positions
+from .startup import DiskAtStart, disk_at_start, may_read
 from .types import Add, AddDone, AddOutcome, PeerCall, PeerReply, TallyWrite
 
 MAX_ADDS = 100_000  # records; beyond it an add is rejected
@@ -51,9 +52,10 @@
         self._origin = origin
         self._now = now
         self._records = RecordSet()
-        load(stored, self._records, config.max_merged_adds)
-        self._disk = OwnDisk(dict(self._records.positions))
+        found = load(stored, self._records, config.max_merged_adds)
+        self._disk = OwnDisk(dict(self._records.positions), found)
         self._peers: dict[str, Peer] | None = None
+        self._disk_at_start = disk_at_start(bootstrapping, found.is_empty, found.catching_up)
         self._ready = bootstrapping
         self._own_sequences: dict[str, dict[str, int]] = {}
         self._waiting = Acknowledgements()
@@ -109,7 +111,7 @@
 
     def take_write(self) -> TallyWrite | None:
         """Bytes for the disk; one at a time, until `written` or `write_failed`."""
-        return self._disk.take_write(self._now, self._records, self._origin)
+        return self._disk.take_write(self._now, self._records, self._origin, not self._is_intact())
 
     def written(self, now: int, serial: int) -> None:
         """The write is synced."""
@@ -171,6 +173,7 @@
             known=from_positions(self._records.positions),
             durable=from_positions(self._disk.durable),
             origin=self._origin,
+            intact=self._is_intact(),
         )
 
     def compact(self) -> None:
@@ -281,11 +284,12 @@
         merged = self._merge(reply.runs) if isinstance(reply, ExchangeReply) else 0
         if not peer.answered(self._now, reply):
             return
-        if isinstance(call.message, ExchangeCall):
+        if isinstance(call.message, ExchangeCall) and isinstance(reply, ExchangeReply):
             peer.push_limits = to_positions(call.message.known)
             full = self._records.size >= self._config.max_merged_adds
             if full or covers(self._records.positions, peer.known):
                 peer.complete = True
+                peer.intact = reply.intact
             elif merged:
                 peer.exchange_due = self._now
         elif peer.life == life and not peer.took(call.message.runs):
@@ -296,7 +300,11 @@
         self._merged += merged
         return merged
 
+    def _is_intact(self) -> bool:
+        """Whether it holds all that it has ever confirmed."""
+        return self._ready or self._disk_at_start is not DiskAtStart.LOST
+
     def _check_ready(self) -> None:
-        """A process that has started answers once it has what its peers hold, but for those that are away."""
         if not self._ready and self._peers is not None:
-            self._ready = not any(peer.awaited(self._now) for peer in self._each_peer())
+            peers = self._peers.values()
+            self._ready = may_read(self._now, peers, self._disk_at_start, self._config.disk_losses)
--- a/tests/tallies/test_tally_histories.py
+++ b/tests/tallies/test_tally_histories.py
@@ -6,7 +6,7 @@
 from tallies_simulation import Shape, ViolationError, play, play_all
 
 from hopsail.rpc.link_sign import LinkSign
-from hopsail.tallies import acknowledgement, records
+from hopsail.tallies import acknowledgement, records, replica
 from hopsail.tallies.link import Link
 from hopsail.tallies.replica import TallyReplica
 from hopsail.tallies.types import AddOutcome
@@ -21,6 +21,8 @@
     "three, one lost": SMALL,
     "three, two lost": SMALL._replace(disk_losses=2),
     "two, one lost": SMALL._replace(machines=2),
+    "three, one lost, links whole": SMALL._replace(cuts=False),
+    "five, two lost, all but one away": Shape(cuts=False, faults=("strand", "calm", "crash_loop")),
 }
 
 
@@ -105,6 +107,13 @@
     monkeypatch.setattr(Link, "failed", misreading)
 
 
+def reads_without_those_that_are_down(monkeypatch):
+    def may_read(now, peers, disk, disk_losses):
+        return not any(peer.awaited(now) for peer in peers)
+
+    monkeypatch.setattr(replica, "may_read", may_read)
+
+
 @pytest.mark.parametrize(
     ("broken", "shape"),
     [
@@ -112,6 +121,7 @@
         (rejects_after_the_record_was_made, FIVE),
         (takes_a_process_that_is_down_for_a_cut, STRANDED),
         (takes_a_process_that_stands_still_for_a_cut, STRANDED),
+        (reads_without_those_that_are_down, STRANDED),
     ],
 )
 def test_broken_guard_is_found(monkeypatch, broken, shape):
--- a/tests/tallies/test_tally_replica.py
+++ b/tests/tallies/test_tally_replica.py
@@ -3,8 +3,9 @@
 import pytest
 from tallies_simulation import MS, Shape, Simulation
 
+from hopsail.tallies import own_disk
 from hopsail.tallies.errors import TallyError
-from hopsail.tallies.messages import ExchangeReply, Position, PushReply
+from hopsail.tallies.messages import AddRecord, ExchangeCall, ExchangeReply, OriginRun, Position, PushReply
 from hopsail.tallies.replica import TallyConfig, TallyReplica
 from hopsail.tallies.types import Add, AddOutcome
 
@@ -129,6 +130,54 @@
     assert again.total(0, "t0") == 4
 
 
+# Guards against a process in a crash loop that takes a disk it has just begun to fill for a whole one.
+def test_disk_that_was_lost_is_whole_only_once_all_of_the_others_is_written_again():
+    write_of = own_disk.MAX_WRITE_BYTES
+    adds = [AddRecord(tally="t0", identifier=f"{number}" + "i" * 250, amount=1) for number in range(5000)]
+    runs = [OriginRun(origin="b/1", first_sequence=1, adds=adds)]
+    assert sum(len(add.identifier) for add in adds) > write_of
+    position = [Position(origin="b/1", sequence=len(adds))]
+    reply = ExchangeReply(runs=runs, known=position, durable=position, origin="b/1", intact=True)
+    config = TallyConfig("a", 1)
+    replica = TallyReplica(config, "a/2", 0, [], bootstrapping=False)
+    replica.set_peers(0, frozenset({"b"}))
+    disk, told = [], []
+    for now in range(0, 5 * MS, MS):
+        write = replica.take_write()
+        if write is not None:
+            disk.append(write.data)
+            replica.written(now, write.serial)
+        again = TallyReplica(config, "a/3", 0, disk, bootstrapping=False)
+        told.append(again.receive_exchange(0, ExchangeCall(known=[])).intact)
+        if now == MS:
+            (exchange,) = replica.take_calls()
+            replica.replied(now, exchange.number, reply)
+    assert replica.total(now, "t0") == len(adds)
+    assert told == [False, False, False, True, True]
+
+
+# Guards against totals in an older state than acknowledged, told by a process that has started.
+def test_process_that_started_waits_for_a_peer_that_may_alone_hold_an_add(simulation):
+    simulation.shape = simulation.shape._replace(cuts=False)
+    machines = simulation.machines
+    for name in ("m2", "m3"):
+        simulation.stop(machines[name])
+    caller = simulation.call(ADD, "m4")  # on the disks of m0, m1 and m4
+    simulation.run_for(1_000 * MS)
+    assert caller.outcome is AddOutcome.ACKNOWLEDGED
+    for name in ("m0", "m1", "m4"):
+        simulation.stop(machines[name])
+    for name in ("m0", "m4"):
+        simulation.wipe(machines[name])
+    for name in ("m0", "m2", "m3", "m4"):
+        simulation.start(machines[name])
+    simulation.run_for(20_000 * MS)  # longer than any wait
+    assert all(simulation.read(machine) is None for machine in machines.values())
+    simulation.start(machines["m1"])
+    simulation.run_for(3_000 * MS)
+    assert copies(simulation) == 5
+
+
 def test_adds_beyond_the_bound_are_rejected():
     replica = TallyReplica(TallyConfig("a", 0, max_adds=1), "a/1", 0, [], bootstrapping=True)
     replica.set_peers(0, frozenset())
--- a/tests/test_controlplane_tallies.py
+++ b/tests/test_controlplane_tallies.py
@@ -124,6 +124,34 @@
         outcomes.append(outcome_of_add(cluster, 1, "with one of three away"))
 
 
+# Guards against totals in an older state, told by processes that have started while another one is down.
+def test_no_total_is_read_that_may_lack_an_add_of_a_process_that_is_down(make_cluster):  # noqa: F811
+    cluster = make_cluster()
+    add(cluster, 1, "all have it", 1)
+    cluster.kill(1)
+    add(cluster, 2, "two have it", 2)
+    for number in (2, 3):
+        cluster.kill(number, wipe=number == 3)
+    for number in (1, 3):
+        cluster.start(number)
+    run_for(cluster, 6 * SECOND)
+    assert [cluster.planes[number].tally_total("t") for number in (1, 3)] == [None, None]
+    cluster.start(2)
+    for number in (1, 2, 3):
+        read(cluster, number, 3)
+
+
+def test_reads_go_on_while_one_of_three_is_down(make_cluster):  # noqa: F811
+    cluster = make_cluster()
+    add(cluster, 1, "i", 4)
+    for number in (1, 2, 3):
+        cluster.kill(number)
+    for number in (1, 2):
+        cluster.start(number)
+    for number in (1, 2):
+        read(cluster, number, 4)
+
+
 def test_a_stalled_disk_of_tallies_costs_neither_adds_nor_leadership(make_cluster, monkeypatch):  # noqa: F811
     cluster = make_cluster()
     leader = cluster.settled()
