A machine without power is not taken for one behind a cut while its zone answers

An answer to a ping sent during the silence shows that the way to the zone is whole.

Where nobody else is known in the zone, silence still counts as a cut: both sides of a true cut go on.

Tests: test_no_add_is_acknowledged_on_one_disk_while_zones_of_silent_machines_answer failed before (ACKNOWLEDGED at the second attempt). The guards' shapes name their faults, so that new kinds of faults don't thin out what they look for.

--- a/hopsail/membership/node.py
+++ b/hopsail/membership/node.py
@@ -164,6 +164,35 @@
             node, role, zone, member.address, member.is_live, member.status is MemberStatus.SUSPECT
         )
 
+    # Ways to other zones.
+
+    def zone_of(self, address: Address) -> str | None:
+        """The zone of the process at an address; None if none is known there."""
+        for member in self._protocol.members.by_name.values():
+            if member.address == address:
+                return self._identity(member.name).zone
+        return None
+
+    def ask_zone(self, zone: str, besides: str) -> None:
+        """Pings some processes of a zone, on other machines than the one with this IP address."""
+        self._protocol.witnesses.ask(self._witnesses(zone, besides), self._loop.now())
+        self._flush()
+
+    def zone_answered_at(self, zone: str, besides: str) -> int | None:
+        """When the newest ping of `ask_zone` that was answered was sent, in ns of the loop; else None."""
+        times = (
+            self._protocol.witnesses.answered_at(member.name) for member in self._witnesses(zone, besides)
+        )
+        return max((time for time in times if time is not None), default=None)
+
+    def _witnesses(self, zone: str, besides: str) -> list[Member]:
+        hosts = (besides, self.address[0])
+        return [
+            member
+            for member in self._protocol.members.others()
+            if member.address[0] not in hosts and self._identity(member.name).zone == zone
+        ]
+
     # What it is told to do.
 
     def replace_seeds(self, seeds: Sequence[Address]) -> None:
--- a/hopsail/swim/protocol.py
+++ b/hopsail/swim/protocol.py
@@ -38,6 +38,7 @@
     Rejected,
     ViewChunk,
 )
+from .witnesses import Witnesses
 
 MIN_TICK_NS = 1_000_000
 STALL_PERIODS = 0.5  # a tick that is later than this: the process was stopped, and nobody else is to blame
@@ -83,6 +84,7 @@
         self.detector = FailureDetector(context, self.view, now)
         self.anti_entropy = AntiEntropy(context, self.view)
         self.reconnector = Reconnector(context, now)
+        self.witnesses = Witnesses(context)
         self.lease_client = QuotaLeaseClient(settings, now)
         self.lease_server = (
             QuotaLeaseServer(settings, now) if settings.name in settings.lease_servers else None
@@ -201,6 +203,7 @@
 
     def _handle_ack(self, member: Member, ack: Ack) -> None:
         self.detector.handle_ack(ack.number)
+        self.witnesses.handle_ack(ack.number)
         self.rejected_as = ""
         self.anti_entropy.join_through(member.address, self._now)
         self.anti_entropy.compare(member, ack.digest, self._now)
--- a/hopsail/tallies/replica.py
+++ b/hopsail/tallies/replica.py
@@ -146,6 +146,20 @@
         """A call has ended without a reply; the sign is what its channel then showed of the link."""
         self._end(now, number, lambda peer, _call: peer.failed(now, sign))
 
+    def zones_to_ask(self) -> list[str]:
+        """The peers whose zones should be asked whether they can be reached, as it decides something."""
+        silent = [peer.name for peer in self._each_peer() if peer.link.is_silent]
+        others = 1 + len(self._peers or {}) - len(silent)
+        return silent if others <= self._config.disk_losses or not self._ready else []
+
+    def zone_answered(self, now: int, name: str, asked_at: int) -> None:
+        """Another machine in a peer's zone has answered what it was asked at this time."""
+        self._advance(now)
+        peer = (self._peers or {}).get(name)
+        if peer is not None:
+            peer.link.zone_answered(asked_at)
+            self._settle()
+
     def _end(self, now: int, number: int, take: Callable[[Peer, PeerCall], None]) -> None:
         self._advance(now)
         for peer in self._each_peer():
--- a/tests/tallies/test_tally_histories.py
+++ b/tests/tallies/test_tally_histories.py
@@ -22,6 +22,8 @@
     "three, two lost": SMALL._replace(disk_losses=2),
     "two, one lost": SMALL._replace(machines=2),
     "three, one lost, links whole": SMALL._replace(cuts=False),
+    "five in three zones, two lost": Shape(zones=3, fault_ns=4_000_000_000),
+    "three in three zones, one lost": SMALL._replace(zones=3),
     "five, two lost, all but one away": Shape(cuts=False, faults=("strand", "calm", "crash_loop")),
 }
 
@@ -78,7 +80,11 @@
     return None
 
 
-FIVE = Shape(fault_ns=1_000_000_000)
+FIVE = Shape(
+    fault_ns=1_000_000_000,
+    faults=("cut",) * 3
+    + ("heal", "restart", "lose", "lose", "pause", "disk", "disk", "compact", "blackout", "replace", "calm"),
+)
 STRANDED = SMALL._replace(cuts=False, faults=("strand", "calm"), fault_ns=8_000_000_000)
 
 
@@ -114,6 +120,10 @@
     monkeypatch.setattr(replica, "may_read", may_read)
 
 
+def takes_a_machine_without_power_for_a_cut(monkeypatch):
+    monkeypatch.setattr(Link, "zone_answered", lambda *_: None)
+
+
 @pytest.mark.parametrize(
     ("broken", "shape"),
     [
@@ -121,7 +131,8 @@
         (rejects_after_the_record_was_made, FIVE),
         (takes_a_process_that_is_down_for_a_cut, STRANDED),
         (takes_a_process_that_stands_still_for_a_cut, STRANDED),
-        (reads_without_those_that_are_down, STRANDED),
+        (reads_without_those_that_are_down, STRANDED._replace(faults=("strand", "lose", "down"))),
+        (takes_a_machine_without_power_for_a_cut, STRANDED._replace(zones=3)),
     ],
 )
 def test_broken_guard_is_found(monkeypatch, broken, shape):
@@ -130,4 +141,4 @@
 
 
 def test_origins_that_come_again_are_found():
-    assert found(FIVE._replace(reused_origins=True)) is not None
+    assert found(FIVE._replace(reused_origins=True, fault_ns=4_000_000_000)) is not None
--- a/tests/tallies_simulation.py
+++ b/tests/tallies_simulation.py
@@ -21,6 +21,7 @@
 DIAL_NS = 300 * MS
 FIRST_BACK_OFF_NS, LONGEST_BACK_OFF_NS = 25 * MS, 250 * MS
 UNANSWERED_DIALS = 2
+ASK_ZONES_NS = 200 * MS
 SETTLE_NS = 1_000 * MS  # within which an add is acknowledged while nothing is broken
 TALLIES = ("t0", "t1", "t2")
 ATTEMPTS = 4
@@ -39,6 +40,9 @@
     reused_origins: bool = False
     cuts: bool = True  # of links between machines
     most_away: int | None = None  # processes that are down or stand still at once; None: any number
+    # With zones, links are cut between zones only, and other machines there answer; else nobody tells of a
+    # machine without power that there is no cut.
+    zones: int = 0
     faults: tuple[str, ...] = ()  # names of methods of `Faults`; none: all
 
 
@@ -67,7 +71,7 @@
 class Machine:
     """A machine with a disk, and the process on it."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, zone: int) -> None:
         self.name = name
         self.disk: list[bytes] = []
         self.life = 0
@@ -83,6 +87,7 @@
         self.owed_at_start: set[Add] = set()
         self.weak = False  # its links lead to fewer disks than are owed
         self.healed_since = 0
+        self.zone = zone
         self.unsettled: list[Add] = []
         self.coming_back = False
 
@@ -112,7 +117,10 @@
         self.shape = shape
         self.replica_type = replica_type
         self.now = 0
-        self.machines = {f"m{number}": Machine(f"m{number}") for number in range(shape.machines)}
+        zones = shape.zones or shape.machines
+        self.machines = {
+            f"m{number}": Machine(f"m{number}", number % zones) for number in range(shape.machines)
+        }
         self.blocked: set[tuple[str, str]] = set()
         self.lost_disks: set[str] = set()
         self.resetting = False  # connections over a broken link are refused, not silent
@@ -163,6 +171,26 @@
         self.weigh()
         self.on(machine, machine.life, lambda replica: replica.set_peers(self.now, self._others(machine)))
         self._schedule_tick(machine, machine.life)
+        if self.shape.zones:
+            self._ask_zones(machine, machine.life)
+
+    def _ask_zones(self, machine: Machine, life: int) -> None:
+        """Machines next to silent ones answer, unless their zone is behind a cut."""
+        if machine.life != life or machine.replica is None:
+            return
+        self.after(ASK_ZONES_NS, lambda: self._ask_zones(machine, life))
+        if machine.paused_until > self.now:
+            return
+        asked_at = self.now
+        for name in machine.replica.zones_to_ask():
+            target = self.machines.get(name)
+            if target is not None and not self._is_blocked(machine, target):
+                self._carry(
+                    name, machine.name, lambda name=name: self._zone_answers(machine, life, name, asked_at)
+                )
+
+    def _zone_answers(self, machine: Machine, life: int, name: str, asked_at: int) -> None:
+        self.on(machine, life, lambda replica: replica.zone_answered(self.now, name, asked_at))
 
     def stop(self, machine: Machine, silent: bool = False) -> None:
         """The process ends, or the machine's power; a write under way may have arrived."""
@@ -370,7 +398,8 @@
             machine.weak = weak
 
     def _is_linked(self, machine: Machine, other: Machine) -> bool:
-        return other is not machine and not other.silent and not self._is_blocked(machine, other)
+        may_be_cut = self._is_blocked(machine, other) or (other.silent and not self.shape.zones)
+        return other is not machine and not may_be_cut
 
     # Callers.
 
@@ -497,17 +526,24 @@
 
     def cut(self) -> None:
         """Two groups, all ways or one; with a third group it is a bridge."""
-        names = sorted(self.simulation.machines)
-        self.random.shuffle(names)
-        first = self.random.randint(1, len(names) - 1)
-        second = self.random.randint(first, len(names))
-        left, right = names[:first], names[second:] or names[first:]
-        pairs = {(a, b) for a in left for b in right}
+        groups = self._groups()
+        self.random.shuffle(groups)
+        first = self.random.randint(1, len(groups) - 1)
+        second = self.random.randint(first, len(groups))
+        left, right = groups[:first], groups[second:] or groups[first:]
+        pairs = {(a, b) for one in left for a in one for other in right for b in other}
         if self.random.random() < 0.7:
             pairs |= {(b, a) for a, b in pairs}
-        self.simulation.resetting = self.random.random() < 0.3
+        self.simulation.resetting = not self.simulation.shape.zones and self.random.random() < 0.3
         self.simulation.block(pairs)
 
+    def _groups(self) -> list[list[str]]:
+        """Names of machines that are on the same side of any cut."""
+        by_zone: dict[int, list[str]] = {}
+        for name, machine in sorted(self.simulation.machines.items()):
+            by_zone.setdefault(machine.zone, []).append(name)
+        return list(by_zone.values())
+
     def heal(self) -> None:
         self.simulation.heal()
 
@@ -524,11 +560,25 @@
                 self.random.randint(0, 1500) * MS, lambda m=machine, length=length: self._down(m, length)
             )
 
+    def _manners(self, count: int) -> list[Callable[[Machine, int], None]]:
+        """How so many machines go: all alike or each in its own way."""
+        manners = [self._down, self._freeze]
+        if self.simulation.shape.zones:  # else nobody tells a loss of power from a cut
+            manners.append(self._lose_power)
+        if self.random.random() < 0.5:
+            manners = [self.random.choice(manners)]
+        return [self.random.choice(manners) for _ in range(count)]
+
     def _down(self, machine: Machine, length_ms: int) -> None:
         if machine.replica is not None and self._may_go():
             self.simulation.stop(machine)
             self._back(machine, length_ms)
 
+    def _lose_power(self, machine: Machine, length_ms: int) -> None:
+        if machine.replica is not None and self._may_go():
+            self.simulation.stop(machine, silent=True)
+            self._back(machine, length_ms)
+
     def _freeze(self, machine: Machine, length_ms: int) -> None:
         if self._may_go():
             machine.paused_until = max(machine.paused_until, self.simulation.now + length_ms * MS)
@@ -540,8 +590,7 @@
         lost_after = self.random.randint(2000, 5000)
         if self.random.random() < 0.7:
             self._undisturbed_until = self.simulation.now + (lost_after + 1000) * MS
-        for machine in others:
-            leave = self.random.choice((self._down, self._freeze))
+        for machine, leave in zip(others, self._manners(len(others)), strict=True):
             self._later(
                 self.random.randint(0, 500) * MS, lambda m=machine, leave=leave: leave(m, lost_after + 1000)
             )
@@ -590,7 +639,7 @@
                 return
             simulation.lost_disks.discard(machine.name)
             simulation.lost_disks.add(name)
-            simulation.machines[name] = replacement = Machine(name)
+            simulation.machines[name] = replacement = Machine(name, machine.zone)
             replacement.healed_since = simulation.now
             simulation.start(replacement)
             simulation.tell_peers()
--- a/tests/test_controlplane_processes.py
+++ b/tests/test_controlplane_processes.py
@@ -30,7 +30,7 @@
 Role=core
 Serves=control
 Ip={ip}
-Zone=z-1
+Zone={zone}
 Zones.z-1=r-1
 Listen.ControlPlane={ip}:{door}
 PortRange={port},{last_port}
@@ -73,11 +73,14 @@
 class Cluster:
     """Control processes by number."""
 
-    def __init__(self, folder, count: int = 3):
+    def __init__(self, folder, count: int = 3, zone: str = "z-1"):
+        """`zone` may name each process's own zone with `{number}`."""
         self.folder = folder
+        self.zone = zone
         self.prefix = f"127.{os.getpid() % 200 + 20}.{next(NETWORKS)}"
         self.planes: dict[int, ControlPlane] = {}
         self.frozen: set[int] = set()
+        self.other_loops: list[Loop] = []
         for number in range(1, count + 1):
             self.start(number, bootstrap=True)
 
@@ -88,6 +91,7 @@
         seeds = ",".join(f"{self.ip(seed)}:{DOOR}" for seed in (1, 2, 3))
         text = SETTINGS.format(
             number=number,
+            zone=self.zone.format(number=number),
             ip=self.ip(number),
             door=DOOR,
             port=PORT,
@@ -115,7 +119,13 @@
         for number in list(self.planes):
             self.kill(number)
 
+    def drive_also(self, loop: Loop) -> None:
+        """Drives another loop along with those of the processes."""
+        self.other_loops.append(loop)
+
     def round(self) -> None:
+        for loop in self.other_loops:
+            loop.round(0)
         for number, plane in list(self.planes.items()):
             if number not in self.frozen and plane.loop.running:
                 plane.loop.round(0.001)
@@ -176,8 +186,8 @@
     monkeypatch.setattr(Loop, "on_signal", lambda self, number, act: None)  # tests keep their signals
     made = []
 
-    def make(count: int = 3) -> Cluster:
-        made.append(Cluster(tmp_path, count))
+    def make(count: int = 3, zone: str = "z-1") -> Cluster:
+        made.append(Cluster(tmp_path, count, zone))
         return made[-1]
 
     yield make
--- a/tests/test_controlplane_tallies.py
+++ b/tests/test_controlplane_tallies.py
@@ -10,6 +10,10 @@
 from hopsail.http.client import HttpClient
 from hopsail.net.loop import Loop
 from hopsail.replication.errors import StorageError
+from hopsail.membership.identity import Identity
+from hopsail.membership.node import Membership, MembershipSettings
+from hopsail.process import FLEET
+from hopsail.tallies.peers import Ending
 from hopsail.tallies.types import Add, AddOutcome, TallyWrite
 
 
@@ -91,7 +95,7 @@
 
 
 def test_a_process_alone_on_its_side_of_a_partition_goes_on(make_cluster, unanswered):  # noqa: F811
-    cluster = make_cluster()
+    cluster = make_cluster(zone="z-{number}")
     add(cluster, 1, "before", 1)
     cut_off(cluster, 1, unanswered)
     plane = cluster.planes[1]
@@ -124,6 +128,34 @@
         outcomes.append(outcome_of_add(cluster, 1, "with one of three away"))
 
 
+# Guards against adds on one disk while the others' machines have no power, as machines next to them tell.
+def test_no_add_is_acknowledged_on_one_disk_while_zones_of_silent_machines_answer(
+    make_cluster,  # noqa: F811
+    unanswered,
+):
+    cluster = make_cluster()
+    add(cluster, 1, "before", 1)
+    loop = Loop()
+    seeds = [(cluster.ip(1), PORT)]
+    settings = MembershipSettings(
+        Identity("dataplane", "z-1", "edge"), (cluster.ip(100), PORT), FLEET, seeds, "edge", 200
+    )
+    edge = Membership(loop, settings)
+    cluster.drive_also(loop)
+    cluster.until(lambda: edge.joined and len(cluster.planes[1].membership.members) == 4)
+    for number in (2, 3):
+        cluster.kill(number)
+        redirect(cluster, 1, number, unanswered.address)
+    for attempt in range(6):
+        assert outcome_of_add(cluster, 1, f"alone {attempt}") is not AddOutcome.ACKNOWLEDGED
+        run_for(cluster, SECOND)
+    assert cluster.planes[1].tallies.replica.peer_states()[0].ending is Ending.UNANSWERED
+    edge.close()  # nobody in the zone answers any more: now it may be a cut
+    cluster.until(lambda: cluster.planes[1].tallies.replica.figures()["cut_off"] == 2)
+    assert outcome_of_add(cluster, 1, "behind a cut") is AddOutcome.ACKNOWLEDGED
+    loop.close()
+
+
 # Guards against totals in an older state, told by processes that have started while another one is down.
 def test_no_total_is_read_that_may_lack_an_add_of_a_process_that_is_down(make_cluster):  # noqa: F811
     cluster = make_cluster()
