Tests: three of five processes away one by one, and two of three in a crash loop

Both on whole control processes: adds stay unacknowledged while too few are left, also after the asked process has started anew; none is lost with a disk while the others crash.

--- a/tests/test_controlplane_processes.py
+++ b/tests/test_controlplane_processes.py
@@ -39,7 +39,7 @@
 QuorumMember=true
 DataPath={folder}
 HeartbeatMs=200
-FaultBudget.MachineLosses=1
+FaultBudget.MachineLosses={losses}
 Bounds.ContactMs=3000
 Bounds.OrderAckMs=4000
 Bounds.SyncS=4
@@ -73,10 +73,10 @@
 class Cluster:
     """Control processes by number."""
 
-    def __init__(self, folder, count: int = 3, zone: str = "z-1"):
-        """`zone` may name each process's own zone with `{number}`."""
+    def __init__(self, folder, count: int = 3, zone: str = "z-1", losses: int = 1):
+        """`zone` may name each process's own zone with `{number}`; `losses`: machines at once."""
         self.folder = folder
-        self.zone = zone
+        self.zone, self.losses = zone, losses
         self.prefix = f"127.{os.getpid() % 200 + 20}.{next(NETWORKS)}"
         self.planes: dict[int, ControlPlane] = {}
         self.frozen: set[int] = set()
@@ -92,6 +92,7 @@
         text = SETTINGS.format(
             number=number,
             zone=self.zone.format(number=number),
+            losses=self.losses,
             ip=self.ip(number),
             door=DOOR,
             port=PORT,
@@ -186,8 +187,8 @@
     monkeypatch.setattr(Loop, "on_signal", lambda self, number, act: None)  # tests keep their signals
     made = []
 
-    def make(count: int = 3, zone: str = "z-1") -> Cluster:
-        made.append(Cluster(tmp_path, count, zone))
+    def make(count: int = 3, zone: str = "z-1", losses: int = 1) -> Cluster:
+        made.append(Cluster(tmp_path, count, zone, losses))
         return made[-1]
 
     yield make
--- a/tests/test_controlplane_tallies.py
+++ b/tests/test_controlplane_tallies.py
@@ -140,6 +140,47 @@
         outcomes.append(outcome_of_add(cluster, 1, "with one of three away"))
 
 
+# Guards against the same with three of five away, one by one, some frozen, while the last one starts anew.
+def test_no_add_is_acknowledged_on_too_few_disks_while_three_of_five_go_one_by_one(make_cluster):  # noqa: F811
+    cluster = make_cluster(count=5, losses=2)
+    add(cluster, 1, "before", 1)
+    for number in (2, 3, 4):
+        cluster.frozen.add(number) if number == 3 else cluster.kill(number)
+        run_for(cluster, SECOND)
+    outcomes = []
+    for attempt in range(6):
+        if attempt == 3:
+            cluster.kill(1)
+            cluster.start(1)
+        outcomes.append(outcome_of_add(cluster, 1, f"two disks {attempt}"))
+        outcomes.append(outcome_of_add(cluster, 5, f"two disks {attempt}"))
+        run_for(cluster, SECOND // 2)
+    assert AddOutcome.ACKNOWLEDGED not in outcomes
+    cluster.start(2)
+    cluster.until(lambda: outcome_of_add(cluster, 1, "three disks") is AddOutcome.ACKNOWLEDGED)
+
+
+# Guards against the same while both others end again and again, soon after their starts.
+def test_no_add_is_lost_with_a_disk_while_both_others_are_in_a_crash_loop(make_cluster):  # noqa: F811
+    cluster = make_cluster()
+    add(cluster, 1, "before", 1)
+    acknowledged = 0
+    for attempt in range(8):
+        for number in (2, 3):
+            cluster.kill(number)
+        for step in range(5):
+            identifier = f"alone {attempt} {step}"
+            acknowledged += outcome_of_add(cluster, 1, identifier) is AddOutcome.ACKNOWLEDGED
+        for number in (2, 3):
+            cluster.start(number)
+        run_for(cluster, SECOND // 10 * (attempt % 4))
+    cluster.kill(1, wipe=True)
+    cluster.start(1)
+    for number in (1, 2, 3):
+        cluster.until(lambda number=number: cluster.planes[number].tally_total("t") is not None)
+        assert cluster.planes[number].tally_total("t") >= 1 + acknowledged
+
+
 # Guards against adds on one disk while the others' machines have no power, as machines next to them tell.
 def test_no_add_is_acknowledged_on_one_disk_while_zones_of_silent_machines_answer(
     make_cluster,  # noqa: F811
