Soak: an application adds to a tally, and its acknowledged adds are in every total

The soak did not use tallies. An application now adds 1 every 50 ms at the control planes in turn, tries again what has no clear answer, and MergeMs after the last one each process must tell all that were acknowledged and no more than were sent.

--- a/hopsail/soak/run.py
+++ b/hopsail/soak/run.py
@@ -19,6 +19,7 @@
 from .findings import findings
 from .history import History
 from .plan import Plan
+from .tallies import TallyCaller, check_totals
 
 LONGEST_ANSWER = 6 * SECOND
 PROGRESS_S = 5
@@ -26,6 +27,7 @@
 LONGEST_TAIL_S = 60  # that the last steps and changes may take
 STANDSTILLS, MOST_ENDS = 0.05, 6  # part of these seconds in which the soak's own process may stand; tries
 LAST_ANSWERS_S = 8
+MERGE_S = 3  # `MergeMs` of the deployments with tallies
 LARGE_SHARE, LEAVE_SHARE = 0.02, 0.03  # of the requests: bodies of up to 300 kB, clients that leave half-way
 FINDINGS = "findings.txt"  # in the soak's folder, when a rule was broken
 LONG_TOKENS, LONG_WEIGHT = (300, 700, 1000), 0.1  # at 3.4 ms a token; beside 1 of a route's short ones
@@ -51,6 +53,7 @@
     processes: int
     requests: int = 0
     served: int = 0
+    adds: int = 0
     faults: dict[str, int] = field(default_factory=dict)
     passed_over: dict[str, int] = field(default_factory=dict)
     broken: dict[str, int] = field(default_factory=dict)
@@ -74,6 +77,7 @@
         Heartbeat(self.fleet.loop, self.history.standstills.append, self.fleet.loop.now)
         self.desk = Desk(self.fleet, self.history)
         self.conductor = Conductor(self.fleet, plan, self.history, self.desk)
+        self.tallies = TallyCaller(self.fleet.loop, operator.addresses, str(plan.seed))
         self.violations: list[Violation] = []
         self.began = time.monotonic()
 
@@ -90,12 +94,14 @@
         fleet.client.large_share, fleet.client.leave_share = LARGE_SHARE, LEAVE_SHARE
         fleet.client.start(self.per_second)
         self.desk.read_in_turn()
+        self.tallies.add_in_turn()
         self.conductor.set_out()
         self._run_steps()
         self._recover()
         fleet.client.stop()
         fleet.run_until(lambda: fleet.client.open == 0, LAST_ANSWERS_S)
         self._check_configuration()
+        self._check_tallies()
         return self.report()
 
     def _first_configuration(self) -> None:
@@ -154,6 +160,18 @@
         whole = answer.tree if answer.taken else None
         self.violations += check_in_force(whole, self.desk.may_be_in_force)
 
+    def _check_tallies(self) -> None:
+        """All that was acknowledged must be in every total, once the processes have had time to merge."""
+        fleet, tallies = self.fleet, self.tallies
+        tallies.stop()
+        fleet.run_until(lambda: tallies.open == 0, LAST_ANSWERS_S)
+        acknowledged = tallies.acknowledged
+        fleet.run(MERGE_S)
+        tallies.read_all()
+        addresses = fleet.operator.addresses
+        fleet.run_until(lambda: len(tallies.totals) == len(addresses), float(BOUNDS["RecoveryS"]))
+        self.violations += check_totals(addresses, tallies.totals, acknowledged, tallies.sent)
+
     def report(self) -> Report:
         """The verdict until now."""
         fleet = self.fleet
@@ -175,6 +193,7 @@
             processes=self.plan.shape.processes,
             requests=sum(fleet.client.asked.values()) if fleet.client else 0,
             served=sum(fleet.client.served.values()) if fleet.client else 0,
+            adds=self.tallies.acknowledged,
             faults=dict(sorted(self.conductor.done.items())),
             passed_over=dict(sorted(self.conductor.passed_over.items())),
             broken=dict(Counter(one.rule.value for one in found)),
@@ -192,4 +211,5 @@
         """Ends all processes, also those that are stopped."""
         self.conductor.release()
         self.desk.close()
+        self.tallies.close()
         self.fleet.close()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,7 @@
 from hopsail.soak.findings import MOST_OF_A_RULE, findings
 from hopsail.soak.history import History, Reading, Span
 from hopsail.soak.plan import CONTROL_ACTIONS, Action, Plan, PlanError, Step, draw, parse, text_of
+from hopsail.soak.tallies import check_totals
 from hopsail.soak.shape import Shape, ShapeError, check_memory, memory_mb, shape_of
 from hopsail.standins.records import Journal, Rule, Run, Try, Violation
 from hopsail.standins.settings import BOUNDS
@@ -185,6 +186,20 @@
     return found([a_try("a")], runs, history_of(**({"versions": {2: AT}} | history))) == [Rule.VERSION]
 
 
+def test_totals_that_lack_acknowledged_adds_or_have_too_many_are_found():
+    one, other = ("127.0.0.1", 1), ("127.0.0.2", 1)
+
+    def found(**totals):
+        told = {one: totals.get("one"), other: totals.get("other")}
+        told = {address: total for address, total in told.items() if total is not None}
+        return [violation.rule for violation in check_totals((one, other), told, acknowledged=5, sent=7)]
+
+    assert found(one=5, other=7) == []
+    assert found(one=4, other=5) == [Rule.LOST]
+    assert found(one=5) == [Rule.LOST]
+    assert found(one=8, other=5) == [Rule.TWICE]
+
+
 def test_a_run_on_superseded_weights_after_its_time_is_found():
     late = AT + 8001 * MS
     assert old_version(late)
