--- a/hopsail/controlplane/tallies.py
+++ b/hopsail/controlplane/tallies.py
@@ -26,6 +26,7 @@
 from ..tallies.replica import TallyConfig, TallyReplica
 from ..tallies.types import Add, AddDone, AddOutcome, PeerCall
 from .tally_disk import TallyDisk
+from .zone_questions import ZoneQuestions
 
 log = get_logger("tallies")
 
@@ -35,7 +36,6 @@
 # Before the replica gives a call up by itself, as the channel can tell whether the other side refuses.
 CHANNEL_TIMEOUT_NS = CALL_TIMEOUT_NS - 50 * MILLISECOND
 JOIN_WAIT_NS = 2000 * MILLISECOND  # after a start, in which members become known that are no seeds
-ASK_ZONES_INTERVAL_NS = 200 * MILLISECOND
 REPLIES = {PUSH: PushReply, EXCHANGE: ExchangeReply}
 # After these it is the channel that tells what is known of the link; else a process has answered.
 CONNECTION_ERRORS = (CallTimeoutError, CallRefusedError, DisconnectedError)
@@ -48,7 +48,6 @@
     settings: ProcessSettings
     loop: Loop
     counters: Counters
-
     membership: Membership
 
     def tally_channel(self, identity: str) -> Channel:
@@ -69,7 +68,7 @@
         self.replica = self._made(is_first)
         # At first only seeds are known, and an add may be on the disk of none of them.
         self._reads_from = self.loop.now() + (0 if is_first else JOIN_WAIT_NS)
-        self._ask_zones_at = 0  # ns
+        self._zone_questions = ZoneQuestions(process.membership, self.replica)
         self._timer: Timer | None = None
         self._is_pump_due = self._is_complete = False
         self._told_verdict: tuple[int, frozenset[str], int] | None = None
@@ -129,26 +128,9 @@
             self._peers = peers
             self.replica.set_peers(self.loop.now(), peers)
             self._pump_soon()
-        self._ask_zones()
+        self._zone_questions.ask(self.loop.now())
         self._tell_changes()
 
-    def _ask_zones(self) -> None:
-        """Finds out whether the zones of silent processes can be reached."""
-        now = self.loop.now()
-        if now < self._ask_zones_at:
-            return
-        self._ask_zones_at = now + ASK_ZONES_INTERVAL_NS
-        membership = self.process.membership
-        for identity in self.replica.zones_to_ask():
-            host, port = identity.rsplit(":", 1)
-            zone = membership.zone_of((host, int(port)))
-            if zone is None:
-                continue
-            asked_at = membership.zone_answered_at(zone)
-            if asked_at is not None:
-                self.replica.zone_answered(now, identity, asked_at)
-            membership.ask_zone(zone)
-
     def compact(self) -> None:
         """Has the state written anew when much of what is on the disk repeats itself."""
         if self.disk.is_wasteful:
