Seeds are control processes only until the members of the log are known

A seed whose place another machine had taken stayed a holder of tallies for ever. Since a process that has started waits for peers that are down, one that lost its disk would have answered no read any more, and on the smaller side of a cut a dead seed would have been counted among the disks that an add needs.

Test: test_a_seed_whose_place_another_one_has_taken_is_not_waited_for failed before (the seed was still known after the voters had changed).

--- a/hopsail/controlplane/plane.py
+++ b/hopsail/controlplane/plane.py
@@ -228,9 +228,14 @@
         return {self.settings.zone, *self.settings.zones}
 
     def known_controls(self) -> set[str]:
-        """The control processes that are seeds, alive or members of the configuration's log."""
-        seeds = {f"{host}:{port}" for host, port in self.seeds}
-        return seeds | {*self._alive_controls(), *self.shards[CONFIGURATION_SHARD].replica.members.all}
+        """The control processes that are alive or members of the configuration's log.
+
+        Seeds stand for the members as long as those are not known: later, other machines may have taken
+        their places.
+        """
+        members = self.shards[CONFIGURATION_SHARD].replica.members.all
+        seeds = (f"{host}:{port}" for host, port in self.seeds)
+        return {*self._alive_controls(), *(members or seeds)}
 
     def service_of_model(self, model: str) -> str:
         """The service whose hosts run the model; the model's own name while none is known."""
--- a/tests/test_controlplane_tallies.py
+++ b/tests/test_controlplane_tallies.py
@@ -226,6 +226,20 @@
         read(cluster, number, 3)
 
 
+# Guards against a process that waits for ever for a seed whose place another one has taken.
+def test_a_seed_whose_place_another_one_has_taken_is_not_waited_for(make_cluster):  # noqa: F811
+    cluster = make_cluster(count=4)
+    add(cluster, 1, "i", 4)
+    gone = f"{cluster.ip(2)}:{PORT}"
+    cluster.until(lambda: len(cluster.planes[1].shards[0].replica.members.all) == 4)
+    cluster.kill(2, wipe=True)
+    cluster.until(lambda: gone not in cluster.planes[3].known_controls())
+    cluster.kill(1, wipe=True)
+    cluster.start(1)
+    for number in (1, 3, 4):
+        read(cluster, number, 4)
+
+
 def test_reads_go_on_while_one_of_three_is_down(make_cluster):  # noqa: F811
     cluster = make_cluster()
     add(cluster, 1, "i", 4)
