--- a/tests/tallies/test_tally_histories.py
+++ b/tests/tallies/test_tally_histories.py
@@ -141,4 +141,4 @@
 
 
 def test_origins_that_come_again_are_found():
-    assert found(FIVE._replace(reused_origins=True, fault_ns=4_000_000_000)) is not None
+    assert found(FIVE._replace(reused_origins=True)) is not None
