--- a/hopsail/soak/tallies.py
+++ b/hopsail/soak/tallies.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from random import Random
 
+from ..controlplane.tally_calls import TALLY_PREFIX
 from ..http.client import HttpClient
 from ..http.message import Response
 from ..net.loop import Loop
@@ -16,7 +17,7 @@
 
 Address = tuple[str, int]
 
-TARGET = "/-/tallies/soak"
+TARGET = f"{TALLY_PREFIX}soak"
 ADD_EVERY_MS = 50
 RETRY_AFTER_MS = 50
 SILENCE_MS = 1000  # after which another process is called
--- a/tests/test_controlplane_processes.py
+++ b/tests/test_controlplane_processes.py
@@ -87,9 +87,9 @@
     def ip(self, number: int) -> str:
         return f"{self.prefix}.{number}"
 
-    def start(self, number: int, bootstrap: bool = False) -> ControlPlane:
-        seeds = ",".join(f"{self.ip(seed)}:{DOOR}" for seed in (1, 2, 3))
-        text = SETTINGS.format(
+    def settings_text(self, number: int, seeds, bootstrap: bool) -> str:
+        """The settings file of a process; `seeds` are numbers."""
+        return SETTINGS.format(
             number=number,
             zone=self.zone.format(number=number),
             losses=self.losses,
@@ -97,10 +97,13 @@
             door=DOOR,
             port=PORT,
             last_port=PORT + 15,
-            seeds=seeds,
+            seeds=",".join(f"{self.ip(seed)}:{DOOR}" for seed in seeds),
             bootstrap=str(bootstrap).lower(),
             folder=self.folder / str(number),
         )
+
+    def start(self, number: int, bootstrap: bool = False) -> ControlPlane:
+        text = self.settings_text(number, (1, 2, 3), bootstrap)
         plane = self.planes[number] = ControlPlane(parse_settings(text))
         plane.start()
         return plane
--- a/tests/test_controlplane_stopping.py
+++ b/tests/test_controlplane_stopping.py
@@ -6,7 +6,7 @@
 from types import SimpleNamespace
 
 import pytest
-from test_controlplane_processes import DOOR, PORT, SECOND, SETTINGS, content, make_cluster, put  # noqa: F401
+from test_controlplane_processes import DOOR, SECOND, content, make_cluster, put  # noqa: F401
 from request_journey import MILLISECOND, Clock, ClientSide
 
 from hopsail.controlplane.messages import COMMAND, CommandCall, CommandReply
@@ -364,16 +364,7 @@
     cluster = make_cluster()
     leader = cluster.settled()
     plane = cluster.planes[leader]
-    text = SETTINGS.format(
-        number=leader,
-        ip=cluster.ip(leader),
-        door=DOOR,
-        port=PORT,
-        last_port=PORT + 15,
-        seeds=f"{cluster.ip(leader % 3 + 1)}:{DOOR}",
-        bootstrap="true",
-        folder=tmp_path / str(leader),
-    )
+    text = cluster.settings_text(leader, [leader % 3 + 1], bootstrap=True)
     file = tmp_path / "settings.conf"
     file.write_text(text if not fault else text.replace("Listen.", "Other."))
     monkeypatch.setenv(SETTINGS_VARIABLE, str(file))
