Tallies: less state for peers, starts and signs

Read again: Ending listed LinkSign a second time; of DiskAtStart's three values two were never told apart; needed_disks wrapped _needed; Link.shift repeated the end of a silence; a greeting reset a count that each end of a connection resets; the log's verdict made the set of peers anew. The sign itself, one flag, one method and the set that is kept serve now.

Behaviour is as before, but that the log calls a silent peer 'none' and not 'silence'.

--- a/hopsail/controlplane/tallies.py
+++ b/hopsail/controlplane/tallies.py
@@ -71,8 +71,8 @@
         self._zone_questions = ZoneQuestions(process.membership, self.replica)
         self._timer: Timer | None = None
         self._is_pump_due = self._is_complete = False
-        self._told_verdict: tuple[int, frozenset[str], int] | None = None
         self._peers: frozenset[str] | None = None
+        self._told_verdict: tuple[int, frozenset[str] | None, int] | None = None
         if self.disk.is_wasteful:
             self.replica.compact()
         self.update_peers()
@@ -140,7 +140,7 @@
     def _tell_changes(self) -> None:
         peers = self.replica.peer_states()
         needed = self.replica.needed_disks()
-        verdict = (needed, frozenset(peer.name for peer in peers), sum(peer.is_cut_off for peer in peers))
+        verdict = (needed, self._peers, sum(peer.is_cut_off for peer in peers))
         if verdict != self._told_verdict:
             self._told_verdict = verdict
             log.info("disks that an add needs: %s; others: %s", needed, "; ".join(map(str, peers)) or "none")
--- a/hopsail/rpc/channel.py
+++ b/hopsail/rpc/channel.py
@@ -164,7 +164,6 @@
     def greeted(self, connection: Connection) -> None:
         """Called by the connection: the other side is of this fleet."""
         self._back_off = FIRST_BACK_OFF
-        self._unanswered_dials = 0
 
     def lost(self, connection: Connection) -> None:
         """Called by the connection: it is over."""
--- a/hopsail/tallies/link.py
+++ b/hopsail/tallies/link.py
@@ -34,15 +34,15 @@
     def replied(self, now: int) -> None:
         """A call was replied to."""
         self.last_reply = now
-        self._prove_whole()
+        self._end_silence()
 
-    def _prove_whole(self) -> None:
+    def _end_silence(self) -> None:
         self._silent_since = self._unanswered_since = self._zone_answered_at = None
 
     def failed(self, now: int, sign: LinkSign) -> None:
         """A call has ended without a reply, and this is the channel's newest sign."""
         if sign in (LinkSign.ACCEPTED, LinkSign.REFUSED):
-            self._prove_whole()
+            self._end_silence()
             return
         if self._silent_since is None:
             self._silent_since = now
@@ -70,4 +70,4 @@
     def shift(self, by: int) -> None:
         """This process stood still for so long, and the link may be whole by now."""
         self.last_reply += by
-        self._silent_since = self._unanswered_since = self._zone_answered_at = None
+        self._end_silence()
--- a/hopsail/tallies/peers.py
+++ b/hopsail/tallies/peers.py
@@ -2,7 +2,6 @@
 
 import math
 from collections.abc import Iterable
-from enum import Enum, auto
 from typing import NamedTuple
 
 from ..rpc.link_sign import LinkSign
@@ -18,36 +17,18 @@
 CALL_TIMEOUT_NS = 500_000_000  # ns
 
 
-class Ending(Enum):
-    """How the last call to a peer ended."""
-
-    NONE = auto()  # there was none yet
-    REPLY = auto()
-    REFUSED = auto()  # or the connection broke: the process is down
-    ACCEPTED = auto()  # its machine takes connections, but the process says nothing
-    SILENCE = auto()  # of which nothing is known
-    UNANSWERED = auto()  # its machine does not answer either
-
-
-ENDINGS = {
-    LinkSign.NONE: Ending.SILENCE,
-    LinkSign.ACCEPTED: Ending.ACCEPTED,
-    LinkSign.REFUSED: Ending.REFUSED,
-    LinkSign.UNANSWERED: Ending.UNANSWERED,
-}
-
-
 class PeerState(NamedTuple):
     """What is held of a peer now, for logs."""
 
     name: str
-    ending: Ending
+    failure: LinkSign | None  # None: its last call was replied to
     is_cut_off: bool
 
     def __str__(self) -> str:
         """As one line of a log shows it."""
+        ending = "reply" if self.failure is None else self.failure.name.lower()
         suffix = ", cut off" if self.is_cut_off else ""
-        return f"{self.name} {self.ending.name.lower()}{suffix}"
+        return f"{self.name} {ending}{suffix}"
 
 
 class Peer:
@@ -61,7 +42,8 @@
         self.durable: Positions = {}
         self.complete = False  # all that it held at an exchange was merged here
         self.intact = False  # it then held all that it has ever confirmed
-        self.ending = Ending.NONE
+        # How its last call failed; None after a reply. Before the first call nothing is known either.
+        self.failure: LinkSign | None = LinkSign.NONE
         self.link = Link(now)
         self.exchange_due = now
         self.push_due = now
@@ -72,7 +54,7 @@
 
     def state(self, now: int) -> PeerState:
         """What is held of it now."""
-        return PeerState(self.name, self.ending, self.cut_off(now))
+        return PeerState(self.name, self.failure, self.cut_off(now))
 
     def cut_off(self, now: int) -> bool:
         """Whether it is on the other side of a partition."""
@@ -80,15 +62,15 @@
 
     def reachable(self, now: int) -> bool:
         """Whether the next push may well arrive."""
-        if self.ending is Ending.REFUSED or self.cut_off(now):
+        if self.failure is LinkSign.REFUSED or self.cut_off(now):
             return False
         return now - self.link.last_reply < REACHABLE_NS
 
     def awaited(self, now: int) -> bool:
         """Whether a process that has started should still wait for what this peer holds."""
-        if self.complete or self.ending is Ending.REPLY:
+        if self.complete or self.failure is None:
             return not self.complete
-        patience = RESTART_WAIT_NS if self.ending is Ending.REFUSED else SILENT_START_NS
+        patience = RESTART_WAIT_NS if self.failure is LinkSign.REFUSED else SILENT_START_NS
         return now - self.link.last_reply < patience
 
     @property
@@ -124,14 +106,14 @@
             self.life, self.known, self.durable = reply.origin, {}, {}
         _raise_to(self.known, to_positions(reply.known))
         _raise_to(self.durable, to_positions(reply.durable))
-        self.ending = Ending.REPLY
+        self.failure = None
         self.link.replied(now)
         return True
 
     def failed(self, now: int, sign: LinkSign) -> None:
         """A call has ended without a reply. A process that is gone may come back with an empty disk."""
         refused = sign is LinkSign.REFUSED
-        self.ending = ENDINGS[sign]
+        self.failure = sign
         self.link.failed(now, sign)
         self.push_limits = {}
         self.exchange_due = max(self.exchange_due, now + (EXCHANGE_INTERVAL_NS if refused else 0))
@@ -144,7 +126,7 @@
 
     def pushable(self, now: int) -> bool:
         """Whether a push may begin: one at a time, and none to a peer that has not answered last."""
-        return self.ending is Ending.REPLY and self.push_due <= now and len(self._calls) == self._exchanges
+        return self.failure is None and self.push_due <= now and len(self._calls) == self._exchanges
 
     def shift(self, by: int) -> None:
         """This process stood still for so long: that is not the peer's silence."""
--- a/hopsail/tallies/replica.py
+++ b/hopsail/tallies/replica.py
@@ -14,7 +14,7 @@
 from .own_disk import OwnDisk, load
 from .peers import EXCHANGE_INTERVAL_NS, Peer, PeerState
 from .records import Positions, RecordSet, check_add, covers, ends, from_positions, to_positions
-from .startup import DiskAtStart, disk_at_start, may_read
+from .startup import may_read
 from .types import Add, AddDone, AddOutcome, PeerCall, PeerReply, TallyWrite
 
 MAX_ADDS = 100_000  # records; beyond it an add is rejected
@@ -55,7 +55,7 @@
         found = load(stored, self._records, config.max_merged_adds)
         self._disk = OwnDisk(dict(self._records.positions), found)
         self._peers: dict[str, Peer] | None = None
-        self._disk_at_start = disk_at_start(bootstrapping, found.is_empty, found.catching_up)
+        self._disk_was_lost = found.catching_up or (found.is_empty and not bootstrapping)
         self._ready = bootstrapping
         self._own_sequences: dict[str, dict[str, int]] = {}
         self._waiting = Acknowledgements()
@@ -195,8 +195,9 @@
         self._disk.replace_all()
 
     def needed_disks(self) -> int:
-        """On how many disks an add has to be before it is acknowledged now."""
-        return self._needed()
+        """On how many disks an add has to be, whether or not the processes on this side of a cut run."""
+        on_this_side = 1 + sum(not peer.cut_off(self._now) for peer in self._each_peer())
+        return min(self._config.disk_losses + 1, on_this_side)
 
     def peer_states(self) -> list[PeerState]:
         """What is held of each other replica now."""
@@ -226,17 +227,12 @@
                 peer.shift(late)
         self._now = now
 
-    def _needed(self) -> int:
-        """On how many disks an add has to be, whether or not the processes on this side of a cut run."""
-        on_this_side = 1 + sum(not peer.cut_off(self._now) for peer in self._each_peer())
-        return min(self._config.disk_losses + 1, on_this_side)
-
     def _admits(self) -> bool:
         """Whether an add can be taken and may reach enough disks."""
         if self._peers is None or self._records.size >= self._config.max_adds:
             return False
         disks = (not self._disk.failing) + sum(peer.reachable(self._now) for peer in self._each_peer())
-        return disks >= self._needed()
+        return disks >= self.needed_disks()
 
     def _refuse(self, add: Add, done: AddDone) -> None:
         """No record is made. A former attempt may have made one, here or elsewhere."""
@@ -252,7 +248,7 @@
         by_life = {peer.life: peer.durable.get(self._origin, 0) for peer in self._each_peer()}
         by_life[self._origin] = self._disk.durable.get(self._origin, 0)
         sequences = sorted(by_life.values(), reverse=True)
-        needed = self._needed()
+        needed = self.needed_disks()
         self._waiting.settle(self._now, sequences[needed - 1] if needed <= len(sequences) else 0)
         self._answer_pushes(failed=False)
 
@@ -316,9 +312,9 @@
 
     def _is_intact(self) -> bool:
         """Whether it holds all that it has ever confirmed."""
-        return self._ready or self._disk_at_start is not DiskAtStart.LOST
+        return self._ready or not self._disk_was_lost
 
     def _check_ready(self) -> None:
         if not self._ready and self._peers is not None:
             peers = self._peers.values()
-            self._ready = may_read(self._now, peers, self._disk_at_start, self._config.disk_losses)
+            self._ready = may_read(self._now, peers, self._disk_was_lost, self._config.disk_losses)
--- a/tests/tallies/test_tally_histories.py
+++ b/tests/tallies/test_tally_histories.py
@@ -35,7 +35,7 @@
 
 
 class OneDisk(TallyReplica):
-    def _needed(self):
+    def needed_disks(self):
         return 1
 
 
@@ -114,7 +114,7 @@
 
 
 def reads_without_those_that_are_down(monkeypatch):
-    def may_read(now, peers, disk, disk_losses):
+    def may_read(now, peers, disk_was_lost, disk_losses):
         return not any(peer.awaited(now) for peer in peers)
 
     monkeypatch.setattr(replica, "may_read", may_read)
--- a/tests/test_controlplane_tallies.py
+++ b/tests/test_controlplane_tallies.py
@@ -13,7 +13,7 @@
 from hopsail.membership.identity import Identity
 from hopsail.membership.node import Membership, MembershipSettings
 from hopsail.process import FLEET
-from hopsail.tallies.peers import Ending
+from hopsail.rpc.link_sign import LinkSign
 from hopsail.tallies.types import Add, AddOutcome, TallyWrite
 
 
@@ -202,7 +202,7 @@
     for attempt in range(6):
         assert outcome_of_add(cluster, 1, f"alone {attempt}") is not AddOutcome.ACKNOWLEDGED
         run_for(cluster, SECOND)
-    assert cluster.planes[1].tallies.replica.peer_states()[0].ending is Ending.UNANSWERED
+    assert cluster.planes[1].tallies.replica.peer_states()[0].failure is LinkSign.UNANSWERED
     edge.close()  # nobody in the zone answers any more: now it may be a cut
     cluster.until(lambda: cluster.planes[1].tallies.replica.figures()["cut_off"] == 2)
     assert outcome_of_add(cluster, 1, "behind a cut") is AddOutcome.ACKNOWLEDGED
