A zone is asked once for all its silent processes; one place reads identities

Two silent processes of one zone had it pinged twice, and its answers looked up twice. Silent processes are gathered by zone now. The address in an identity was read in two places; controlplane/identities.py does it.

--- a/hopsail/controlplane/plane.py
+++ b/hopsail/controlplane/plane.py
@@ -22,6 +22,7 @@
 from .contact import CONFIRM, ConfirmCall
 from .decisions import Decisions
 from .feeds import ROLE, Feeds
+from .identities import address_of
 from .messages import (
     COMMAND,
     REPLICATE,
@@ -53,7 +54,7 @@
 TICK_MS = 20
 SLOW_TICK_MS = 500
 VOTERS_TICK_MS = 100
-# A cut, and its end, show in dials.
+# Shorter than usual: dials show that a link is cut, or whole again, and callers of adds wait for that.
 TALLY_DIAL_TIMES = DialTimes(up_within=300 * MILLISECOND, longest_back_off=250 * MILLISECOND)
 
 
@@ -207,9 +208,8 @@
     ) -> Channel:
         channel = channels.get(identity)
         if channel is None:
-            host, _, port = identity.rpartition(":")
-            address = (host, int(port))
-            channel = channels[identity] = Channel(self.loop, address, FLEET, dial_times=dial_times)
+            channel = Channel(self.loop, address_of(identity), FLEET, dial_times=dial_times)
+            channels[identity] = channel
         return channel
 
     # Other processes and services.
--- a/hopsail/controlplane/zone_questions.py
+++ b/hopsail/controlplane/zone_questions.py
@@ -3,6 +3,7 @@
 from ..membership.node import Membership
 from ..process import MILLISECOND
 from ..tallies.replica import TallyReplica
+from .identities import address_of
 
 ASK_INTERVAL_NS = 200 * MILLISECOND
 
@@ -20,14 +21,18 @@
         if now < self._ask_at:
             return
         self._ask_at = now + ASK_INTERVAL_NS
-        for identity in self._replica.zones_to_ask():
-            host, _, port = identity.rpartition(":")
-            zone = self._membership.zone_of((host, int(port)))
-            if zone is not None:
-                self._ask_zone(now, identity, zone)
+        for zone, identities in self._silent_by_zone().items():
+            asked_at = self._membership.zone_answered_at(zone)
+            if asked_at is not None:
+                for identity in identities:
+                    self._replica.zone_answered(now, identity, asked_at)
+            self._membership.ask_zone(zone)
 
-    def _ask_zone(self, now: int, identity: str, zone: str) -> None:
-        answered = self._membership.zone_answered_at(zone)
-        if answered is not None:
-            self._replica.zone_answered(now, identity, answered)
-        self._membership.ask_zone(zone)
+    def _silent_by_zone(self) -> dict[str, list[str]]:
+        """The processes that are silent, by their zones as far as these are known."""
+        by_zone: dict[str, list[str]] = {}
+        for identity in self._replica.peers_to_ask_for():
+            zone = self._membership.zone_of(address_of(identity))
+            if zone is not None:
+                by_zone.setdefault(zone, []).append(identity)
+        return by_zone
--- a/hopsail/tallies/replica.py
+++ b/hopsail/tallies/replica.py
@@ -146,7 +146,7 @@
         """A call has ended without a reply; the sign is what its channel then showed of the link."""
         self._end(now, number, lambda peer, _call: peer.failed(now, sign))
 
-    def zones_to_ask(self) -> list[str]:
+    def peers_to_ask_for(self) -> list[str]:
         """The peers whose zones should be asked whether they can be reached, as it decides something."""
         silent = [peer.name for peer in self._each_peer() if peer.link.is_silent]
         others = 1 + len(self._peers or {}) - len(silent)
--- a/tests/tallies_simulation.py
+++ b/tests/tallies_simulation.py
@@ -39,7 +39,6 @@
     fault_ns: int = 7_000 * MS
     reused_origins: bool = False
     cuts: bool = True  # of links between machines
-    most_away: int | None = None  # processes that are down or stand still at once; None: any number
     # With zones, links are cut between zones only, and other machines there answer; else nobody tells of a
     # machine without power that there is no cut.
     zones: int = 0
@@ -181,7 +180,7 @@
         if machine.paused_until > self.now:
             return
         asked_at = self.now
-        for name in machine.replica.zones_to_ask():
+        for name in machine.replica.peers_to_ask_for():
             target = self.machines.get(name)
             if target is None or self._is_blocked(machine, target):
                 continue
@@ -571,18 +570,17 @@
         return [self.random.choice(manners) for _ in range(count)]
 
     def _down(self, machine: Machine, length_ms: int) -> None:
-        if machine.replica is not None and self._may_go():
+        if machine.replica is not None:
             self.simulation.stop(machine)
             self._back(machine, length_ms)
 
     def _lose_power(self, machine: Machine, length_ms: int) -> None:
-        if machine.replica is not None and self._may_go():
+        if machine.replica is not None:
             self.simulation.stop(machine, silent=True)
             self._back(machine, length_ms)
 
     def _freeze(self, machine: Machine, length_ms: int) -> None:
-        if self._may_go():
-            machine.paused_until = max(machine.paused_until, self.simulation.now + length_ms * MS)
+        machine.paused_until = max(machine.paused_until, self.simulation.now + length_ms * MS)
 
     def strand(self) -> None:
         """All processes but one go, one by one; that one's disk is lost before they are back."""
@@ -610,7 +608,7 @@
         self.simulation.after(delay, lambda: repairs == self._repairs and action())
 
     def _crash(self, machine: Machine) -> None:
-        if machine.replica is not None and self._may_go():
+        if machine.replica is not None:
             self.simulation.stop(machine)
             self._back(machine, self.random.randint(100, 400))
 
@@ -723,11 +721,6 @@
         machines = list(self.simulation.machines.values())
         return self.random.sample(machines, self.random.randint(1, len(machines)))
 
-    def _may_go(self) -> bool:
-        """Whether one more process may be away."""
-        most = self.simulation.shape.most_away
-        return most is None or self._away() < most
-
     def _may_lose(self, machine: Machine) -> bool:
         lost = self.simulation.lost_disks
         return machine.name in lost or len(lost) < self.simulation.shape.disk_losses
