Tests: one way to add once, one address whose handshakes hang

add() repeated outcome_of_add; the test of a dial that does not come up filled a queue by itself beside UnansweredAddress, which then was RawListener's only other backlog. Assertions stay.

--- a/tests/test_controlplane_tallies.py
+++ b/tests/test_controlplane_tallies.py
@@ -20,9 +20,7 @@
 def add(cluster, number, identifier, amount=1):
     """Adds as callers do, who send again what has not been acknowledged."""
     for _ in range(20):
-        told = []
-        cluster.planes[number].add_to_tally(Add("t", identifier, amount), told.append)
-        if cluster.until(lambda told=told: told)[0] is AddOutcome.ACKNOWLEDGED:
+        if outcome_of_add(cluster, number, identifier, amount) is AddOutcome.ACKNOWLEDGED:
             return
     raise AssertionError("not acknowledged")
 
@@ -78,10 +76,10 @@
     cluster.until(lambda: clock.now() >= end)
 
 
-def outcome_of_add(cluster, number, identifier):
+def outcome_of_add(cluster, number, identifier, amount=1):
     """Of a single call."""
     told = []
-    cluster.planes[number].add_to_tally(Add("t", identifier, 1), told.append)
+    cluster.planes[number].add_to_tally(Add("t", identifier, amount), told.append)
     return cluster.until(lambda: told)[0]
 
 
--- a/tests/test_rpc.py
+++ b/tests/test_rpc.py
@@ -291,9 +291,9 @@
 class RawListener:
     """A server that does only what a test tells it to."""
 
-    def __init__(self, loop, backlog=8):
+    def __init__(self, loop):
         self.loop, self.accepted = loop, []
-        self.sock = socket.create_server(("127.0.0.1", 0), backlog=backlog)
+        self.sock = socket.create_server(("127.0.0.1", 0), backlog=8)
         self.sock.setblocking(False)
         self.address = self.sock.getsockname()
 
@@ -813,13 +813,8 @@
         assert channel._connection is None
 
     def test_a_connection_that_does_not_come_up_is_given_up(self, loop, opened, outcomes):
-        full = RawListener(loop, backlog=0)
+        full = UnansweredAddress()
         opened.append(full)
-        for _ in range(4):  # the system's queue of connections is full: a further one hangs
-            sock = socket.socket()
-            sock.setblocking(False)
-            sock.connect_ex(full.address)
-            opened.append(sock)
         channel = Channel(loop, full.address, "blue")
         opened.append(channel)
         channel.call("echo", Inner(), Inner, outcomes, 10 * SECOND)
