--- a/hopsail/standins/fleet.py
+++ b/hopsail/standins/fleet.py
@@ -211,7 +211,8 @@
             self.loop.round(0.02)
             for process in self.processes:
                 if process.child is not None and not process.running and not process.killed:
-                    raise TrialError(f"{process.machine.name} has ended by itself")
+                    status = process.child.returncode
+                    raise TrialError(f"{process.machine.name} has ended by itself, status {status}")
         return reached()
 
     def answered(
