Soak: adds go out by the operator stand-in, which already has the callers' retries

TallyCaller had a retry of its own beside that of the operator stand-in, with another pause and no end.

--- a/hopsail/soak/run.py
+++ b/hopsail/soak/run.py
@@ -77,7 +77,7 @@
         Heartbeat(self.fleet.loop, self.history.standstills.append, self.fleet.loop.now)
         self.desk = Desk(self.fleet, self.history)
         self.conductor = Conductor(self.fleet, plan, self.history, self.desk)
-        self.tallies = TallyCaller(self.fleet.loop, operator.addresses, str(plan.seed))
+        self.tallies = TallyCaller(self.fleet.loop, operator, str(plan.seed))
         self.violations: list[Violation] = []
         self.began = time.monotonic()
 
@@ -164,7 +164,7 @@
         """All that was acknowledged must be in every total, once the processes have had time to merge."""
         fleet, tallies = self.fleet, self.tallies
         tallies.stop()
-        fleet.run_until(lambda: tallies.open == 0, LAST_ANSWERS_S)
+        fleet.run_until(lambda: tallies.under_way == 0, LAST_ANSWERS_S)
         acknowledged = tallies.acknowledged
         fleet.run(MERGE_S)
         tallies.read_all()
@@ -211,5 +211,4 @@
         """Ends all processes, also those that are stopped."""
         self.conductor.release()
         self.desk.close()
-        self.tallies.close()
         self.fleet.close()
--- a/hopsail/standins/operator.py
+++ b/hopsail/standins/operator.py
@@ -19,6 +19,7 @@
 OTHERS_AGAIN = (408, 429)
 MOST_REFUSALS = 3  # tries that other 4xx end
 CONFIGURATION = "/-/config"
+TALLIES = "/-/tallies/"
 
 
 class Answer(NamedTuple):
@@ -152,6 +153,11 @@
         call = OperatorCall("POST", "/-/version-put", tuple(JSON_HEADERS), body)
         self._send(call, self._noting(self.versions, revision, done))
 
+    def add_to_tally(self, tally: str, identifier: str, amount: int, done: Callable[[Answer], None]) -> None:
+        """An application's add; an identifier counts once, however often it is sent."""
+        body = json.dumps({"InstanceId": identifier, "Actor": amount}).encode()
+        self._send(OperatorCall("POST", TALLIES + tally, tuple(JSON_HEADERS), body), done)
+
     def _change(self, method: str, tree: dict, current: int, done: Callable[[Answer], None]) -> None:
         headers = (("if-match", str(current)), *JSON_HEADERS)
         call = OperatorCall(method, CONFIGURATION, headers, json.dumps(tree).encode())
